--- /dev/null
+++ b/internal/config/parser/job.go
@@ -0,0 +1,91 @@
+package parser
+
+import (
+	"time"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/job/planner"
+)
+
+// Limits on a job.
+const (
+	MaxTasks     = 128       // tasks of a gang
+	MaxBody      = 256 << 10 // bytes of a request body
+	MaxDeclared  = 30 * 24 * time.Hour
+	maxKeyLength = 128
+)
+
+// Job is a request for a gang of tasks, as callers and manifests write it.
+type Job struct {
+	Service      string   `json:"service"`
+	Tasks        int      `json:"tasks,omitempty"`        // gang size, 1 when absent
+	Processors   float64  `json:"processors,omitempty"`   // of each task
+	Memory       float64  `json:"memory,omitempty"`       // of each task, in GiB
+	Accelerators int      `json:"accelerators,omitempty"` // of each task
+	Adjacency    string   `json:"adjacency,omitempty"`    // any, place, rack or worker
+	Place        string   `json:"place,omitempty"`        // the only place to run in
+	Prefer       string   `json:"prefer,omitempty"`       // the place to try first
+	Runtime      Duration `json:"runtime,omitempty"`      // declared run time, 0 when unknown
+	Urgent       bool     `json:"urgent,omitempty"`
+	Idempotent   *bool    `json:"idempotent,omitempty"` // true when absent
+	Checkpoint   bool     `json:"checkpoint,omitempty"` // tasks can be checkpointed
+	Body         []byte   `json:"body,omitempty"`       // passed to the first task, base64
+}
+
+// IsIdempotent reports whether the job may be run again after it may have started.
+func (j Job) IsIdempotent() bool { return j.Idempotent == nil || *j.Idempotent }
+
+// GangSize returns the number of tasks.
+func (j Job) GangSize() int { return max(j.Tasks, 1) }
+
+// Closeness returns the adjacency as the planner knows it.
+func (j Job) Closeness() planner.Adjacency {
+	switch j.Adjacency {
+	case "place":
+		return planner.SamePlace
+	case "rack":
+		return planner.SameRack
+	case "worker":
+		return planner.SameWorker
+	}
+	return planner.Anywhere
+}
+
+// ParseJob reads and checks a job body.
+func ParseJob(text []byte) (Job, error) {
+	const file = "job"
+	var j Job
+	if err := decode(file, text, &j); err != nil {
+		return Job{}, err
+	}
+	c := &checker{file: file, text: text}
+	j.check(c, "")
+	return j, c.result()
+}
+
+func (j Job) check(c *checker, prefix string) {
+	c.require(j.Service != "", prefix+"service", "is missing")
+	c.require(j.Tasks >= 0 && j.Tasks <= MaxTasks, prefix+"tasks", "is %d, want 1 to %d", j.Tasks, MaxTasks)
+	c.require(j.Processors >= 0 && j.Processors <= 1024, prefix+"processors", "is %g, want 0 to 1024", j.Processors)
+	c.require(j.Memory >= 0 && j.Memory <= 65536, prefix+"memory", "is %g GiB, want 0 to 65536", j.Memory)
+	c.require(j.Accelerators >= 0 && j.Accelerators <= 64, prefix+"accelerators", "is %d, want 0 to 64", j.Accelerators)
+	c.require(j.Runtime >= 0 && j.Runtime.Std() <= MaxDeclared, prefix+"runtime", "is %s, want 0s to %s", j.Runtime.Std(), MaxDeclared)
+	c.require(len(j.Body) <= MaxBody, prefix+"body", "has %d bytes, want at most %d", len(j.Body), MaxBody)
+	switch j.Adjacency {
+	case "", "any", "place", "rack", "worker":
+	default:
+		c.require(false, prefix+"adjacency", "is %q, want any, place, rack or worker", j.Adjacency)
+	}
+}
+
+// ValidKey reports whether a job key is 1 to 128 printable ASCII characters without a slash.
+func ValidKey(key string) bool {
+	if key == "" || len(key) > maxKeyLength {
+		return false
+	}
+	for _, r := range key {
+		if r <= ' ' || r > '~' || r == '/' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/console/commander/commands.go
@@ -0,0 +1,219 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
+	"github.com/bluebellgauge/bluebellgauge/internal/console/client"
+)
+
+// checkCommand checks documents without sending them.
+type checkCommand struct {
+	c        *Commander
+	Settings []string `long:"settings" description:"settings of a daemon"`
+	Manifest []string `long:"manifest" description:"manifest"`
+	Job      []string `long:"job" description:"body of a job"`
+}
+
+// Execute checks each file and stops at the first fault.
+func (k *checkCommand) Execute([]string) error {
+	if len(k.Settings)+len(k.Manifest)+len(k.Job) == 0 {
+		return fmt.Errorf("%w: give --settings, --manifest or --job", errUsage)
+	}
+	checks := []struct {
+		paths []string
+		check func(path string, text []byte) error
+	}{
+		{k.Settings, func(path string, text []byte) error {
+			_, err := parser.ParseSettings(path, text)
+			return err
+		}},
+		{k.Manifest, func(path string, text []byte) error {
+			_, err := parser.ParseManifest(path, text)
+			return err
+		}},
+		{k.Job, func(_ string, text []byte) error {
+			_, err := parser.ParseJob(text)
+			return err
+		}},
+	}
+	for _, c := range checks {
+		for _, path := range c.paths {
+			text, err := readFile(path)
+			if err != nil {
+				return err
+			}
+			if err := c.check(path, text); err != nil {
+				return err
+			}
+			k.c.print(k.c.out, path+": ok")
+		}
+	}
+	return nil
+}
+
+// applyCommand puts a manifest in force.
+type applyCommand struct {
+	c    *Commander
+	Args struct {
+		File string `positional-arg-name:"manifest" required:"true" description:"manifest file, - for standard input"`
+	} `positional-args:"true"`
+}
+
+// Execute checks the manifest here and then sends it.
+func (a *applyCommand) Execute([]string) error {
+	text, err := readFile(a.Args.File)
+	if err != nil {
+		return err
+	}
+	if _, err := parser.ParseManifest(a.Args.File, text); err != nil {
+		return err
+	}
+	return a.c.with(func(ctx context.Context, cl *client.Client) error {
+		version, err := cl.Apply(ctx, text)
+		if err != nil {
+			return err
+		}
+		if a.c.globals.JSON {
+			return a.c.printJSON(map[string]uint64{"version": version})
+		}
+		a.c.print(a.c.out, fmt.Sprintf("version %d is in force", version))
+		return nil
+	})
+}
+
+// submitCommand hands a job over.
+type submitCommand struct {
+	c    *Commander
+	Key  string        `long:"key" required:"true" description:"key of the job; the same key is the same job"`
+	Wait time.Duration `long:"wait" description:"wait for the answer for this long"`
+	Args struct {
+		File string `positional-arg-name:"job" required:"true" description:"job file, - for standard input"`
+	} `positional-args:"true"`
+}
+
+// Execute submits the job and, when asked to, waits for its answer.
+func (s *submitCommand) Execute([]string) error {
+	text, err := readFile(s.Args.File)
+	if err != nil {
+		return err
+	}
+	job, err := parser.ParseJob(text)
+	if err != nil {
+		return err
+	}
+	return s.c.with(func(ctx context.Context, cl *client.Client) error {
+		view, err := cl.Submit(ctx, s.Key, job)
+		if err != nil {
+			return err
+		}
+		if s.Wait == 0 || view.Answer != nil {
+			return s.c.printView(view)
+		}
+		return s.c.await(cl, s.Key, s.Wait)
+	})
+}
+
+// await waits for an answer and prints it.
+func (c *Commander) await(cl *client.Client, key string, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	view, err := cl.Answer(ctx, key)
+	if errors.Is(err, client.ErrUnreachable) && ctx.Err() != nil || err == nil && view.Answer == nil {
+		c.print(c.errs, "no answer yet")
+		return exitError{ExitPending}
+	}
+	if err != nil {
+		return err
+	}
+	return c.printView(view)
+}
+
+// answerCommand waits for the answer of a job.
+type answerCommand struct {
+	c    *Commander
+	Wait time.Duration `long:"wait" default:"30s" description:"wait for this long"`
+	Args struct {
+		Key string `positional-arg-name:"key" required:"true" description:"key of the job"`
+	} `positional-args:"true"`
+}
+
+// Execute waits and prints the answer.
+func (a *answerCommand) Execute([]string) error {
+	return a.c.with(func(_ context.Context, cl *client.Client) error {
+		return a.c.await(cl, a.Args.Key, a.Wait)
+	})
+}
+
+// cancelCommand cancels jobs.
+type cancelCommand struct {
+	c    *Commander
+	Args struct {
+		Keys []string `positional-arg-name:"key" required:"1" description:"keys of the jobs"`
+	} `positional-args:"true"`
+}
+
+// Execute cancels all keys in one go and prints how each job stands.
+func (a *cancelCommand) Execute([]string) error {
+	return a.c.with(func(ctx context.Context, cl *client.Client) error {
+		views, err := cl.Cancel(ctx, a.Args.Keys)
+		if a.c.globals.JSON {
+			if printErr := a.c.printJSON(views); printErr != nil {
+				return printErr
+			}
+			return err
+		}
+		for _, v := range views {
+			// A cancelled job that did not run is what was asked for, so its code is not an error.
+			_ = a.c.printView(v)
+		}
+		return err
+	})
+}
+
+// listCommand prints one of the views as a table.
+type listCommand struct {
+	c       *Commander
+	path    string
+	columns []string
+	All     bool `long:"all" description:"with jobs: answered ones too"`
+}
+
+// Execute reads the view and prints it.
+func (l *listCommand) Execute([]string) error {
+	path := l.path
+	if l.All {
+		path += "?all=true"
+	}
+	return l.c.with(func(ctx context.Context, cl *client.Client) error {
+		var rows []map[string]any
+		if err := cl.Get(ctx, path, &rows); err != nil {
+			return err
+		}
+		if l.c.globals.JSON {
+			return l.c.printJSON(rows)
+		}
+		return l.c.printTable(l.columns, rows)
+	})
+}
+
+// drainCommand drains one entry.
+type drainCommand struct{ c *Commander }
+
+// Execute asks the first entry to leave the balancer.
+func (d *drainCommand) Execute([]string) error {
+	return d.c.with(func(ctx context.Context, cl *client.Client) error {
+		if err := cl.Drain(ctx); err != nil {
+			var problem *client.Problem
+			if errors.As(err, &problem) {
+				return err
+			}
+			return fmt.Errorf("%w: %w", client.ErrUnreachable, err)
+		}
+		d.c.print(d.c.out, "draining")
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/daemon/runner/replica.go
@@ -0,0 +1,173 @@
+package runner
+
+import (
+	"context"
+	"hash/fnv"
+	"net/netip"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/entry/forwarder"
+	"github.com/bluebellgauge/bluebellgauge/internal/job/decider"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/applier"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/replicator"
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+	"github.com/bluebellgauge/bluebellgauge/internal/worker/dispatcher"
+)
+
+const (
+	leadInterval   = 250 * time.Millisecond // between a leader's looks at what is due
+	statusTimeout  = time.Second
+	handOverWithin = 2 * time.Second
+)
+
+// replica is the part of a daemon that only keepers have.
+type replica struct {
+	applier    *applier.Applier
+	server     *forwarder.Server
+	dispatcher *dispatcher.Dispatcher
+	log        *zap.Logger
+	delivered  tally.Counter
+}
+
+func (r *Runner) buildReplica(metrics tally.Scope) error {
+	s := r.opts.Settings
+	bootstrap := &messages.Members{}
+	for _, k := range s.Keepers {
+		bootstrap.Voters = append(bootstrap.Voters, &messages.Member{Name: k.Name, Place: k.Place, Address: k.Address})
+	}
+	rep := &replica{log: r.log, delivered: metrics.Counter("answers")}
+	rep.dispatcher = dispatcher.New(dispatcher.Options{
+		Locate: rep.locate, Report: rep.commitAcks, Metrics: metrics, Log: r.log,
+	})
+	a, err := applier.New(applier.Options{
+		Name: s.Name, Folder: s.Data, Bootstrap: bootstrap, Tick: r.opts.Tick,
+		SnapshotEvery: r.opts.Snapshots, Seed: seedOf(s.Name), Now: time.Now,
+		Send: r.peers.send, Deliver: rep.deliver, Log: r.log,
+	})
+	if err != nil {
+		rep.dispatcher.Stop()
+		return err
+	}
+	rep.applier = a
+	rep.server = forwarder.NewServer(a, r.opts.Timing, time.Now, r.peers.keeperAddress)
+	r.replica = rep
+	r.wait.Go(func() { rep.lead(r.ctx) })
+	r.wait.Go(func() {
+		<-a.Done()
+		if err := a.Failure(); err != nil {
+			r.fail(err)
+		}
+	})
+	return nil
+}
+
+// seedOf spreads the election times of daemons, the same ones at each start.
+func seedOf(name string) uint64 {
+	h := fnv.New64a()
+	// A hash takes any bytes.
+	_, _ = h.Write([]byte(name))
+	return h.Sum64()
+}
+
+// deliver hands the orders that follow from an entry to the workers.
+func (p *replica) deliver(_, term uint64, leading bool, orders []decider.Order) {
+	for _, o := range orders {
+		if _, ok := o.(decider.Answered); ok && leading {
+			p.delivered.Inc(1)
+		}
+	}
+	if leading {
+		p.dispatcher.Send(term, orders)
+	}
+}
+
+func (p *replica) locate(worker string) (netip.AddrPort, bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	var address netip.AddrPort
+	var known bool
+	err := p.applier.Peek(ctx, func(s *decider.State) {
+		info, ok := s.Worker(worker)
+		address, known = info.Address, ok
+	})
+	return address, known && err == nil
+}
+
+func (p *replica) commitAcks(ctx context.Context, acks []decider.Ack) error {
+	_, err := p.applier.Propose(ctx, decider.Report{Acks: acks})
+	return err
+}
+
+// lead does what a leader must do again and again: send unconfirmed orders, and declare workers
+// lost whose leases have run out.
+func (p *replica) lead(ctx context.Context) {
+	ticker := time.NewTicker(leadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.leadOnce(ctx)
+		}
+	}
+}
+
+func (p *replica) leadOnce(ctx context.Context) {
+	var orders []decider.Order
+	var lost []decider.Lost
+	var leading uint64
+	err := p.applier.Read(ctx, func(term uint64, s *decider.State) {
+		leading = term
+		orders = s.Outstanding()
+		lost = p.server.Lost(term, s)
+	})
+	if err != nil {
+		return
+	}
+	p.dispatcher.Send(leading, orders)
+	for _, l := range lost {
+		if _, err := p.applier.Propose(ctx, l); err != nil {
+			p.log.Debug("loss not committed", zap.String("worker", l.Worker), zap.Error(err))
+			return
+		}
+	}
+}
+
+func (p *replica) status(ctx context.Context) (applier.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	return p.applier.Status(ctx)
+}
+
+func (p *replica) isLeader(ctx context.Context) bool {
+	s, err := p.status(ctx)
+	return err == nil && s.Role == replicator.Leader
+}
+
+func (p *replica) identity(ctx context.Context) string {
+	s, err := p.status(ctx)
+	if err != nil {
+		return ""
+	}
+	return s.Identity
+}
+
+// handOver passes the leadership on and waits until it has gone.
+func (p *replica) handOver(ctx context.Context) {
+	deadline := time.Now().Add(handOverWithin)
+	for time.Now().Before(deadline) && p.isLeader(ctx) {
+		if ok, err := p.applier.Transfer(ctx); err != nil || !ok {
+			return
+		}
+		time.Sleep(drainPoll)
+	}
+}
+
+func (p *replica) stop() {
+	p.applier.Stop()
+	p.dispatcher.Stop()
+}
--- /dev/null
+++ b/internal/daemon/runner/runner.go
@@ -0,0 +1,305 @@
+// Package runner puts a daemon together from its settings: the entry, and on a VM with a disk
+// the replica. It owns the listeners and the order of start and stop; no decisions may live
+// here.
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/config/distributor"
+	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
+	"github.com/bluebellgauge/bluebellgauge/internal/entry/forwarder"
+	"github.com/bluebellgauge/bluebellgauge/internal/entry/router"
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+	"github.com/bluebellgauge/bluebellgauge/internal/worker/registrar"
+)
+
+const (
+	headerTimeout   = 5 * time.Second
+	metricsInterval = time.Second
+	drainPoll       = 20 * time.Millisecond
+	minDrain        = 1500 * time.Millisecond // for the balancer and the workers to notice
+)
+
+// Options are what a daemon is built from.
+type Options struct {
+	Settings  *parser.Settings
+	Operator  string // the operators' token
+	Secret    string // shared by the daemons
+	Timing    registrar.Timing
+	Tick      time.Duration // of the consensus
+	Snapshots int           // entries between snapshots
+	Dial      Dial          // to other daemons, nil for the network
+	Log       *zap.Logger
+}
+
+// Dial opens a connection to another daemon.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// DefaultTick is the tick of the consensus: an election starts after 10 to 20 of them.
+const DefaultTick = 60 * time.Millisecond
+
+// DefaultSnapshots is the number of entries between two snapshots.
+const DefaultSnapshots = 2000
+
+// Runner is one running daemon.
+type Runner struct {
+	opts     Options
+	log      *zap.Logger
+	home     *registrar.Home
+	manifest *distributor.Distributor
+	router   *router.Router
+	peers    *peering
+	forward  *forwarder.Forwarder
+	replica  *replica // nil without a data folder
+	entry    *http.Server
+	peer     *http.Server
+	closers  []func()
+
+	ctx       context.Context
+	cancel    context.CancelFunc
+	wait      sync.WaitGroup
+	drainOnce sync.Once
+	drained   chan struct{}
+	stopOnce  sync.Once
+	failed    chan error
+}
+
+// New starts a daemon. It returns once the listeners are open.
+func New(opts Options) (*Runner, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &Runner{
+		opts: opts, log: opts.Log.With(zap.String("daemon", opts.Settings.Name)),
+		ctx: ctx, cancel: cancel, drained: make(chan struct{}), failed: make(chan error, 1),
+	}
+	if err := r.build(); err != nil {
+		r.Kill()
+		return nil, fmt.Errorf("daemon %s: %w", opts.Settings.Name, err)
+	}
+	r.wait.Go(r.beatLoop)
+	return r, nil
+}
+
+func (r *Runner) build() error {
+	s := r.opts.Settings
+	metrics, report := r.metrics()
+	r.home = registrar.NewHome(r.opts.Timing, time.Now)
+	r.manifest = distributor.New(r.home.Fresh)
+	peers, err := newPeering(r.opts, r.log)
+	if err != nil {
+		return err
+	}
+	r.peers = peers
+	r.forward = forwarder.New(peers.scheme, peers.client, peers)
+	if s.Data != "" {
+		if err := r.buildReplica(metrics); err != nil {
+			return err
+		}
+	}
+	r.router = router.New(router.Options{
+		Backend: r.forward, Manifest: r.manifest, Home: r.home, Operator: r.opts.Operator,
+		Ready: r.ready, Drain: r.Drain, Metrics: metrics, Report: report, Log: r.log,
+	})
+	return r.listen()
+}
+
+func (r *Runner) metrics() (tally.Scope, http.Handler) {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "bluebellgauge", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+	}, metricsInterval)
+	r.closers = append(r.closers, func() {
+		if err := closer.Close(); err != nil {
+			r.log.Warn("close metrics", zap.Error(err))
+		}
+	})
+	return scope, reporter.HTTPHandler()
+}
+
+func (r *Runner) ready() error {
+	if !r.home.Fresh(distributor.FreshFor) {
+		return errors.New("no word from a leader")
+	}
+	return nil
+}
+
+func (r *Runner) listen() error {
+	s := r.opts.Settings
+	entry, err := openListener(s.ListenAddr(), s.TLS)
+	if err != nil {
+		return err
+	}
+	peer, err := openListener(s.PeeringAddr(), s.Mutual)
+	if err != nil {
+		return errors.Join(err, entry.Close())
+	}
+	r.entry = &http.Server{Handler: r.router, ReadHeaderTimeout: headerTimeout}
+	r.peer = &http.Server{Handler: r.peers.guard(r.peerHandler()), ReadHeaderTimeout: headerTimeout, Protocols: peerProtocols()}
+	r.serve(r.entry, entry)
+	r.serve(r.peer, peer)
+	return nil
+}
+
+func (r *Runner) peerHandler() http.Handler {
+	if r.replica == nil {
+		return http.NotFoundHandler()
+	}
+	return messages.NewPeerServer(r.replica.server)
+}
+
+func (r *Runner) serve(server *http.Server, listener net.Listener) {
+	r.wait.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			r.fail(err)
+		}
+	})
+}
+
+func (r *Runner) fail(err error) {
+	select {
+	case r.failed <- err:
+	default:
+	}
+}
+
+// Failed delivers the error that makes the daemon unable to go on.
+func (r *Runner) Failed() <-chan error { return r.failed }
+
+// Name returns the name of the daemon.
+func (r *Runner) Name() string { return r.opts.Settings.Name }
+
+// Address returns where callers, operators and workers reach the daemon.
+func (r *Runner) Address() netip.AddrPort { return r.opts.Settings.ListenAddr() }
+
+// IsLeader reports whether the daemon leads now.
+func (r *Runner) IsLeader() bool { return r.replica != nil && r.replica.isLeader(r.ctx) }
+
+// beatLoop keeps the daemon and the leader informed of each other.
+func (r *Runner) beatLoop() {
+	ticker := time.NewTicker(r.opts.Timing.Beat)
+	defer ticker.Stop()
+	for {
+		r.beat()
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (r *Runner) beat() {
+	s := r.opts.Settings
+	b := &messages.Beat{Daemon: s.Name, Place: s.Place, Address: s.Peering, Listen: s.Listen, Draining: r.isDraining()}
+	if r.replica != nil {
+		b.Identity = r.replica.identity(r.ctx)
+	}
+	r.home.Beat(b)
+	sent := time.Now()
+	o, err := r.forward.Sync(r.ctx, b)
+	if err != nil {
+		r.log.Debug("beat not answered", zap.Error(err))
+		return
+	}
+	r.home.Answered(sent, b, o)
+	r.peers.learn(o.GetDaemons())
+	if len(o.GetManifest()) == 0 {
+		return
+	}
+	version, err := r.manifest.Install(o.GetManifest())
+	if err != nil {
+		r.log.Error("manifest refused", zap.Error(err))
+		return
+	}
+	r.home.SetVersion(version)
+	r.log.Info("manifest in force", zap.Uint64("version", version))
+}
+
+func (r *Runner) isDraining() bool {
+	select {
+	case <-r.drained:
+		return true
+	default:
+		return false
+	}
+}
+
+// Drain takes the daemon out of the balancer: readiness fails, no new job is taken, and a
+// leader hands over. It returns at once.
+func (r *Runner) Drain() {
+	r.drainOnce.Do(func() {
+		close(r.drained)
+		r.router.SetDraining()
+		r.entry.SetKeepAlivesEnabled(false)
+		r.log.Info("draining")
+	})
+}
+
+// Stop drains the daemon, waits for the requests under way within the bound of the settings,
+// and ends it.
+func (r *Runner) Stop() {
+	r.Drain()
+	if r.replica != nil {
+		r.replica.handOver(r.ctx)
+	}
+	deadline := time.Now().Add(r.opts.Settings.Drain.Std())
+	least := time.Now().Add(min(minDrain, r.opts.Settings.Drain.Std()))
+	for time.Now().Before(deadline) && (r.router.InFlight() > 0 || time.Now().Before(least)) {
+		time.Sleep(drainPoll)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(time.Second))
+	defer cancel()
+	if err := r.entry.Shutdown(ctx); err != nil {
+		r.log.Warn("requests were cut at the end of the drain", zap.Error(err))
+	}
+	r.Kill()
+}
+
+// Kill ends the daemon at once, as a lost VM would. It may be called again.
+func (r *Runner) Kill() {
+	r.stopOnce.Do(func() {
+		r.cancel()
+		for _, server := range []*http.Server{r.entry, r.peer} {
+			if server != nil {
+				_ = server.Close()
+			}
+		}
+		if r.replica != nil {
+			r.replica.stop()
+		}
+		r.wait.Wait()
+		if r.peers != nil {
+			r.peers.close()
+		}
+		for _, c := range r.closers {
+			c()
+		}
+	})
+}
+
+// ReadToken reads a token from a file, without the space around it.
+func ReadToken(path string) (string, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", fmt.Errorf("read token: %w", err)
+	}
+	token := strings.TrimSpace(string(text))
+	if token == "" {
+		return "", fmt.Errorf("read token: %s is empty", path)
+	}
+	return token, nil
+}
--- /dev/null
+++ b/internal/entry/forwarder/forwarder.go
@@ -0,0 +1,192 @@
+// Package forwarder finds the leader for an entry and passes requests on to it. It also serves
+// the requests of other daemons on a leader. Only the way between daemons may live here.
+package forwarder
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/twitchtv/twirp"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/job/decider"
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+)
+
+const (
+	firstRetry   = 20 * time.Millisecond
+	longestRetry = 300 * time.Millisecond
+	leaderMeta   = "leader" // metadata key of the leader's address in an error
+	callTimeout  = 2 * time.Second
+)
+
+// ErrNoLeader tells that no leader was found in time.
+var ErrNoLeader = errors.New("no leader answers")
+
+// Directory knows the addresses of daemons.
+type Directory interface {
+	// Keepers returns where keepers may be reached.
+	Keepers() []netip.AddrPort
+}
+
+// Forwarder passes requests to the leader.
+type Forwarder struct {
+	scheme    string
+	client    *http.Client
+	directory Directory
+
+	mu     sync.Mutex
+	leader netip.AddrPort // last known, zero for none
+	next   int            // keeper to ask when no leader is known
+}
+
+// New returns a forwarder that knows no leader yet. client must carry the daemons' credentials.
+func New(scheme string, client *http.Client, directory Directory) *Forwarder {
+	return &Forwarder{scheme: scheme, client: client, directory: directory}
+}
+
+// target returns the daemon to ask.
+func (f *Forwarder) target() (netip.AddrPort, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.leader.IsValid() {
+		return f.leader, true
+	}
+	keepers := f.directory.Keepers()
+	if len(keepers) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return keepers[f.next%len(keepers)], true
+}
+
+// learn remembers what a reply says of the leader.
+func (f *Forwarder) learn(asked netip.AddrPort, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err == nil {
+		f.leader = asked
+		return
+	}
+	f.leader = netip.AddrPort{}
+	f.next++
+	var te twirp.Error
+	if errors.As(err, &te) {
+		if hint, parseErr := netip.ParseAddrPort(te.Meta(leaderMeta)); parseErr == nil && hint != asked {
+			f.leader = hint
+		}
+	}
+}
+
+// call asks the leader until it answers or the context ends. Every request that is passed on
+// has the same effect when it arrives twice.
+func call[T any](ctx context.Context, f *Forwarder, timeout time.Duration, ask func(context.Context, messages.Peer) (T, error)) (T, error) {
+	wait := &backoff.ExponentialBackOff{
+		InitialInterval: firstRetry, MaxInterval: longestRetry, Multiplier: 1.5, RandomizationFactor: 0.5,
+	}
+	wait.Reset()
+	var zero T
+	for {
+		reply, err := attempt(ctx, f, timeout, ask)
+		if err == nil {
+			return reply, nil
+		}
+		if final(err) {
+			return zero, err
+		}
+		select {
+		case <-ctx.Done():
+			return zero, fmt.Errorf("%w: %w", ErrNoLeader, err)
+		case <-time.After(wait.NextBackOff()):
+		}
+	}
+}
+
+func attempt[T any](ctx context.Context, f *Forwarder, timeout time.Duration, ask func(context.Context, messages.Peer) (T, error)) (T, error) {
+	var zero T
+	address, ok := f.target()
+	if !ok {
+		return zero, ErrNoLeader
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	peer := messages.NewPeerProtobufClient(f.scheme+"://"+address.String(), f.client)
+	reply, err := ask(ctx, peer)
+	f.learn(address, err)
+	return reply, err
+}
+
+// final reports whether asking again can't help.
+func final(err error) bool {
+	var te twirp.Error
+	if !errors.As(err, &te) {
+		return false
+	}
+	switch te.Code() {
+	case twirp.InvalidArgument, twirp.PermissionDenied, twirp.Unauthenticated, twirp.Malformed:
+		return true
+	default:
+		return false
+	}
+}
+
+// Propose commits an event and returns the reply of the decisions.
+func (f *Forwarder) Propose(ctx context.Context, e decider.Event) (decider.Reply, error) {
+	var reply decider.Reply
+	event, err := decider.Encode(time.Time{}, e)
+	if err != nil {
+		return reply, err
+	}
+	d, err := call(ctx, f, callTimeout, func(ctx context.Context, p messages.Peer) (*messages.Decision, error) {
+		return p.Propose(ctx, &messages.Proposal{Event: event})
+	})
+	if err != nil {
+		return reply, err
+	}
+	return reply, json.Unmarshal(d.GetBody(), &reply)
+}
+
+// Await returns a job once it has its answer, or as it stands after the wait.
+func (f *Forwarder) Await(ctx context.Context, org, key string, wait time.Duration) (view decider.View, known bool, err error) {
+	deadline := time.Now().Add(wait)
+	d, err := call(ctx, f, wait+callTimeout, func(ctx context.Context, p messages.Peer) (*messages.Decision, error) {
+		left := max(time.Until(deadline), 0)
+		return p.Await(ctx, &messages.Wait{Organisation: org, Key: key, Milliseconds: left.Milliseconds()})
+	})
+	if err != nil {
+		return view, false, err
+	}
+	if decider.Status(d.GetStatus()) == decider.StatusUnknown {
+		return view, false, nil
+	}
+	return view, true, json.Unmarshal(d.GetBody(), &view)
+}
+
+// Query asks the leader for a view of the state, as JSON.
+func (f *Forwarder) Query(ctx context.Context, q *messages.Question) (json.RawMessage, error) {
+	d, err := call(ctx, f, callTimeout, func(ctx context.Context, p messages.Peer) (*messages.Decision, error) {
+		return p.Query(ctx, q)
+	})
+	return json.RawMessage(d.GetBody()), err
+}
+
+// Sync sends a beat once and returns the leader's reply.
+func (f *Forwarder) Sync(ctx context.Context, b *messages.Beat) (*messages.Orders, error) {
+	return attempt(ctx, f, callTimeout, func(ctx context.Context, p messages.Peer) (*messages.Orders, error) {
+		return p.Sync(ctx, b)
+	})
+}
+
+// NotLeader is the error by which a daemon points to the leader. address may be empty.
+func NotLeader(address string) error {
+	err := twirp.NewError(twirp.Unavailable, "not the leader")
+	if address != "" {
+		err = err.WithMeta(leaderMeta, address)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/entry/forwarder/server.go
@@ -0,0 +1,244 @@
+package forwarder
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/job/decider"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/applier"
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+	"github.com/bluebellgauge/bluebellgauge/internal/worker/registrar"
+)
+
+// Server answers other daemons on a keeper.
+type Server struct {
+	replica *applier.Applier
+	timing  registrar.Timing
+	now     func() time.Time
+	address func(name string) string // of a keeper, "" when unknown
+
+	mu    sync.Mutex
+	term  uint64 // of the watch
+	watch *registrar.Watch
+}
+
+var _ messages.Peer = (*Server)(nil)
+
+// NewServer returns the server of one replica.
+func NewServer(replica *applier.Applier, timing registrar.Timing, now func() time.Time, address func(string) string) *Server {
+	return &Server{replica: replica, timing: timing, now: now, address: address}
+}
+
+// Exchange takes in messages of the consensus.
+func (s *Server) Exchange(ctx context.Context, b *messages.Batch) (*messages.Taken, error) {
+	if err := s.replica.Step(ctx, b.GetMessages()); err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return &messages.Taken{}, nil
+}
+
+// Propose commits an event.
+func (s *Server) Propose(ctx context.Context, p *messages.Proposal) (*messages.Decision, error) {
+	_, event, err := decider.Decode(p.GetEvent())
+	if err != nil {
+		return nil, twirp.NewError(twirp.InvalidArgument, err.Error())
+	}
+	orders, err := s.replica.Propose(ctx, event)
+	if err != nil {
+		return nil, s.explain(ctx, err)
+	}
+	reply := decider.Reply{Status: decider.StatusOK}
+	for _, o := range orders {
+		if r, ok := o.(decider.Reply); ok {
+			reply = r
+		}
+	}
+	return decision(string(reply.Status), reply)
+}
+
+// Await waits for the answer of a job.
+func (s *Server) Await(ctx context.Context, w *messages.Wait) (*messages.Decision, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(w.GetMilliseconds())*time.Millisecond)
+	defer cancel()
+	view, known, err := s.replica.Await(ctx, w.GetOrganisation(), w.GetKey())
+	if err != nil {
+		return nil, s.explain(context.WithoutCancel(ctx), err)
+	}
+	if !known {
+		return &messages.Decision{Status: string(decider.StatusUnknown)}, nil
+	}
+	return decision(string(decider.StatusOK), view)
+}
+
+// Questions that a leader answers.
+const (
+	AskJob      = "job"
+	AskJobs     = "jobs"
+	AskWorkers  = "workers"
+	AskShapes   = "shapes"
+	AskManifest = "manifest"
+	AskDaemons  = "daemons"
+	AskMembers  = "members"
+)
+
+// Query answers from the leader's state.
+func (s *Server) Query(ctx context.Context, q *messages.Question) (*messages.Decision, error) {
+	var body any
+	err := s.replica.Read(ctx, func(_ uint64, state *decider.State) { body = s.look(state, q) })
+	if err != nil {
+		return nil, s.explain(ctx, err)
+	}
+	if q.GetKind() == AskMembers {
+		status, err := s.replica.Status(ctx)
+		if err != nil {
+			return nil, s.explain(ctx, err)
+		}
+		body = membersView(status)
+	}
+	if body == nil {
+		return nil, twirp.NewError(twirp.InvalidArgument, "unknown question "+q.GetKind())
+	}
+	return decision(string(decider.StatusOK), body)
+}
+
+func (s *Server) look(state *decider.State, q *messages.Question) any {
+	switch q.GetKind() {
+	case AskJobs:
+		return nonNil(state.Jobs(q.GetOrganisation(), q.GetAll()))
+	case AskWorkers:
+		return nonNil(state.Workers())
+	case AskShapes:
+		return nonNil(state.Shapes())
+	case AskManifest:
+		_, text := state.Manifest()
+		return ManifestView{Version: state.Version(), Text: string(text)}
+	case AskDaemons:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		list := []DaemonView{}
+		if s.watch == nil {
+			return list
+		}
+		for _, d := range s.watch.Daemons(s.now()) {
+			list = append(list, DaemonView{
+				Name: d.GetName(), Place: d.GetPlace(), Version: d.GetVersion(), Draining: d.GetDraining(),
+				Keeper: d.GetKeeper(), Current: d.GetVersion() == state.Version(),
+			})
+		}
+		return list
+	case AskMembers:
+		return struct{}{}
+	}
+	return nil
+}
+
+func nonNil[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
+}
+
+// ManifestView is the manifest in force.
+type ManifestView struct {
+	Version uint64 `json:"version"`
+	Text    string `json:"text"`
+}
+
+// DaemonView is what the leader knows of a daemon.
+type DaemonView struct {
+	Name     string `json:"name"`
+	Place    string `json:"place"`
+	Version  uint64 `json:"version"`
+	Current  bool   `json:"current"` // the manifest in force here is the latest
+	Draining bool   `json:"draining,omitempty"`
+	Keeper   bool   `json:"keeper,omitempty"`
+}
+
+// MemberView is one member of the consensus.
+type MemberView struct {
+	Name    string `json:"name"`
+	Place   string `json:"place"`
+	Address string `json:"address"`
+	Role    string `json:"role"` // leader, voter or learner
+}
+
+func membersView(s applier.Status) []MemberView {
+	list := []MemberView{}
+	for _, m := range s.Members.GetVoters() {
+		role := "voter"
+		if m.GetName() == s.Leader {
+			role = "leader"
+		}
+		list = append(list, MemberView{Name: m.GetName(), Place: m.GetPlace(), Address: m.GetAddress(), Role: role})
+	}
+	for _, m := range s.Members.GetLearners() {
+		list = append(list, MemberView{Name: m.GetName(), Place: m.GetPlace(), Address: m.GetAddress(), Role: "learner"})
+	}
+	return list
+}
+
+// Sync takes in a daemon's beat.
+func (s *Server) Sync(ctx context.Context, b *messages.Beat) (*messages.Orders, error) {
+	reply := &messages.Orders{}
+	now := s.now()
+	err := s.replica.Read(ctx, func(term uint64, state *decider.State) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		watch := s.watchOf(term)
+		reply.Resync = watch.Beat(now, b)
+		reply.Term = term
+		reply.Version = state.Version()
+		reply.Barred = watch.Barred(now, state)
+		reply.Unknown = watch.Unknown(b, state)
+		reply.Daemons = watch.Daemons(now)
+		if _, text := state.Manifest(); b.GetVersion() < state.Version() {
+			reply.Manifest = text
+		}
+	})
+	if err != nil {
+		return nil, s.explain(ctx, err)
+	}
+	return reply, nil
+}
+
+// watchOf returns the watch of a term, a new one when the term is new.
+func (s *Server) watchOf(term uint64) *registrar.Watch {
+	if s.watch == nil || s.term != term {
+		s.term = term
+		s.watch = registrar.NewWatch(s.timing, s.now())
+	}
+	return s.watch
+}
+
+// Lost returns the workers whose leases have run out, as the leader of a term sees it.
+func (s *Server) Lost(term uint64, state *decider.State) []decider.Lost {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watchOf(term).Lost(s.now(), state)
+}
+
+// explain turns an error of the replica into one that points to the leader.
+func (s *Server) explain(ctx context.Context, err error) error {
+	if !errors.Is(err, applier.ErrNotLeader) {
+		return twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	status, statusErr := s.replica.Status(ctx)
+	if statusErr != nil || status.Role.String() == "leader" {
+		return NotLeader("")
+	}
+	return NotLeader(s.address(status.Leader))
+}
+
+func decision(status string, body any) (*messages.Decision, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &messages.Decision{Status: status, Body: data}, nil
+}
--- /dev/null
+++ b/internal/entry/router/caller.go
@@ -0,0 +1,191 @@
+package router
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
+	"github.com/bluebellgauge/bluebellgauge/internal/job/decider"
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+)
+
+func (r *Router) callerRoutes() {
+	r.mux.HandleFunc("/v1/jobs", r.caller(r.submit)).Methods(http.MethodPost)
+	r.mux.HandleFunc("/v1/jobs", r.listJobs).Methods(http.MethodGet)
+	r.mux.HandleFunc("/v1/jobs/{key}", r.caller(r.job)).Methods(http.MethodGet)
+	r.mux.HandleFunc("/v1/jobs/{key}", r.caller(r.cancelOne)).Methods(http.MethodDelete)
+	r.mux.HandleFunc("/v1/jobs/{key}/answer", r.caller(r.answer)).Methods(http.MethodGet)
+	r.mux.HandleFunc("/v1/cancellations", r.caller(r.cancelMany)).Methods(http.MethodPost)
+}
+
+// submit takes in a job. Copies with the same key find the same job, through any entry.
+func (r *Router) submit(w http.ResponseWriter, q *http.Request, org *parser.Organisation) *problem {
+	if r.draining.Load() {
+		p := newProblem(http.StatusServiceUnavailable, CodeBusy, "this entry is draining; this copy was not taken")
+		p.retry = time.Second
+		return p
+	}
+	key := q.Header.Get("Idempotency-Key")
+	if !parser.ValidKey(key) {
+		return newProblem(http.StatusBadRequest, CodeInvalid, "Idempotency-Key must have 1 to 128 printable characters without a slash")
+	}
+	if retry, ok := r.limits.Allow(org.Name, org.Rate); !ok {
+		p := newProblem(http.StatusTooManyRequests, CodeRate, "the rate of the organisation is spent; this copy was not taken")
+		p.Limit = org.Rate
+		p.retry = retry
+		return p
+	}
+	body, p := readBody(w, q, maxJobBytes)
+	if p != nil {
+		return p
+	}
+	job, err := parser.ParseJob(body)
+	if err != nil {
+		return newProblem(http.StatusBadRequest, CodeInvalid, err.Error())
+	}
+	reply, p := r.propose(q.Context(), decider.Submit{Org: org.Name, Key: key, Job: job})
+	if p != nil {
+		return p
+	}
+	view := reply.Jobs[0]
+	if wait := preferredWait(q); wait > 0 && view.Answer == nil {
+		return r.await(w, q, org, key, wait)
+	}
+	writeView(w, view)
+	return nil
+}
+
+// propose passes an event to the leader.
+func (r *Router) propose(ctx context.Context, e decider.Event) (decider.Reply, *problem) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	reply, err := r.opts.Backend.Propose(ctx, e)
+	if err != nil {
+		return reply, unreachable(err)
+	}
+	return reply, refused(reply)
+}
+
+// preferredWait reads the wait preference of RFC 7240, in seconds.
+func preferredWait(q *http.Request) time.Duration {
+	for _, field := range q.Header.Values("Prefer") {
+		for item := range strings.SplitSeq(field, ",") {
+			value, ok := strings.CutPrefix(strings.TrimSpace(item), "wait=")
+			if seconds, err := strconv.Atoi(value); ok && err == nil && seconds > 0 {
+				return min(time.Duration(seconds)*time.Second, maxWait)
+			}
+		}
+	}
+	return 0
+}
+
+func (r *Router) job(w http.ResponseWriter, q *http.Request, org *parser.Organisation) *problem {
+	return r.await(w, q, org, mux.Vars(q)["key"], 0)
+}
+
+// answer waits for the answer of a job.
+func (r *Router) answer(w http.ResponseWriter, q *http.Request, org *parser.Organisation) *problem {
+	wait := time.Duration(0)
+	if text := q.URL.Query().Get("wait"); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil || d < 0 || d > maxWait {
+			return newProblem(http.StatusBadRequest, CodeInvalid, "wait is "+strconv.Quote(text)+", want 0s to "+maxWait.String())
+		}
+		wait = d
+	}
+	return r.await(w, q, org, mux.Vars(q)["key"], wait)
+}
+
+func (r *Router) await(w http.ResponseWriter, q *http.Request, org *parser.Organisation, key string, wait time.Duration) *problem {
+	ctx, cancel := context.WithTimeout(q.Context(), wait+proposeTimeout)
+	defer cancel()
+	view, known, err := r.opts.Backend.Await(ctx, org.Name, key, wait)
+	if err != nil {
+		return unreachable(err)
+	}
+	if !known {
+		return newProblem(http.StatusNotFound, CodeUnknown, "no such job")
+	}
+	writeView(w, view)
+	return nil
+}
+
+// writeView writes a job: 200 with its final answer, or 202 while it has none.
+func writeView(w http.ResponseWriter, v decider.View) {
+	status := http.StatusAccepted
+	if v.Answer != nil {
+		status = http.StatusOK
+		sum := sha256.Sum256(v.Answer.Body)
+		w.Header().Set("Answer-Digest", "sha-256=:"+base64.StdEncoding.EncodeToString(sum[:])+":")
+	}
+	writeJSON(w, status, v)
+}
+
+func (r *Router) cancelOne(w http.ResponseWriter, q *http.Request, org *parser.Organisation) *problem {
+	reply, p := r.propose(q.Context(), decider.Cancel{Org: org.Name, Keys: []string{mux.Vars(q)["key"]}})
+	if p != nil {
+		return p
+	}
+	writeView(w, reply.Jobs[0])
+	return nil
+}
+
+// cancelMany cancels a batch of jobs in one entry of the log.
+func (r *Router) cancelMany(w http.ResponseWriter, q *http.Request, org *parser.Organisation) *problem {
+	body, p := readBody(w, q, maxJobBytes*2)
+	if p != nil {
+		return p
+	}
+	var batch struct {
+		Keys []string `json:"keys"`
+	}
+	if err := json.Unmarshal(body, &batch); err != nil {
+		return newProblem(http.StatusBadRequest, CodeInvalid, err.Error())
+	}
+	if len(batch.Keys) == 0 || len(batch.Keys) > maxCancelKeys {
+		return newProblem(http.StatusBadRequest, CodeInvalid, "keys must have 1 to "+strconv.Itoa(maxCancelKeys)+" entries")
+	}
+	ctx, cancel := context.WithTimeout(q.Context(), proposeTimeout)
+	defer cancel()
+	reply, err := r.opts.Backend.Propose(ctx, decider.Cancel{Org: org.Name, Keys: batch.Keys})
+	if err != nil {
+		return unreachable(err)
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"jobs": reply.Jobs, "reason": reply.Reason})
+	return nil
+}
+
+// listJobs serves organisations their own jobs, and operators all.
+func (r *Router) listJobs(w http.ResponseWriter, q *http.Request) {
+	question := &messages.Question{Kind: "jobs", All: q.URL.Query().Get("all") == "true"}
+	if !r.isOperator(q) {
+		org, p := r.organisation(q)
+		if p != nil {
+			p.write(w)
+			return
+		}
+		question.Organisation = org.Name
+	}
+	if p := r.passQuestion(w, q, question); p != nil {
+		p.write(w)
+	}
+}
+
+func (r *Router) passQuestion(w http.ResponseWriter, q *http.Request, question *messages.Question) *problem {
+	ctx, cancel := context.WithTimeout(q.Context(), proposeTimeout)
+	defer cancel()
+	body, err := r.opts.Backend.Query(ctx, question)
+	if err != nil {
+		return unreachable(err)
+	}
+	writeJSON(w, http.StatusOK, body)
+	return nil
+}
--- /dev/null
+++ b/internal/entry/router/router.go
@@ -0,0 +1,208 @@
+// Package router is the HTTP face of a daemon towards callers, operators and workers. Every
+// entry serves all of it and passes on what only the leader may decide. Only the reading of
+// requests and the writing of replies may live here.
+package router
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/config/distributor"
+	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
+	"github.com/bluebellgauge/bluebellgauge/internal/entry/limiter"
+	"github.com/bluebellgauge/bluebellgauge/internal/job/decider"
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+	"github.com/bluebellgauge/bluebellgauge/internal/worker/registrar"
+)
+
+const (
+	maxJobBytes     = 1 << 20
+	maxWait         = 5 * time.Minute
+	proposeTimeout  = 10 * time.Second
+	maxReportBytes  = 64 << 20
+	maxCancelKeys   = 10_000
+	busyRetry       = 2 * time.Second
+	maxRequestsOnce = 8192
+)
+
+// Backend is the way to the leader.
+type Backend interface {
+	Propose(ctx context.Context, e decider.Event) (decider.Reply, error)
+	Await(ctx context.Context, org, key string, wait time.Duration) (view decider.View, known bool, err error)
+	Query(ctx context.Context, q *messages.Question) (json.RawMessage, error)
+}
+
+// Options are the dependencies of a router.
+type Options struct {
+	Backend  Backend
+	Manifest *distributor.Distributor
+	Home     *registrar.Home
+	Operator string // the operators' token
+	Ready    func() error
+	Drain    func()
+	Metrics  tally.Scope
+	Report   http.Handler // the metrics page
+	Log      *zap.Logger
+}
+
+// Router serves one entry.
+type Router struct {
+	opts     Options
+	mux      *mux.Router
+	limits   *limiter.Limiter
+	draining atomic.Bool
+}
+
+// New returns the router of an entry.
+func New(opts Options) *Router {
+	r := &Router{opts: opts, mux: mux.NewRouter(), limits: limiter.New(maxRequestsOnce)}
+	r.mux.HandleFunc("/healthz", r.health).Methods(http.MethodGet)
+	r.mux.HandleFunc("/readyz", r.ready).Methods(http.MethodGet)
+	r.mux.Handle("/metrics", opts.Report).Methods(http.MethodGet)
+	r.callerRoutes()
+	r.operatorRoutes()
+	r.mux.HandleFunc("/v1/workers", r.announce).Methods(http.MethodPost)
+	r.mux.HandleFunc("/v1/workers/{name}/report", r.report).Methods(http.MethodPost)
+	r.mux.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		newProblem(http.StatusNotFound, CodeUnknown, "no such resource").write(w)
+	})
+	return r
+}
+
+// ServeHTTP serves one request.
+func (r *Router) ServeHTTP(w http.ResponseWriter, q *http.Request) { r.mux.ServeHTTP(w, q) }
+
+// SetDraining stops the entry from taking new jobs, and takes it out of the balancer.
+func (r *Router) SetDraining() { r.draining.Store(true) }
+
+// InFlight returns the number of callers' requests under way.
+func (r *Router) InFlight() int { return r.limits.InFlight() }
+
+func (r *Router) health(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, map[string]string{"status": "ok"})
+}
+
+func (r *Router) ready(w http.ResponseWriter, _ *http.Request) {
+	if r.draining.Load() {
+		newProblem(http.StatusServiceUnavailable, CodeBusy, "draining").write(w)
+		return
+	}
+	if err := r.opts.Ready(); err != nil {
+		newProblem(http.StatusServiceUnavailable, CodeStale, err.Error()).write(w)
+		return
+	}
+	writeJSON(w, http.StatusOK, map[string]string{"status": "ready"})
+}
+
+func bearer(q *http.Request) string {
+	token, _ := strings.CutPrefix(q.Header.Get("Authorization"), "Bearer ")
+	return token
+}
+
+func (r *Router) isOperator(q *http.Request) bool {
+	given, want := sha256.Sum256([]byte(bearer(q))), sha256.Sum256([]byte(r.opts.Operator))
+	return r.opts.Operator != "" && subtle.ConstantTimeCompare(given[:], want[:]) == 1
+}
+
+// organisation returns who sends a request, by the manifest in force.
+func (r *Router) organisation(q *http.Request) (*parser.Organisation, *problem) {
+	m, ok := r.opts.Manifest.Current()
+	if !ok {
+		p := newProblem(http.StatusServiceUnavailable, CodeStale, "this entry can't confirm that its manifest is current; this copy was not taken")
+		p.retry = busyRetry
+		return nil, p
+	}
+	org := distributor.Organisation(m, bearer(q))
+	if org == nil {
+		return nil, newProblem(http.StatusUnauthorized, CodeUnauthorised, "the token belongs to no organisation")
+	}
+	return org, nil
+}
+
+// callerHandler serves one request of an organisation.
+type callerHandler func(w http.ResponseWriter, q *http.Request, org *parser.Organisation) *problem
+
+// caller checks the token and bounds the requests under way.
+func (r *Router) caller(serve callerHandler) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		leave, ok := r.limits.Enter()
+		if !ok {
+			p := newProblem(http.StatusServiceUnavailable, CodeBusy, "too many requests at this entry; this copy was not taken")
+			p.retry = busyRetry
+			p.write(w)
+			return
+		}
+		defer leave()
+		org, p := r.organisation(q)
+		if p == nil {
+			p = serve(w, q, org)
+		}
+		if p != nil {
+			r.opts.Metrics.Tagged(map[string]string{"code": p.Code}).Counter("problems").Inc(1)
+			p.write(w)
+		}
+	}
+}
+
+// operator checks the operators' token.
+func (r *Router) operator(serve func(w http.ResponseWriter, q *http.Request) *problem) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		if !r.isOperator(q) {
+			newProblem(http.StatusUnauthorized, CodeUnauthorised, "this needs the operators' token").write(w)
+			return
+		}
+		if p := serve(w, q); p != nil {
+			p.write(w)
+		}
+	}
+}
+
+func readBody(w http.ResponseWriter, q *http.Request, limit int64) ([]byte, *problem) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		p := newProblem(http.StatusRequestEntityTooLarge, CodeInvalid, "the body is too large")
+		p.Limit = float64(limit)
+		return nil, p
+	}
+	if err != nil {
+		return nil, newProblem(http.StatusBadRequest, CodeInvalid, "the body was cut: "+err.Error())
+	}
+	return body, nil
+}
+
+// unreachable tells that the outcome is open. It never says that nothing ran.
+func unreachable(err error) *problem {
+	p := newProblem(http.StatusServiceUnavailable, CodeUnreachable, "the outcome is open, send the same request again: "+err.Error())
+	p.retry = time.Second
+	return p
+}
+
+// refused turns a reply of the decisions into a problem, nil when the request was taken.
+func refused(reply decider.Reply) *problem {
+	switch reply.Status {
+	case decider.StatusOK:
+		return nil
+	case decider.StatusConflict:
+		p := newProblem(http.StatusConflict, CodeConflict, reply.Reason)
+		p.Version = reply.Version
+		p.Manifest = string(reply.Text)
+		return p
+	case decider.StatusInvalid:
+		return newProblem(http.StatusUnprocessableEntity, CodeInvalid, reply.Reason)
+	case decider.StatusUnknown:
+	}
+	return newProblem(http.StatusNotFound, CodeUnknown, reply.Reason)
+}
--- /dev/null
+++ b/internal/job/decider/snapshot.go
@@ -0,0 +1,116 @@
+package decider
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
+	"github.com/bluebellgauge/bluebellgauge/internal/job/estimator"
+	"github.com/bluebellgauge/bluebellgauge/internal/job/planner"
+	"github.com/bluebellgauge/bluebellgauge/internal/worker/doctor"
+)
+
+// snapshotFormat is the version of the encoding of snapshots.
+const snapshotFormat = 1
+
+type snapshot struct {
+	Format    int                  `json:"format"`
+	Now       time.Time            `json:"now"`
+	Text      []byte               `json:"text"`
+	Versions  map[uint64][32]byte  `json:"versions"`
+	Fleet     planner.Snapshot     `json:"fleet"`
+	Workers   map[string]*worker   `json:"workers"`
+	Gone      []string             `json:"gone"`
+	Jobs      []*job               `json:"jobs"`
+	Answered  map[string][]string  `json:"answered"`
+	LastGrant planner.GrantID      `json:"lastgrant"`
+	NextPass  time.Time            `json:"nextpass"`
+	Estimates *estimator.Estimator `json:"estimates"`
+	Health    *doctor.Doctor       `json:"health"`
+}
+
+// Save writes the state between two events.
+func (s *State) Save() ([]byte, error) {
+	snap := snapshot{
+		Format: snapshotFormat, Now: s.now, Text: s.text, Versions: s.versions,
+		Fleet: s.fleet.Save(), Workers: s.workers, Gone: s.gone, Answered: s.answered,
+		LastGrant: s.lastGrant, NextPass: s.nextPass, Estimates: s.estimates, Health: s.health,
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		snap.Jobs = append(snap.Jobs, s.jobs[id])
+	}
+	data, err := json.Marshal(snap)
+	if err != nil {
+		return nil, fmt.Errorf("save decisions: %w", err)
+	}
+	return data, nil
+}
+
+// Restore reads a state that Save wrote.
+func Restore(data []byte) (*State, error) {
+	snap := snapshot{Estimates: estimator.New(), Health: doctor.New()}
+	if err := json.Unmarshal(data, &snap); err != nil {
+		return nil, fmt.Errorf("restore decisions: %w", err)
+	}
+	if snap.Format != snapshotFormat {
+		return nil, fmt.Errorf("restore decisions: format %d, want %d", snap.Format, snapshotFormat)
+	}
+	s := New()
+	if err := s.restoreManifest(snap.Text); err != nil {
+		return nil, err
+	}
+	fleet, err := planner.Restore(snap.Fleet, s.lostWork)
+	if err != nil {
+		return nil, fmt.Errorf("restore decisions: %w", err)
+	}
+	s.fleet = fleet
+	s.now = snap.Now
+	s.gone = snap.Gone
+	s.lastGrant = snap.LastGrant
+	s.nextPass = snap.NextPass
+	s.estimates = snap.Estimates
+	s.health = snap.Health
+	maps.Copy(s.versions, snap.Versions)
+	maps.Copy(s.workers, snap.Workers)
+	maps.Copy(s.answered, snap.Answered)
+	s.restoreJobs(snap.Jobs)
+	return s, nil
+}
+
+func (s *State) restoreManifest(text []byte) error {
+	if len(text) == 0 {
+		return nil
+	}
+	m, err := parser.ParseManifest("manifest", text)
+	if err != nil {
+		return fmt.Errorf("restore decisions: %w", err)
+	}
+	s.manifest = m
+	s.text = text
+	s.declared = m.DeclaredFleet()
+	return nil
+}
+
+// restoreJobs rebuilds all indexes over jobs.
+func (s *State) restoreJobs(jobs []*job) {
+	for _, j := range jobs {
+		s.jobs[j.ID] = j
+		if j.Phase == Waiting {
+			s.waiting[j.Org] = append(s.waiting[j.Org], j)
+		}
+		if !j.Deadline.IsZero() {
+			s.timed[j.ID] = j
+		}
+		if g := s.fleet.Grant(j.Grant); g != nil {
+			s.byGrant[j.Grant] = j
+			s.sent(j)
+			s.usage[j.Org] += g.SlotCount()
+		}
+	}
+	for _, queue := range s.waiting {
+		slices.SortFunc(queue, compareJobs)
+	}
+}
--- /dev/null
+++ b/internal/state/applier/applier.go
@@ -0,0 +1,547 @@
+// Package applier drives one replica: it feeds messages, proposals and ticks to the consensus,
+// syncs what must be synced, applies committed entries to the decisions and hands out what
+// follows. One goroutine owns the replica and the decisions.
+package applier
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/job/decider"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/keeper"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/replicator"
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+)
+
+// Errors of requests to a replica.
+var (
+	// ErrNotLeader tells that another replica must be asked. Nothing has happened.
+	ErrNotLeader = errors.New("not the leader")
+	// ErrUnsure tells that the leadership ended while the proposal was under way. It may still
+	// be committed, so only the same proposal may be sent again.
+	ErrUnsure = errors.New("the leadership ended before the outcome was known")
+	// ErrStopped tells that the replica has stopped.
+	ErrStopped = errors.New("the replica has stopped")
+)
+
+const (
+	electionTicks  = 10
+	heartbeatTicks = 3
+	driftTicks     = 1
+	maxBatch       = 1 << 20   // bytes
+	chunkSize      = 256 << 10 // bytes
+	inboxSize      = 1024
+	maxDrain       = 512 // inputs taken into one sync
+)
+
+// Options are the dependencies and parameters of a replica.
+type Options struct {
+	Name          string
+	Folder        string
+	Bootstrap     *messages.Members // used when the folder is new
+	Tick          time.Duration     // of the consensus; an election takes 10 to 20
+	SnapshotEvery int               // entries between snapshots
+	Seed          uint64
+	Now           func() time.Time
+	Send          func([]*messages.Message)
+	// Deliver hands out what follows from an entry. It must not block. leading tells that this
+	// replica leads and so must carry out the orders.
+	Deliver func(index, term uint64, leading bool, orders []decider.Order)
+	Log     *zap.Logger
+}
+
+// Applier is one running replica.
+type Applier struct {
+	opts     Options
+	keeper   *keeper.Keeper
+	node     *replicator.Node
+	state    *decider.State
+	members  *messages.Members // in force at the last applied entry
+	applied  uint64
+	lastTime time.Time
+	ticking  bool // a Tick has been proposed and not applied
+
+	inbox     chan input
+	proposals map[uint64]*proposal
+	waiters   map[string][]chan decider.View
+	done      chan struct{}
+	stop      chan struct{}
+	failure   error
+}
+
+// input is something for the goroutine that owns the replica.
+type input interface{ input() }
+
+type inputMessages struct{ list []*messages.Message }
+
+type inputCall struct{ run func() }
+
+type proposal struct {
+	kind  messages.EntryKind
+	data  []byte
+	event decider.Event
+	term  uint64
+	reply chan result
+}
+
+type result struct {
+	orders []decider.Order
+	err    error
+}
+
+func (inputMessages) input() {}
+func (inputCall) input()     {}
+func (*proposal) input()     {}
+
+// New opens the storage and starts the replica.
+func New(opts Options) (*Applier, error) {
+	k, initial, err := keeper.Open(opts.Folder, opts.Name)
+	if err != nil {
+		return nil, err
+	}
+	initial.Members = opts.Bootstrap
+	a := &Applier{
+		opts: opts, keeper: k, state: decider.New(), members: opts.Bootstrap,
+		inbox:     make(chan input, inboxSize),
+		proposals: map[uint64]*proposal{},
+		waiters:   map[string][]chan decider.View{},
+		done:      make(chan struct{}),
+		stop:      make(chan struct{}),
+	}
+	if s := initial.Snapshot; s != nil {
+		if a.state, err = decider.Restore(s.Data); err != nil {
+			return nil, errors.Join(err, k.Close())
+		}
+		a.applied, a.members = s.Index, s.Members
+	}
+	a.node = replicator.New(replicator.Options{
+		Name: opts.Name, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+		DriftTicks: driftTicks, MaxBatch: maxBatch, ChunkSize: chunkSize, Seed: opts.Seed,
+	}, initial)
+	go func() {
+		defer close(a.done)
+		a.failure = a.run()
+		a.failPending(ErrStopped)
+		if err := k.Close(); err != nil {
+			opts.Log.Error("close storage", zap.Error(err))
+		}
+	}()
+	return a, nil
+}
+
+// run is the loop of the goroutine that owns the replica.
+func (a *Applier) run() error {
+	ticker := time.NewTicker(a.opts.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-a.stop:
+			return nil
+		case in := <-a.inbox:
+			a.take(in)
+			a.drainInbox()
+		case <-ticker.C:
+			a.node.Tick()
+			a.proposeTick()
+		}
+		if err := a.settle(); err != nil {
+			a.opts.Log.Error("replica stops", zap.Error(err))
+			return err
+		}
+	}
+}
+
+// drainInbox takes what else has come in, so that one sync serves all of it.
+func (a *Applier) drainInbox() {
+	for range maxDrain {
+		select {
+		case in := <-a.inbox:
+			a.take(in)
+		default:
+			return
+		}
+	}
+}
+
+func (a *Applier) take(in input) {
+	switch in := in.(type) {
+	case inputMessages:
+		for _, m := range in.list {
+			a.node.Step(m)
+		}
+	case inputCall:
+		in.run()
+	case *proposal:
+		a.propose(in)
+	}
+}
+
+func (a *Applier) propose(p *proposal) {
+	if p.event != nil {
+		data, err := decider.Encode(a.stamp(), p.event)
+		if err != nil {
+			p.reply <- result{err: err}
+			return
+		}
+		p.data = data
+	}
+	index, ok := a.node.Propose(p.kind, p.data)
+	if !ok {
+		p.reply <- result{err: ErrNotLeader}
+		return
+	}
+	p.term = a.node.Term()
+	a.proposals[index] = p
+}
+
+// stamp returns the time of a new entry, never before that of the last one.
+func (a *Applier) stamp() time.Time {
+	now := a.opts.Now().UTC().Round(0)
+	if !now.After(a.lastTime) {
+		now = a.lastTime.Add(time.Nanosecond)
+	}
+	a.lastTime = now
+	return now
+}
+
+// proposeTick lets a leader's due deadlines act.
+func (a *Applier) proposeTick() {
+	if a.ticking || !a.node.HasLease() {
+		return
+	}
+	if next, ok := a.state.Next(); !ok || a.opts.Now().Before(next) {
+		return
+	}
+	a.ticking = true
+	a.propose(&proposal{kind: messages.EntryKind_ENTRY_EVENT, event: decider.Tick{}, reply: make(chan result, 1)})
+}
+
+// settle carries out what the consensus asks for until there is nothing left.
+func (a *Applier) settle() error {
+	leading := a.node.Role() == replicator.Leader
+	for {
+		out := a.node.Take()
+		if out.Empty() {
+			break
+		}
+		if err := a.carryOut(&out); err != nil {
+			return err
+		}
+	}
+	if leading && a.node.Role() != replicator.Leader {
+		a.failPending(ErrUnsure)
+		a.ticking = false
+	}
+	if a.node.LogLength() >= a.opts.SnapshotEvery && a.applied > 0 {
+		return a.saveSnapshot()
+	}
+	return nil
+}
+
+func (a *Applier) carryOut(out *replicator.Output) error {
+	a.opts.Send(out.Early)
+	if out.Install != nil {
+		if err := a.install(out.Install); err != nil {
+			return err
+		}
+	}
+	if out.Hard != nil || out.Truncate > 0 || len(out.Entries) > 0 {
+		if err := a.keeper.Append(out.Truncate, out.Hard, out.Entries); err != nil {
+			return err
+		}
+	}
+	if n := len(out.Entries); n > 0 {
+		a.node.Synced(out.Entries[n-1].GetIndex())
+	}
+	a.opts.Send(out.Late)
+	for _, e := range out.Committed {
+		if err := a.apply(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// install replaces the state by a snapshot from the leader.
+func (a *Applier) install(s *replicator.Snapshot) error {
+	state, err := decider.Restore(s.Data)
+	if err != nil {
+		return err
+	}
+	if err := a.keeper.SaveSnapshot(s, a.node.Hard(), nil); err != nil {
+		return err
+	}
+	a.state, a.members, a.applied = state, s.Members, s.Index
+	a.lastTime = state.Now()
+	a.wakeAll()
+	return nil
+}
+
+// apply runs one committed entry through the decisions.
+func (a *Applier) apply(e *messages.Entry) error {
+	a.applied = e.GetIndex()
+	p := a.proposals[e.GetIndex()]
+	delete(a.proposals, e.GetIndex())
+	var orders []decider.Order
+	switch e.GetKind() {
+	case messages.EntryKind_ENTRY_MEMBERS:
+		m, err := replicator.DecodeMembers(e.GetData())
+		if err != nil {
+			return fmt.Errorf("apply entry %d: %w", e.GetIndex(), err)
+		}
+		a.members = m
+	case messages.EntryKind_ENTRY_EVENT:
+		now, event, err := decider.Decode(e.GetData())
+		if err != nil {
+			return fmt.Errorf("apply entry %d: %w", e.GetIndex(), err)
+		}
+		if _, ok := event.(decider.Tick); ok {
+			a.ticking = false
+		}
+		orders = a.state.Step(now, event)
+		a.lastTime = a.state.Now()
+	case messages.EntryKind_ENTRY_EMPTY:
+	}
+	leading := a.node.Role() == replicator.Leader && e.GetTerm() == a.node.Term()
+	a.opts.Deliver(e.GetIndex(), e.GetTerm(), leading, orders)
+	a.wake(orders)
+	a.answer(p, e, orders)
+	return nil
+}
+
+func (a *Applier) answer(p *proposal, e *messages.Entry, orders []decider.Order) {
+	switch {
+	case p == nil:
+	case p.term != e.GetTerm():
+		p.reply <- result{err: ErrUnsure}
+	default:
+		p.reply <- result{orders: orders}
+	}
+}
+
+// wake tells those who wait for an answer.
+func (a *Applier) wake(orders []decider.Order) {
+	for _, o := range orders {
+		answered, ok := o.(decider.Answered)
+		if !ok {
+			continue
+		}
+		for _, c := range a.waiters[answered.Job.ID] {
+			c <- answered.Job
+		}
+		delete(a.waiters, answered.Job.ID)
+	}
+}
+
+// wakeAll checks all waits against a state that has been replaced.
+func (a *Applier) wakeAll() {
+	for id, list := range a.waiters {
+		view, ok := a.state.JobByID(id)
+		if !ok || view.Answer == nil {
+			continue
+		}
+		for _, c := range list {
+			c <- view
+		}
+		delete(a.waiters, id)
+	}
+}
+
+func (a *Applier) failPending(err error) {
+	for index, p := range a.proposals {
+		p.reply <- result{err: err}
+		delete(a.proposals, index)
+	}
+}
+
+func (a *Applier) saveSnapshot() error {
+	data, err := a.state.Save()
+	if err != nil {
+		return err
+	}
+	s := &replicator.Snapshot{Index: a.applied, Term: a.node.TermAt(a.applied), Members: a.members, Data: data}
+	hard, rest := a.node.Stored(a.applied)
+	if err := a.keeper.SaveSnapshot(s, hard, rest); err != nil {
+		return err
+	}
+	a.node.Compact(s)
+	a.opts.Log.Info("snapshot saved", zap.Uint64("index", s.Index), zap.Int("bytes", len(data)))
+	return nil
+}
+
+// Step takes in messages from other replicas.
+func (a *Applier) Step(ctx context.Context, list []*messages.Message) error {
+	return a.put(ctx, inputMessages{list})
+}
+
+func (a *Applier) put(ctx context.Context, in input) error {
+	select {
+	case a.inbox <- in:
+		return nil
+	case <-a.done:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Propose commits an event and returns what followed from it.
+func (a *Applier) Propose(ctx context.Context, e decider.Event) ([]decider.Order, error) {
+	return a.commit(ctx, &proposal{kind: messages.EntryKind_ENTRY_EVENT, event: e, reply: make(chan result, 1)})
+}
+
+func (a *Applier) commit(ctx context.Context, p *proposal) ([]decider.Order, error) {
+	if err := a.put(ctx, p); err != nil {
+		return nil, err
+	}
+	select {
+	case r := <-p.reply:
+		return r.orders, r.err
+	case <-a.done:
+		return nil, ErrStopped
+	case <-ctx.Done():
+		return nil, fmt.Errorf("%w: %w", ErrUnsure, ctx.Err())
+	}
+}
+
+// Read runs a function on the state of a leader that holds its lease, and on its term.
+func (a *Applier) Read(ctx context.Context, read func(term uint64, state *decider.State)) error {
+	return a.call(ctx, func() error {
+		if !a.node.HasLease() {
+			return ErrNotLeader
+		}
+		read(a.node.Term(), a.state)
+		return nil
+	})
+}
+
+// Peek runs a function on this replica's state, which may be behind.
+func (a *Applier) Peek(ctx context.Context, read func(*decider.State)) error {
+	return a.call(ctx, func() error {
+		read(a.state)
+		return nil
+	})
+}
+
+func (a *Applier) call(ctx context.Context, f func() error) error {
+	reply := make(chan error, 1)
+	if err := a.put(ctx, inputCall{func() { reply <- f() }}); err != nil {
+		return err
+	}
+	select {
+	case err := <-reply:
+		return err
+	case <-a.done:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Await returns a job once it has its answer, or as it stands when the context ends. A final
+// answer never changes, so one that is known is right even from a replica that is behind.
+func (a *Applier) Await(ctx context.Context, org, key string) (view decider.View, known bool, err error) {
+	answered := make(chan decider.View, 1)
+	err = a.call(ctx, func() error {
+		view, known = a.state.Job(org, key)
+		if known && view.Answer != nil {
+			return nil
+		}
+		if !a.node.HasLease() {
+			return ErrNotLeader
+		}
+		if known {
+			a.waiters[view.ID] = append(a.waiters[view.ID], answered)
+		}
+		return nil
+	})
+	if err != nil || !known || view.Answer != nil {
+		return view, known, err
+	}
+	defer a.forget(view.ID, answered)
+	select {
+	case view = <-answered:
+		return view, true, nil
+	case <-a.done:
+		return view, true, ErrStopped
+	case <-ctx.Done():
+		return view, true, nil
+	}
+}
+
+// forget drops a wait that has ended.
+func (a *Applier) forget(id string, c chan decider.View) {
+	_ = a.put(context.Background(), inputCall{func() {
+		list := a.waiters[id]
+		for i, w := range list {
+			if w == c {
+				a.waiters[id] = append(list[:i:i], list[i+1:]...)
+			}
+		}
+		if len(a.waiters[id]) == 0 {
+			delete(a.waiters, id)
+		}
+	}})
+}
+
+// Status is what a replica knows of itself and of the others.
+type Status struct {
+	Role      replicator.Role
+	Leader    string
+	Term      uint64
+	Lease     bool
+	Applied   uint64
+	Committed uint64
+	Members   *messages.Members
+	Identity  string
+	LogBytes  int64
+}
+
+// Status returns the state of the replica.
+func (a *Applier) Status(ctx context.Context) (Status, error) {
+	var s Status
+	err := a.call(ctx, func() error {
+		s = Status{
+			Role: a.node.Role(), Leader: a.node.Leader(), Term: a.node.Term(), Lease: a.node.HasLease(),
+			Applied: a.applied, Committed: a.node.Committed(), Members: a.node.Members(),
+			Identity: a.keeper.Identity(), LogBytes: a.keeper.Size(),
+		}
+		return nil
+	})
+	return s, err
+}
+
+// ChangeMembers proposes a new membership. It returns once the change is in the log.
+func (a *Applier) ChangeMembers(ctx context.Context, m *messages.Members) error {
+	return a.call(ctx, func() error {
+		_, err := a.node.ProposeMembers(m, replicator.EncodeMembers)
+		return err
+	})
+}
+
+// Transfer hands the leadership over. It reports false when there is nobody to take it.
+func (a *Applier) Transfer(ctx context.Context) (bool, error) {
+	var ok bool
+	err := a.call(ctx, func() error {
+		ok = a.node.Transfer()
+		return nil
+	})
+	return ok, err
+}
+
+// Done is closed when the replica has stopped, on request or after a failed write.
+func (a *Applier) Done() <-chan struct{} { return a.done }
+
+// Failure returns why the replica stopped by itself, nil otherwise. It may be called once Done
+// is closed.
+func (a *Applier) Failure() error { return a.failure }
+
+// Stop ends the replica and waits for it.
+func (a *Applier) Stop() {
+	close(a.stop)
+	<-a.done
+}
--- /dev/null
+++ b/internal/wire/converter/converter.go
@@ -0,0 +1,124 @@
+// Package converter turns wire messages into the values of the decisions and back. It checks
+// what comes in; no state may live here.
+package converter
+
+import (
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
+	"github.com/bluebellgauge/bluebellgauge/internal/job/decider"
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// MarshalJSON writes a message of the workers' interface.
+func MarshalJSON(m proto.Message) ([]byte, error) {
+	return protojson.MarshalOptions{UseProtoNames: true}.Marshal(m)
+}
+
+// UnmarshalJSON reads a message of the workers' interface. Unknown fields are let through, so
+// that either side may be newer.
+func UnmarshalJSON(data []byte, m proto.Message) error {
+	return protojson.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(data, m)
+}
+
+// Worker checks an announcement.
+func Worker(a *messages.Announcement) (decider.WorkerInfo, error) {
+	var errs []error
+	for field, value := range map[string]string{
+		"name": a.GetName(), "place": a.GetPlace(), "rack": a.GetRack(), "service": a.GetService(),
+	} {
+		if !parser.ValidName(value) {
+			errs = append(errs, fmt.Errorf("%s is %q, want letters, digits, dots and dashes", field, value))
+		}
+	}
+	address, err := netip.ParseAddrPort(a.GetAddress())
+	if err != nil {
+		errs = append(errs, fmt.Errorf("address is %q, want an IP number and a port", a.GetAddress()))
+	}
+	if a.GetSlots() < 1 || a.GetSlots() > 64 {
+		errs = append(errs, fmt.Errorf("slots is %d, want 1 to 64", a.GetSlots()))
+	}
+	if a.GetIncarnation() == 0 {
+		errs = append(errs, errors.New("incarnation is missing, want a number that grows with each start"))
+	}
+	return decider.WorkerInfo{
+		Name: a.GetName(), Place: a.GetPlace(), Rack: a.GetRack(), Service: a.GetService(),
+		Address: address, Incarnation: a.GetIncarnation(), Slots: int(a.GetSlots()),
+		Connections: int(a.GetConnections()), Processors: a.GetProcessors(), Memory: a.GetMemory(),
+		Accelerators: int(a.GetAccelerators()), Leaving: a.GetLeaving(),
+	}, errors.Join(errs...)
+}
+
+// Acks checks what a worker said of attempts. A body that does not match its checksum was cut
+// on the way and is an error.
+func Acks(worker string, incarnation uint64, list []*messages.WorkerAck) ([]decider.Ack, error) {
+	var acks []decider.Ack
+	for _, m := range list {
+		if crc32.Checksum(m.GetBody(), castagnoli) != m.GetChecksum() {
+			return nil, fmt.Errorf("body of %s attempt %d does not match its checksum", m.GetJob(), m.GetAttempt())
+		}
+		kind := decider.AckKind(m.GetKind())
+		switch kind {
+		case decider.AckHeld, decider.AckRefused, decider.AckStarted, decider.AckCheckpointed,
+			decider.AckStopped, decider.AckDone, decider.AckFailed:
+		default:
+			return nil, fmt.Errorf("kind %q of %s attempt %d is unknown", m.GetKind(), m.GetJob(), m.GetAttempt())
+		}
+		acks = append(acks, decider.Ack{
+			Job: m.GetJob(), Attempt: m.GetAttempt(), Worker: worker, Incarnation: incarnation, Kind: kind,
+			Reason: m.GetReason(), Body: m.GetBody(), Resume: m.GetResume(),
+			Progress: time.Duration(m.GetProgress()) * time.Millisecond,
+		})
+	}
+	return acks, nil
+}
+
+// Ack writes an acknowledgement with the checksum of its body.
+func Ack(a decider.Ack) *messages.WorkerAck {
+	return &messages.WorkerAck{
+		Job: a.Job, Attempt: a.Attempt, Kind: string(a.Kind), Reason: a.Reason, Body: a.Body,
+		Checksum: crc32.Checksum(a.Body, castagnoli), Resume: a.Resume, Progress: a.Progress.Milliseconds(),
+	}
+}
+
+// Order writes an order to a worker. ok is false for orders that are not meant for workers.
+func Order(o decider.Order) (worker string, m *messages.WorkerOrder, ok bool) {
+	switch o := o.(type) {
+	case decider.Hold:
+		return o.Worker, orderOf("hold", o.Part), true
+	case decider.Start:
+		m := orderOf("start", o.Part)
+		m.Single = o.Single
+		return o.Worker, m, true
+	case decider.Release:
+		return o.Worker, orderOf("release", o.Part), true
+	case decider.Checkpoint:
+		return o.Worker, orderOf("checkpoint", o.Part), true
+	case decider.Stop:
+		return o.Worker, orderOf("stop", o.Part), true
+	case decider.Reply, decider.Answered, decider.Installed, decider.Record:
+	}
+	return "", nil, false
+}
+
+func orderOf(kind string, p decider.Part) *messages.WorkerOrder {
+	m := &messages.WorkerOrder{
+		Kind: kind, Job: p.Job, Attempt: p.Attempt, Incarnation: p.Incarnation, Rank: int32(p.Rank),
+		Members: int32(p.Members), Tasks: int32(p.Tasks), Slots: int32(p.Slots), Service: p.Service,
+	}
+	if kind == "start" {
+		m.Runtime = p.Runtime.Milliseconds()
+		m.Body = p.Body
+		m.Resume = p.Resume
+	}
+	return m
+}
--- /dev/null
+++ b/internal/worker/executor/executor.go
@@ -0,0 +1,243 @@
+// Package executor is a stand-in for the platform's worker: it announces itself, runs pretended
+// tasks under leases, and can be told to misbehave. Only the worker's side of the protocol may
+// live here.
+package executor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/job/decider"
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/converter"
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+	"github.com/bluebellgauge/bluebellgauge/internal/worker/registrar"
+)
+
+const (
+	holdLife       = 10 * time.Second
+	requestTimeout = 2 * time.Second
+	maxOrderBytes  = 8 << 20
+	sweepInterval  = 50 * time.Millisecond
+	maxRemembered  = 10_000 // ended attempts
+)
+
+// Faults are the ways in which a worker can misbehave. They may be changed while it runs.
+type Faults struct {
+	FailAll    atomic.Bool  // every task ends badly
+	Silent     atomic.Bool  // no reports leave, and orders get no reply
+	LateAnswer atomic.Int64 // nanoseconds between the end of a task and its report
+	KeepSaving atomic.Bool  // checkpoints never complete
+}
+
+// Trace is something that truly happened to a member of a gang, as a test wants to know it.
+type Trace struct {
+	Time        time.Time
+	Worker      string
+	Incarnation uint64
+	Job         string
+	Attempt     uint32
+	Members     int
+	Running     bool // began, or ended
+}
+
+// Options describe a worker.
+type Options struct {
+	Announcement *messages.Announcement // the address is filled in
+	Listen       netip.AddrPort
+	Entries      []netip.AddrPort
+	Timing       registrar.Timing
+	Observe      func(Trace) // may be nil
+	Log          *zap.Logger
+}
+
+// Executor is one running worker.
+type Executor struct {
+	Faults Faults
+
+	opts    Options
+	server  *http.Server
+	client  *http.Client
+	address netip.AddrPort
+	cancel  context.CancelFunc
+	kick    chan struct{}
+	wait    sync.WaitGroup
+
+	mu       sync.Mutex
+	term     uint64
+	parts    map[string]*part  // by job
+	released map[string]uint32 // job to the latest attempt that will never start
+	outbox   []*messages.WorkerAck
+	leaving  bool
+	announce bool
+	home     string
+	entry    int
+}
+
+// New starts a worker that announces itself until an entry takes it.
+func New(opts Options) (*Executor, error) {
+	listener, err := net.Listen("tcp", opts.Listen.String())
+	if err != nil {
+		return nil, fmt.Errorf("worker %s: %w", opts.Announcement.GetName(), err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Executor{
+		opts: opts, cancel: cancel, kick: make(chan struct{}, 1), announce: true,
+		parts: map[string]*part{}, released: map[string]uint32{},
+		client: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{}},
+	}
+	e.address = listener.Addr().(*net.TCPAddr).AddrPort()
+	opts.Announcement.Address = e.address.String()
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/orders", e.serveOrders)
+	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: requestTimeout}
+	e.wait.Go(func() {
+		if err := e.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			opts.Log.Error("worker stops serving", zap.Error(err))
+		}
+	})
+	e.wait.Go(func() { e.reportLoop(ctx) })
+	e.wait.Go(func() { e.sweepLoop(ctx) })
+	return e, nil
+}
+
+// Address returns where the worker takes orders.
+func (e *Executor) Address() netip.AddrPort { return e.address }
+
+// Leave announces that the worker takes no new work, and returns once its tasks have ended and
+// their ends are reported, or when the context ends.
+func (e *Executor) Leave(ctx context.Context) error {
+	e.mu.Lock()
+	e.leaving, e.announce = true, true
+	e.mu.Unlock()
+	e.wake()
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for !e.idle() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (e *Executor) idle() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.parts {
+		if !p.ended() {
+			return false
+		}
+	}
+	return len(e.outbox) == 0 && !e.announce
+}
+
+// Kill ends the worker at once, with all its tasks, as a lost VM would.
+func (e *Executor) Kill() {
+	e.cancel()
+	_ = e.server.Close()
+	e.mu.Lock()
+	for _, p := range e.parts {
+		if p.state == running {
+			e.trace(p, false)
+			p.end(killed)
+		}
+	}
+	e.mu.Unlock()
+	e.wait.Wait()
+	e.client.CloseIdleConnections()
+}
+
+func (e *Executor) trace(p *part, began bool) {
+	if e.opts.Observe == nil {
+		return
+	}
+	e.opts.Observe(Trace{
+		Time: time.Now(), Worker: e.opts.Announcement.GetName(), Incarnation: e.opts.Announcement.GetIncarnation(),
+		Job: p.job, Attempt: p.attempt, Members: p.members, Running: began,
+	})
+}
+
+func (e *Executor) wake() {
+	select {
+	case e.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Executor) serveOrders(w http.ResponseWriter, r *http.Request) {
+	if e.Faults.Silent.Load() {
+		<-r.Context().Done()
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxOrderBytes))
+	orders := &messages.WorkerOrders{}
+	if err == nil {
+		err = converter.UnmarshalJSON(body, orders)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	acks, ok := e.carryOut(orders)
+	if !ok {
+		http.Error(w, "orders of an earlier term", http.StatusConflict)
+		return
+	}
+	reply, err := converter.MarshalJSON(&messages.WorkerAcks{Acks: acks})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// The caller has gone when the reply can't be written; it will ask again.
+	_, _ = w.Write(reply)
+}
+
+// carryOut runs orders in turn. It refuses all orders of a term before the latest seen.
+func (e *Executor) carryOut(orders *messages.WorkerOrders) ([]*messages.WorkerAck, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if orders.GetTerm() < e.term {
+		return nil, false
+	}
+	e.term = orders.GetTerm()
+	var acks []*messages.WorkerAck
+	for _, o := range orders.GetOrders() {
+		if o.GetIncarnation() != e.opts.Announcement.GetIncarnation() {
+			continue
+		}
+		if a := e.obey(o); a != nil {
+			acks = append(acks, converter.Ack(*a))
+		}
+	}
+	return acks, true
+}
+
+func (e *Executor) obey(o *messages.WorkerOrder) *decider.Ack {
+	switch o.GetKind() {
+	case "hold":
+		return e.hold(o)
+	case "start":
+		return e.start(o)
+	case "release":
+		e.release(o)
+		return nil
+	case "checkpoint":
+		return e.checkpoint(o)
+	case "stop":
+		return e.stop(o)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/worker/executor/report.go
@@ -0,0 +1,157 @@
+package executor
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/converter"
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+)
+
+const maxReplyBytes = 8 << 20
+
+func (e *Executor) sweepLoop(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			e.sweep(time.Now())
+		}
+	}
+}
+
+// reportLoop announces the worker and reports at each interval, and at once when a task ends.
+func (e *Executor) reportLoop(ctx context.Context) {
+	ticker := time.NewTicker(e.opts.Timing.Report)
+	defer ticker.Stop()
+	for {
+		if !e.Faults.Silent.Load() {
+			e.speak(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-e.kick:
+		}
+	}
+}
+
+func (e *Executor) speak(ctx context.Context) {
+	if err := e.trySpeak(ctx); err != nil && ctx.Err() == nil {
+		e.opts.Log.Debug("report failed", zap.String("worker", e.opts.Announcement.GetName()), zap.Error(err))
+		e.mu.Lock()
+		// The next try goes through another entry, over a new connection.
+		e.home = ""
+		e.entry++
+		e.mu.Unlock()
+		e.client.CloseIdleConnections()
+	}
+}
+
+func (e *Executor) trySpeak(ctx context.Context) error {
+	e.mu.Lock()
+	announce, leaving := e.announce, e.leaving
+	e.mu.Unlock()
+	if announce {
+		if err := e.sendAnnouncement(ctx, leaving); err != nil {
+			return err
+		}
+	}
+	return e.sendReport(ctx)
+}
+
+func (e *Executor) sendAnnouncement(ctx context.Context, leaving bool) error {
+	a := proto.Clone(e.opts.Announcement).(*messages.Announcement)
+	a.Leaving = leaving
+	if err := e.post(ctx, "/v1/workers", a, nil); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leaving == leaving {
+		e.announce = false
+	}
+	return nil
+}
+
+func (e *Executor) sendReport(ctx context.Context) error {
+	e.mu.Lock()
+	r := &messages.WorkerReport{Incarnation: e.opts.Announcement.GetIncarnation(), Acks: e.outbox}
+	for _, p := range e.parts {
+		if p.state == running {
+			r.Running = append(r.Running, &messages.Attempt{Job: p.job, Number: p.attempt})
+		}
+	}
+	e.mu.Unlock()
+	sent := time.Now()
+	renewal := &messages.Renewal{}
+	path := fmt.Sprintf("/v1/workers/%s/report?place=%s", e.opts.Announcement.GetName(), e.opts.Announcement.GetPlace())
+	if err := e.post(ctx, path, r, renewal); err != nil {
+		return err
+	}
+	e.renew(sent, len(r.GetAcks()), renewal)
+	return nil
+}
+
+func (e *Executor) renew(sent time.Time, delivered int, r *messages.Renewal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.outbox = e.outbox[delivered:]
+	e.announce = e.announce || r.GetAnnounce()
+	e.home = r.GetHome()
+	until := sent.Add(time.Duration(r.GetLease()) * time.Millisecond)
+	for _, a := range r.GetRenewed() {
+		p := e.parts[a.GetJob()]
+		if p != nil && p.state == running && p.attempt == a.GetNumber() && until.After(p.until) {
+			p.until = until
+		}
+	}
+}
+
+func (e *Executor) target() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.home != "" {
+		return e.home
+	}
+	return e.opts.Entries[e.entry%len(e.opts.Entries)].String()
+}
+
+func (e *Executor) post(ctx context.Context, path string, in, out proto.Message) error {
+	body, err := converter.MarshalJSON(in)
+	if err != nil {
+		return fmt.Errorf("encode report: %w", err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.target()+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("make request: %w", err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := e.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	reply, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		return err
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("%s: %s", response.Status, bytes.TrimSpace(reply))
+	}
+	if out == nil {
+		return nil
+	}
+	return converter.UnmarshalJSON(reply, out)
+}
