decider: promises checked after each step under random faults

Cause: the decisions had no proof.

Found by it and mended, each failed first: two urgent jobs took room back from each other for ever; a job cancelled while it waited again was said not to have run after an earlier attempt had; a job whose manifest lost its room while it ran waited for ever when it was queued again.

--- a/internal/job/decider/admit.go
+++ b/internal/job/decider/admit.go
@@ -183,8 +183,13 @@
 	}
 }
 
-// answer records the one final answer of a job.
+// answer records the one final answer of a job. A job of which an earlier attempt ran is never
+// said not to have run.
 func (s *State) answer(j *job, a Answer) {
+	if a.Outcome == NotRun && j.Ran {
+		a.Outcome = Failed
+		a.Reason += ", after an earlier attempt had run in part"
+	}
 	a.Time = s.now
 	j.Answer = &a
 	j.Phase = Complete
--- a/internal/job/decider/attempt.go
+++ b/internal/job/decider/attempt.go
@@ -218,6 +218,7 @@
 	s.judgeWorkers(j)
 	ran := j.anyMember(MemberState.ran)
 	lost := j.anyMember(func(m MemberState) bool { return m == MemberLost })
+	j.Ran = j.Ran || ran || lost
 	s.release(j)
 	switch {
 	case j.allMembers(func(m MemberState) bool { return m == MemberDone }):
@@ -277,7 +278,8 @@
 	}
 }
 
-// requeue puts a job without a grant back into the queue, with its age.
+// requeue puts a job without a grant back into the queue, with its age. The manifest may have
+// changed since the job was placed, so that it has no room for it any more.
 func (s *State) requeue(j *job, reason string) {
 	j.Members = nil
 	j.Reason = reason
@@ -285,6 +287,10 @@
 	j.Queued = s.now
 	j.Begun = time.Time{}
 	s.setDeadline(j, time.Time{})
+	if !s.mayRun(j) {
+		s.refuseNow(j)
+		return
+	}
 	s.enqueue(j)
 	s.freed = true
 	s.record("job", j.ID, j.Org, "queued again: %s", reason)
--- /dev/null
+++ b/internal/job/decider/export_test.go
@@ -0,0 +1,58 @@
+package decider
+
+import (
+	"fmt"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/job/planner"
+)
+
+// Fleet gives tests the planner of a state.
+func (s *State) Fleet() *planner.Fleet { return s.fleet }
+
+// CheckIndexes compares all indexes with the jobs that they are derived from.
+func (s *State) CheckIndexes() error {
+	waiting, granted := 0, 0
+	usage := map[string]int{}
+	for _, j := range s.jobs {
+		if j.Phase == Waiting {
+			waiting++
+		}
+		g := s.fleet.Grant(j.Grant)
+		if (j.Grant != 0) != (g != nil) || (j.Grant != 0) != (s.byGrant[j.Grant] == j) {
+			return fmt.Errorf("job %s in phase %s has grant %d, which the fleet or the index lacks", j.ID, j.Phase, j.Grant)
+		}
+		if g != nil {
+			granted++
+			usage[j.Org] += g.SlotCount()
+		}
+		switch j.Phase {
+		case Holding, Running, Checkpointing, Stopping, Reclaiming:
+			if g == nil {
+				return fmt.Errorf("job %s in phase %s has no grant", j.ID, j.Phase)
+			}
+		case Complete:
+			if g != nil || j.Answer == nil {
+				return fmt.Errorf("job %s is answered: grant %d, answer %v", j.ID, j.Grant, j.Answer)
+			}
+		case Waiting:
+		}
+	}
+	for org, queue := range s.waiting {
+		waiting -= len(queue)
+		for _, j := range queue {
+			if j.Phase != Waiting || j.Org != org {
+				return fmt.Errorf("job %s in phase %s stands in the queue of %s", j.ID, j.Phase, org)
+			}
+		}
+	}
+	if waiting != 0 || granted != len(s.byGrant) || granted != s.fleet.GrantCount() {
+		return fmt.Errorf("%d waiting jobs in no queue, %d grants of jobs, %d in the index, %d in the fleet",
+			waiting, granted, len(s.byGrant), s.fleet.GrantCount())
+	}
+	for org, n := range usage {
+		if s.usage[org] != n {
+			return fmt.Errorf("%s uses %d slots, the index says %d", org, n, s.usage[org])
+		}
+	}
+	return nil
+}
--- a/internal/job/decider/job.go
+++ b/internal/job/decider/job.go
@@ -101,6 +101,7 @@
 	Progress  time.Duration   `json:"progress,omitempty"`
 	Resume    string          `json:"resume,omitempty"`
 	Avoid     []string        `json:"avoid,omitempty"`
+	Ran       bool            `json:"ran,omitempty"` // an earlier attempt ran, or may have
 	Failures  int             `json:"failures,omitempty"`
 	Losses    int             `json:"losses,omitempty"`
 	Reason    string          `json:"reason,omitempty"`
--- a/internal/job/decider/manifest.go
+++ b/internal/job/decider/manifest.go
@@ -68,15 +68,22 @@
 func (s *State) refuseImpossible() {
 	for _, org := range slices.Sorted(maps.Keys(s.waiting)) {
 		for _, j := range slices.Clone(s.waiting[org]) {
-			if s.manifest.Organisation(org) != nil && s.fits(j) {
-				continue
+			if !s.mayRun(j) {
+				s.withdraw(j)
+				s.refuseNow(j)
 			}
-			s.withdraw(j)
-			s.answer(j, Answer{Outcome: NotRun, Code: CodeImpossible, Reason: "the new manifest has no room for it"})
 		}
 	}
 }
 
+// mayRun reports whether the manifest in force names the job's organisation and has room for
+// the job in an empty fleet.
+func (s *State) mayRun(j *job) bool { return s.manifest.Organisation(j.Org) != nil && s.fits(j) }
+
+func (s *State) refuseNow(j *job) {
+	s.answer(j, Answer{Outcome: NotRun, Code: CodeImpossible, Reason: "the manifest in force has no room for it"})
+}
+
 func (s *State) trimVersions() {
 	if len(s.versions) <= maxVersions {
 		return
--- /dev/null
+++ b/internal/job/decider/property_test.go
@@ -0,0 +1,244 @@
+package decider_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
+	"github.com/bluebellgauge/bluebellgauge/internal/job/decider"
+)
+
+const smallManifest = `{
+  "version": %d, "width": {"slots": 4, "workers": 2}, "checkpoint": "2s",
+  "places": [
+    {"name": "p1", "service": "s", "racks": 2, "workers": 2, "slots": 4, "processors": 16, "memory": 64, "accelerators": 4},
+    {"name": "p2", "service": "s", "racks": 1, "workers": 2, "slots": 4, "processors": 16, "memory": 64, "accelerators": 4},
+  ],
+  "organisations": [%s],
+}`
+
+// manifestText draws a manifest whose guarantees fit. Token digests only need to differ.
+func manifestText(t *rapid.T, version uint64) []byte {
+	for try := 0; ; try++ {
+		var orgs []string
+		for i, org := range []string{"a", "b", "c"} {
+			var promises []string
+			for range rapid.IntRange(0, 2).Draw(t, "guarantees") {
+				place := rapid.SampledFrom([]string{"", "p1", "p2"}).Draw(t, "place")
+				slots := rapid.SampledFrom([]int{1, 2, 4, 8}).Draw(t, "slots")
+				promises = append(promises, fmt.Sprintf(`{"service": "s", "place": %q, "slots": %d, "count": %d}`,
+					place, slots, rapid.IntRange(1, 2).Draw(t, "count")))
+			}
+			orgs = append(orgs, fmt.Sprintf(`{"name": %q, "token": "%064d", "queue": 20, "guarantees": [%s]}`, org, i, strings.Join(promises, ",")))
+		}
+		text := fmt.Appendf(nil, smallManifest, version, strings.Join(orgs, ","))
+		if _, err := parser.ParseManifest("m", text); err == nil {
+			return text
+		}
+		if try > 20 {
+			return fmt.Appendf(nil, smallManifest, version, `{"name": "a", "token": "`+strings.Repeat("0", 64)+`"}`)
+		}
+	}
+}
+
+func drawJob(t *rapid.T) parser.Job {
+	idempotent := rapid.IntRange(0, 3).Draw(t, "idempotent") > 0
+	j := parser.Job{
+		Service:      "s",
+		Tasks:        rapid.SampledFrom([]int{1, 1, 2, 3, 4, 8, 12, 40}).Draw(t, "tasks"),
+		Accelerators: rapid.SampledFrom([]int{0, 1, 1, 2, 4, 5}).Draw(t, "accelerators"),
+		Adjacency:    rapid.SampledFrom([]string{"any", "place", "rack", "worker"}).Draw(t, "adjacency"),
+		Runtime:      parser.Duration(time.Duration(rapid.IntRange(0, 40).Draw(t, "runtime")) * time.Second),
+		Urgent:       rapid.IntRange(0, 4).Draw(t, "urgent") == 0,
+		Checkpoint:   rapid.Bool().Draw(t, "checkpoint"),
+		Idempotent:   &idempotent,
+	}
+	switch rapid.IntRange(0, 9).Draw(t, "script") {
+	case 0:
+		j.Body = []byte(`{"fail": "bad input"}`)
+	case 1, 2:
+		j.Body = fmt.Appendf(nil, `{"run": "%ds"}`, rapid.IntRange(0, 60).Draw(t, "run"))
+	}
+	return j
+}
+
+// TestPromisesUnderFaults runs random events and faults and checks every promise after each.
+func TestPromisesUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := decider.New()
+		d := newDriver(s, rapid.Uint64().Draw(t, "seed"))
+		d.delay = func() time.Duration { return time.Duration(d.random.IntN(400)) * time.Millisecond }
+		d.lossy = rapid.SampledFrom([]float64{0, 0.1, 0.3}).Draw(t, "lossy")
+		d.double = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "double")
+		c := &checker{d: d, s: s, once: map[string]bool{}, disturbed: true}
+		d.after = func(e decider.Event, _ []decider.Order) {
+			if err := c.check(); err != nil {
+				t.Fatalf("after %T: %v", e, err)
+			}
+		}
+		g := &generator{d: d, c: c, version: 1}
+		d.step(decider.ApplyManifest{Text: manifestText(t, 1)})
+		for _, w := range fleetOf([]string{"p1"}, "s", 2, 2, 4) {
+			d.addWorker(w)
+		}
+		for _, w := range fleetOf([]string{"p2"}, "s", 1, 2, 4) {
+			d.addWorker(w)
+		}
+		c.disturbed = false
+		t.Repeat(map[string]func(*rapid.T){
+			"submit":   g.submit,
+			"submit2":  g.submit,
+			"submit3":  g.submit,
+			"resubmit": g.resubmit,
+			"cancel":   g.cancel,
+			"wait":     g.wait,
+			"wait2":    g.wait,
+			"kill":     g.kill,
+			"restart":  g.restart,
+			"leave":    g.leave,
+			"manifest": g.manifest,
+			"bad":      g.bad,
+			"restore":  g.restore,
+		})
+		g.finish(t)
+	})
+}
+
+type generator struct {
+	d       *driver
+	c       *checker
+	version uint64
+	ids     []string
+	jobs    map[string]decider.Submit
+}
+
+func (g *generator) submit(t *rapid.T) {
+	org := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "org")
+	e := decider.Submit{Org: org, Key: fmt.Sprintf("k%d", len(g.ids)), Job: drawJob(t)}
+	if g.jobs == nil {
+		g.jobs = map[string]decider.Submit{}
+	}
+	id := decider.JobID(e.Org, e.Key)
+	if !e.Job.IsIdempotent() {
+		g.c.once[id] = true
+	}
+	g.d.step(e)
+	if _, ok := g.c.s.JobByID(id); !ok {
+		return // the organisation is not in this manifest
+	}
+	g.ids = append(g.ids, id)
+	g.jobs[id] = e
+}
+
+func (g *generator) resubmit(t *rapid.T) {
+	if len(g.ids) == 0 {
+		return
+	}
+	id := rapid.SampledFrom(g.ids).Draw(t, "id")
+	before, _ := g.c.s.JobByID(id)
+	g.d.step(g.jobs[id])
+	after, _ := g.c.s.JobByID(id)
+	if before.Submitted != after.Submitted {
+		t.Fatalf("job %s was taken in twice", id)
+	}
+}
+
+func (g *generator) cancel(t *rapid.T) {
+	if len(g.ids) == 0 {
+		return
+	}
+	e := g.jobs[rapid.SampledFrom(g.ids).Draw(t, "id")]
+	g.d.step(decider.Cancel{Org: e.Org, Keys: []string{e.Key}})
+}
+
+func (g *generator) wait(t *rapid.T) {
+	wait := time.Duration(rapid.IntRange(1, 20_000).Draw(t, "milliseconds")) * time.Millisecond
+	g.d.runUntil(g.d.now.Add(wait))
+}
+
+func (g *generator) worker(t *rapid.T) *fakeWorker {
+	all := append(fleetOf([]string{"p1"}, "s", 2, 2, 4), fleetOf([]string{"p2"}, "s", 1, 2, 4)...)
+	return g.d.workers[rapid.SampledFrom(all).Draw(t, "worker").Name]
+}
+
+func (g *generator) kill(t *rapid.T) {
+	g.c.disturbed = true
+	g.d.kill(g.worker(t).info.Name)
+}
+
+// restart starts a worker anew. What ran on it has ended with its earlier process.
+func (g *generator) restart(t *rapid.T) {
+	g.c.disturbed = true
+	w := g.worker(t)
+	w.machine.Kill(g.d.now)
+	w.alive = false
+	delete(g.d.leftAt, w.info.Name)
+	w.info.Leaving = false
+	g.d.addWorker(w.info)
+}
+
+func (g *generator) leave(t *rapid.T) {
+	w := g.worker(t)
+	if !w.alive {
+		return
+	}
+	g.c.disturbed = true
+	w.info.Leaving = true
+	w.machine.Leave()
+	g.d.leftAt[w.info.Name] = g.d.now
+	g.d.step(decider.Announce{Worker: w.info})
+}
+
+func (g *generator) manifest(t *rapid.T) {
+	g.c.disturbed = true
+	version := g.version + uint64(rapid.IntRange(0, 1).Draw(t, "newer"))
+	g.d.step(decider.ApplyManifest{Text: manifestText(t, version)})
+	g.version = max(g.version, g.c.s.Version())
+}
+
+func (g *generator) bad(t *rapid.T) {
+	g.c.disturbed = true
+	w := g.worker(t)
+	w.machine.FailAll = !w.machine.FailAll
+}
+
+// restore goes on from a snapshot, as a keeper that was far behind does.
+func (g *generator) restore(t *rapid.T) {
+	data, err := g.c.s.Save()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := decider.Restore(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := s.Save()
+	if err != nil || string(again) != string(data) {
+		t.Fatalf("a restored state saves other bytes: %v", err)
+	}
+	g.c.s, g.d.policy = s, s
+}
+
+// finish brings all workers back and waits until every job has its answer.
+func (g *generator) finish(t *rapid.T) {
+	for _, w := range g.d.workers {
+		w.machine.FailAll = false
+		if !w.alive || w.info.Leaving {
+			w.machine.Kill(g.d.now)
+			w.info.Leaving = false
+			delete(g.d.leftAt, w.info.Name)
+			g.d.addWorker(w.info)
+		}
+	}
+	g.d.lossy = 0
+	g.d.runUntil(g.d.now.Add(4 * time.Hour))
+	for _, id := range g.ids {
+		if v, _ := g.c.s.JobByID(id); v.Answer == nil {
+			t.Fatalf("job %s has no answer: %+v", id, v)
+		}
+	}
+}
--- a/internal/job/decider/schedule.go
+++ b/internal/job/decider/schedule.go
@@ -52,7 +52,10 @@
 		s.tryFresh()
 		return
 	}
-	for s.freed {
+	for range maxPasses {
+		if !s.freed {
+			break
+		}
 		s.freed = false
 		s.fresh = nil
 		s.pass()
--- a/internal/job/decider/state.go
+++ b/internal/job/decider/state.go
@@ -23,6 +23,7 @@
 	claimAfter   = 30 * time.Second       // of waiting before a large gang reserves a cell
 	maxClaims    = 2                      // soft claims at one time
 	scanDepth    = 32                     // waiting jobs of one organisation tried in one pass
+	maxPasses    = 4                      // in one step; what the last one frees waits for the next step
 	maxFailures  = 3                      // attempts of an idempotent job that end badly
 	maxLosses    = 8                      // attempts of an idempotent job whose worker was lost
 	maxAvoid     = 4
--- a/internal/job/planner/fleet.go
+++ b/internal/job/planner/fleet.go
@@ -297,3 +297,46 @@
 	delete(seen, 0)
 	return slices.Sorted(maps.Keys(seen))
 }
+
+// GrantCount returns the number of grants and claims.
+func (f *Fleet) GrantCount() int { return len(f.grants) }
+
+// Cell is what an outside check of the packing needs to know of one slot.
+type Cell struct {
+	Worker  string
+	Place   string
+	Service string
+	Usable  bool
+	Owner   GrantID
+	Claim   GrantID
+	Bound   string // organisation whose guarantee is bound here, "" for none
+}
+
+// EachCell calls visit for each slot, pool by pool in order. pool counts the pools and slot the
+// slots of one pool.
+func (f *Fleet) EachCell(visit func(pool, slot int, c Cell)) {
+	for n, p := range f.pools {
+		for i, s := range p.slots {
+			index := i / f.shape.Slots
+			c := Cell{
+				Worker: p.workers[index], Place: p.key.place, Service: p.key.service, Owner: s.owner, Claim: s.claim,
+				Usable: p.usable[index] && i%f.shape.Slots < p.width[index],
+			}
+			if s.root != 0 {
+				c.Bound = f.roots[s.root-1].promise.Org
+			}
+			visit(n, i, c)
+		}
+	}
+}
+
+// Unbound returns the guaranteed cells that are not bound, each with Count 1.
+func (f *Fleet) Unbound() []Guarantee {
+	var list []Guarantee
+	for _, r := range f.roots {
+		if r.pool == nil {
+			list = append(list, r.promise)
+		}
+	}
+	return list
+}
--- a/internal/job/planner/place.go
+++ b/internal/job/planner/place.go
@@ -51,6 +51,7 @@
 	Ready bool
 
 	reclaimable bool
+	urgent      bool      // other urgent work does not take it back
 	soft        bool      // waits for owners to end by themselves
 	start       time.Time // when a soft claim is expected to be ready
 }
@@ -77,7 +78,7 @@
 	for _, mode := range modesFor(q) {
 		for _, pools := range f.poolChoices(q) {
 			t := &placing{fleet: f, request: q, pools: pools, grant: &Grant{
-				ID: id, Org: q.Org, Mode: mode, reclaimable: q.Reclaimable,
+				ID: id, Org: q.Org, Mode: mode, reclaimable: q.Reclaimable, urgent: q.Evict,
 			}}
 			found := t.run()
 			displaced = append(displaced, t.displaced...)
@@ -286,7 +287,9 @@
 	best := cellChoice{}
 	for _, p := range t.pools {
 		eachCell(&p.open, pc.level, func(first int) bool {
-			t.weigh(&best, p, first, pc, -1)
+			if !t.holdsUrgent(p, first, pc) {
+				t.weigh(&best, p, first, pc, -1)
+			}
 			return best.seen < maxCandidates
 		})
 	}
@@ -297,6 +300,21 @@
 	return true
 }
 
+// holdsUrgent reports whether the piece would take room back from urgent work. Two urgent jobs
+// would otherwise take the same room from each other for ever.
+func (t *placing) holdsUrgent(p *pool, first int, pc piece) bool {
+	found := false
+	t.eachRun(first, pc, func(start, n int) {
+		for _, s := range p.slots[start : start+n] {
+			for _, id := range []GrantID{s.owner, s.claim} {
+				g := t.fleet.grants[id]
+				found = found || g != nil && (g.urgent || id == t.grant.ID)
+			}
+		}
+	})
+	return found
+}
+
 // cellChoice keeps the cheapest cell seen.
 type cellChoice struct {
 	pool  *pool
--- a/internal/job/planner/snapshot.go
+++ b/internal/job/planner/snapshot.go
@@ -37,6 +37,7 @@
 type GrantState struct {
 	Grant
 	Reclaimable bool      `json:"reclaimable,omitempty"`
+	Urgent      bool      `json:"urgent,omitempty"`
 	Soft        bool      `json:"soft,omitempty"`
 	Start       time.Time `json:"start,omitzero"`
 }
@@ -54,7 +55,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(f.grants)) {
 		g := f.grants[id]
-		s.Grants = append(s.Grants, GrantState{Grant: *g, Reclaimable: g.reclaimable, Soft: g.soft, Start: g.start})
+		s.Grants = append(s.Grants, GrantState{Grant: *g, Reclaimable: g.reclaimable, Urgent: g.urgent, Soft: g.soft, Start: g.start})
 	}
 	return s
 }
@@ -128,7 +129,7 @@
 
 func (f *Fleet) restoreGrant(s GrantState) error {
 	g := s.Grant
-	g.reclaimable, g.soft, g.start = s.Reclaimable, s.Soft, s.Start
+	g.reclaimable, g.urgent, g.soft, g.start = s.Reclaimable, s.Urgent, s.Soft, s.Start
 	f.grants[g.ID] = &g
 	for _, part := range g.Parts {
 		at, ok := f.workers[part.Worker]
--- a/internal/worker/executor/executor.go
+++ b/internal/worker/executor/executor.go
@@ -17,18 +17,15 @@
 
 	"go.uber.org/zap"
 
-	"github.com/bluebellgauge/bluebellgauge/internal/job/decider"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/converter"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 	"github.com/bluebellgauge/bluebellgauge/internal/worker/registrar"
 )
 
 const (
-	holdLife       = 10 * time.Second
 	requestTimeout = 2 * time.Second
 	maxOrderBytes  = 8 << 20
-	sweepInterval  = 50 * time.Millisecond
-	maxRemembered  = 10_000 // ended attempts
+	idlePoll       = 50 * time.Millisecond
 )
 
 // Faults are the ways in which a worker can misbehave. They may be changed while it runs.
@@ -69,13 +66,12 @@
 	client  *http.Client
 	address netip.AddrPort
 	cancel  context.CancelFunc
-	kick    chan struct{}
+	kick    chan struct{} // a report is due
+	rearm   chan struct{} // the machine's next time has changed
 	wait    sync.WaitGroup
 
 	mu       sync.Mutex
-	term     uint64
-	parts    map[string]*part  // by job
-	released map[string]uint32 // job to the latest attempt that will never start
+	machine  *Machine
 	outbox   []*messages.WorkerAck
 	leaving  bool
 	announce bool
@@ -91,10 +87,11 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Executor{
-		opts: opts, cancel: cancel, kick: make(chan struct{}, 1), announce: true,
-		parts: map[string]*part{}, released: map[string]uint32{},
+		opts: opts, cancel: cancel, announce: true,
+		kick: make(chan struct{}, 1), rearm: make(chan struct{}, 1),
 		client: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{}},
 	}
+	e.machine = NewMachine(int(opts.Announcement.GetSlots()), opts.Timing.Lease, e.trace)
 	e.address = listener.Addr().(*net.TCPAddr).AddrPort()
 	opts.Announcement.Address = e.address.String()
 	mux := http.NewServeMux()
@@ -106,7 +103,7 @@
 		}
 	})
 	e.wait.Go(func() { e.reportLoop(ctx) })
-	e.wait.Go(func() { e.sweepLoop(ctx) })
+	e.wait.Go(func() { e.advanceLoop(ctx) })
 	return e, nil
 }
 
@@ -118,9 +115,10 @@
 func (e *Executor) Leave(ctx context.Context) error {
 	e.mu.Lock()
 	e.leaving, e.announce = true, true
+	e.machine.Leave()
 	e.mu.Unlock()
-	e.wake()
-	ticker := time.NewTicker(sweepInterval)
+	signal(e.kick)
+	ticker := time.NewTicker(idlePoll)
 	defer ticker.Stop()
 	for !e.idle() {
 		select {
@@ -135,12 +133,7 @@
 func (e *Executor) idle() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, p := range e.parts {
-		if !p.ended() {
-			return false
-		}
-	}
-	return len(e.outbox) == 0 && !e.announce
+	return e.machine.Idle() && len(e.outbox) == 0 && !e.announce
 }
 
 // Kill ends the worker at once, with all its tasks, as a lost VM would.
@@ -148,30 +141,26 @@
 	e.cancel()
 	_ = e.server.Close()
 	e.mu.Lock()
-	for _, p := range e.parts {
-		if p.state == running {
-			e.trace(p, false)
-			p.end(killed)
-		}
-	}
+	e.machine.Kill(time.Now())
 	e.mu.Unlock()
 	e.wait.Wait()
 	e.client.CloseIdleConnections()
 }
 
-func (e *Executor) trace(p *part, began bool) {
+func (e *Executor) trace(now time.Time, job string, attempt uint32, members int, began bool) {
 	if e.opts.Observe == nil {
 		return
 	}
 	e.opts.Observe(Trace{
-		Time: time.Now(), Worker: e.opts.Announcement.GetName(), Incarnation: e.opts.Announcement.GetIncarnation(),
-		Job: p.job, Attempt: p.attempt, Members: p.members, Running: began,
+		Time: now, Worker: e.opts.Announcement.GetName(), Incarnation: e.opts.Announcement.GetIncarnation(),
+		Job: job, Attempt: attempt, Members: members, Running: began,
 	})
 }
 
-func (e *Executor) wake() {
+// signal sets a flag that another goroutine waits for.
+func signal(c chan struct{}) {
 	select {
-	case e.kick <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -209,35 +198,19 @@
 func (e *Executor) carryOut(orders *messages.WorkerOrders) ([]*messages.WorkerAck, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if orders.GetTerm() < e.term {
+	if !e.machine.Admit(orders.GetTerm()) {
 		return nil, false
 	}
-	e.term = orders.GetTerm()
+	e.machine.KeepSaving = e.Faults.KeepSaving.Load()
 	var acks []*messages.WorkerAck
 	for _, o := range orders.GetOrders() {
 		if o.GetIncarnation() != e.opts.Announcement.GetIncarnation() {
 			continue
 		}
-		if a := e.obey(o); a != nil {
+		if a := e.machine.Obey(time.Now(), o); a != nil {
 			acks = append(acks, converter.Ack(*a))
 		}
 	}
+	signal(e.rearm)
 	return acks, true
 }
-
-func (e *Executor) obey(o *messages.WorkerOrder) *decider.Ack {
-	switch o.GetKind() {
-	case "hold":
-		return e.hold(o)
-	case "start":
-		return e.start(o)
-	case "release":
-		e.release(o)
-		return nil
-	case "checkpoint":
-		return e.checkpoint(o)
-	case "stop":
-		return e.stop(o)
-	}
-	return nil
-}
--- a/internal/worker/executor/report.go
+++ b/internal/worker/executor/report.go
@@ -17,17 +17,51 @@
 
 const maxReplyBytes = 8 << 20
 
-func (e *Executor) sweepLoop(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
+// advanceLoop ends tasks when their time has come.
+func (e *Executor) advanceLoop(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			e.sweep(time.Now())
+		case <-timer.C:
+		case <-e.rearm:
 		}
+		timer.Reset(e.advance())
+	}
+}
+
+// advance ends what is due and returns the time until the next end.
+func (e *Executor) advance() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.machine.FailAll = e.Faults.FailAll.Load()
+	now := time.Now()
+	for _, a := range e.machine.Advance(now) {
+		e.queue(converter.Ack(a))
+	}
+	next, ok := e.machine.Next()
+	if !ok {
+		return time.Hour
 	}
+	return next.Sub(now)
+}
+
+// queue puts a final word into the next report, late when the fault says so.
+func (e *Executor) queue(a *messages.WorkerAck) {
+	late := time.Duration(e.Faults.LateAnswer.Load())
+	if late == 0 {
+		e.outbox = append(e.outbox, a)
+		signal(e.kick)
+		return
+	}
+	time.AfterFunc(late, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.outbox = append(e.outbox, a)
+		signal(e.kick)
+	})
 }
 
 // reportLoop announces the worker and reports at each interval, and at once when a task ends.
@@ -87,12 +121,7 @@
 
 func (e *Executor) sendReport(ctx context.Context) error {
 	e.mu.Lock()
-	r := &messages.WorkerReport{Incarnation: e.opts.Announcement.GetIncarnation(), Acks: e.outbox}
-	for _, p := range e.parts {
-		if p.state == running {
-			r.Running = append(r.Running, &messages.Attempt{Job: p.job, Number: p.attempt})
-		}
-	}
+	r := &messages.WorkerReport{Incarnation: e.opts.Announcement.GetIncarnation(), Running: e.machine.Running(), Acks: e.outbox}
 	e.mu.Unlock()
 	sent := time.Now()
 	renewal := &messages.Renewal{}
@@ -111,12 +140,8 @@
 	e.announce = e.announce || r.GetAnnounce()
 	e.home = r.GetHome()
 	until := sent.Add(time.Duration(r.GetLease()) * time.Millisecond)
-	for _, a := range r.GetRenewed() {
-		p := e.parts[a.GetJob()]
-		if p != nil && p.state == running && p.attempt == a.GetNumber() && until.After(p.until) {
-			p.until = until
-		}
-	}
+	e.machine.Renew(r.GetRenewed(), until)
+	signal(e.rearm)
 }
 
 func (e *Executor) target() string {
