decider: back off after refusals; mark kept guarantees before demoting others

Cause: found by the property test. A manifest change that took one of two cells of a grant left the other cell bound, as its mark was set after the demotion.

--- a/internal/job/decider/attempt.go
+++ b/internal/job/decider/attempt.go
@@ -115,6 +115,7 @@
 	case Holding:
 		s.avoid(j, a.Worker)
 		s.withdraw(j)
+		s.backOff(j)
 		s.requeue(j, fmt.Sprintf("worker %s refused: %s", a.Worker, a.Reason))
 	case Running, Checkpointing, Stopping:
 		if m.State.ran() {
@@ -135,6 +136,7 @@
 	}
 	m.State = Started
 	if j.Begun.IsZero() && j.allMembers(MemberState.ran) {
+		j.Refusals = 0
 		j.Begun = s.now
 		j.SavedAt = s.now
 	}
@@ -227,6 +229,7 @@
 	case j.Next == nextCancel:
 		s.answer(j, cancelled(ran, lost, j.reclaimable()))
 	case !ran && !lost:
+		s.backOff(j)
 		s.requeue(j, j.Reason)
 	case !j.reclaimable():
 		s.answer(j, endedOnce(j, ran, lost))
@@ -278,6 +281,17 @@
 	}
 }
 
+// backOff keeps a job that workers refused from being tried again at once, so that a worker and
+// the decisions that disagree on its slots don't fill the log.
+func (s *State) backOff(j *job) {
+	wait := min(firstBackoff<<min(j.Refusals, 10), longestBackoff)
+	j.Refusals++
+	j.NotBefore = s.now.Add(wait)
+	if s.retryAt.IsZero() || j.NotBefore.Before(s.retryAt) {
+		s.retryAt = j.NotBefore
+	}
+}
+
 // requeue puts a job without a grant back into the queue, with its age. The manifest may have
 // changed since the job was placed, so that it has no room for it any more.
 func (s *State) requeue(j *job, reason string) {
@@ -375,6 +389,7 @@
 				}
 			}
 			s.withdraw(j)
+			s.backOff(j)
 			s.requeue(j, "a member did not answer in time")
 		case Checkpointing:
 			s.stop(j, nextRequeue, j.Reason)
@@ -392,6 +407,10 @@
 	if !s.nextPass.IsZero() && !s.now.Before(s.nextPass) {
 		s.freed = true
 	}
+	if !s.retryAt.IsZero() && !s.now.Before(s.retryAt) {
+		s.freed = true
+		s.retryAt = time.Time{}
+	}
 }
 
 func (s *State) dueJobs() []*job {
--- a/internal/job/decider/job.go
+++ b/internal/job/decider/job.go
@@ -101,7 +101,9 @@
 	Progress  time.Duration   `json:"progress,omitempty"`
 	Resume    string          `json:"resume,omitempty"`
 	Avoid     []string        `json:"avoid,omitempty"`
-	Ran       bool            `json:"ran,omitempty"` // an earlier attempt ran, or may have
+	Ran       bool            `json:"ran,omitempty"`      // an earlier attempt ran, or may have
+	Refusals  int             `json:"refusals,omitempty"` // in a row
+	NotBefore time.Time       `json:"notbefore,omitzero"` // back-off after refusals
 	Failures  int             `json:"failures,omitempty"`
 	Losses    int             `json:"losses,omitempty"`
 	Reason    string          `json:"reason,omitempty"`
--- a/internal/job/decider/schedule.go
+++ b/internal/job/decider/schedule.go
@@ -71,7 +71,7 @@
 	s.fresh = nil
 	slices.SortFunc(fresh, compareJobs)
 	for _, j := range fresh {
-		if j.Phase == Waiting && j.Grant == 0 {
+		if j.Phase == Waiting && j.Grant == 0 && !s.now.Before(j.NotBefore) {
 			s.place(j)
 		}
 	}
@@ -104,7 +104,7 @@
 		}
 		j := c.take()
 		sign := signatureOf(j)
-		if j.Grant != 0 || j.Phase != Waiting || failed[sign] {
+		if j.Grant != 0 || j.Phase != Waiting || failed[sign] || s.now.Before(j.NotBefore) {
 			continue
 		}
 		if !s.place(j) && len(j.Avoid) == 0 {
--- a/internal/job/decider/state.go
+++ b/internal/job/decider/state.go
@@ -16,21 +16,23 @@
 )
 
 const (
-	holdTimeout  = 2 * time.Second        // for all members of a gang to keep room
-	urgentGrace  = 500 * time.Millisecond // of a checkpoint that makes room for urgent work
-	avoidFor     = 5 * time.Second        // before a job may use a worker again where it failed
-	passInterval = 5 * time.Second        // between passes while jobs wait
-	claimAfter   = 30 * time.Second       // of waiting before a large gang reserves a cell
-	maxClaims    = 2                      // soft claims at one time
-	scanDepth    = 32                     // waiting jobs of one organisation tried in one pass
-	maxPasses    = 4                      // in one step; what the last one frees waits for the next step
-	maxFailures  = 3                      // attempts of an idempotent job that end badly
-	maxLosses    = 8                      // attempts of an idempotent job whose worker was lost
-	maxAvoid     = 4
-	retention    = 24 * time.Hour // of answers
-	maxAnswers   = 50_000         // kept for each organisation
-	maxVersions  = 4096           // manifest versions whose content is remembered
-	ageScale     = 10 * time.Minute
+	holdTimeout    = 2 * time.Second        // for all members of a gang to keep room
+	urgentGrace    = 500 * time.Millisecond // of a checkpoint that makes room for urgent work
+	avoidFor       = 5 * time.Second        // before a job may use a worker again where it failed
+	passInterval   = 5 * time.Second        // between passes while jobs wait
+	claimAfter     = 30 * time.Second       // of waiting before a large gang reserves a cell
+	maxClaims      = 2                      // soft claims at one time
+	scanDepth      = 32                     // waiting jobs of one organisation tried in one pass
+	firstBackoff   = 100 * time.Millisecond // after an attempt that workers refused
+	longestBackoff = 5 * time.Second
+	maxPasses      = 4 // in one step; what the last one frees waits for the next step
+	maxFailures    = 3 // attempts of an idempotent job that end badly
+	maxLosses      = 8 // attempts of an idempotent job whose worker was lost
+	maxAvoid       = 4
+	retention      = 24 * time.Hour // of answers
+	maxAnswers     = 50_000         // kept for each organisation
+	maxVersions    = 4096           // manifest versions whose content is remembered
+	ageScale       = 10 * time.Minute
 )
 
 // worker is an announced worker.
@@ -61,7 +63,8 @@
 	gone        []string // lost workers that still have a seat
 	lastGrant   planner.GrantID
 	nextPass    time.Time
-	freed       bool // room or rights changed since the last pass
+	retryAt     time.Time // end of the earliest back-off
+	freed       bool      // room or rights changed since the last pass
 	fresh       []*job
 	estimates   *estimator.Estimator
 	health      *doctor.Doctor
@@ -127,6 +130,7 @@
 		consider(j.Deadline)
 	}
 	consider(s.nextPass)
+	consider(s.retryAt)
 	if probe, due := s.health.NextProbe(); due {
 		consider(probe)
 	}
--- a/internal/job/planner/guarantee.go
+++ b/internal/job/planner/guarantee.go
@@ -46,16 +46,17 @@
 			f.roots = append(f.roots, takeMatching(old, one))
 		}
 	}
-	for _, r := range old {
-		if r != nil && r.pool != nil {
-			f.demote(r)
-		}
-	}
 	for i, r := range f.roots {
 		if r.pool != nil {
 			f.markRoot(r, int32(i)+1)
 		}
 	}
+	// A grant that loses one of its cells leaves the others too, so those must be marked first.
+	for _, r := range old {
+		if r != nil && r.pool != nil {
+			f.demote(r)
+		}
+	}
 }
 
 // takeMatching moves a root with the same promise out of old, a bound one before others.
