--- a/internal/console/commander/commander.go
+++ b/internal/console/commander/commander.go
@@ -89,6 +89,7 @@
 		{"shapes", "show the guarantee of each organisation, in slots", list("/v1/shapes",
 			"organisation", "Promised", "Held", "Borrowed", "Surplus", "Reclaiming", "waiting", "atrisk")},
 		{"members", "list the members of the consensus", list("/v1/members", "name", "place", "address", "role")},
+		{"demo", "run both sample users' fleets in this process", &demoCommand{c: c}},
 		{"drain", "drain the first entry given", &drainCommand{c: c}},
 	}
 	for _, command := range commands {
--- /dev/null
+++ b/internal/console/demonstrator/demonstrator.go
@@ -0,0 +1,294 @@
+// Package demonstrator runs whole fleets in one process on loopback, puts a mixed load through
+// them while a worker and the leader are lost, and checks what callers and workers saw.
+package demonstrator
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
+	"github.com/bluebellgauge/bluebellgauge/internal/console/client"
+	"github.com/bluebellgauge/bluebellgauge/internal/daemon/runner"
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+	"github.com/bluebellgauge/bluebellgauge/internal/worker/executor"
+	"github.com/bluebellgauge/bluebellgauge/internal/worker/registrar"
+)
+
+const (
+	keepers       = 3
+	daemons       = 5
+	workers       = 12
+	slots         = 8
+	operatorToken = "operator"
+	daemonsToken  = "daemons"
+	startTimeout  = 15 * time.Second
+	pollInterval  = 50 * time.Millisecond
+)
+
+// Timing returns signs of life that run out fast enough to watch.
+func Timing() registrar.Timing {
+	return registrar.Timing{
+		Report: 300 * time.Millisecond, Beat: 200 * time.Millisecond, Silent: time.Second,
+		Grace: time.Second, Lease: 3 * time.Second, Drift: 500 * time.Millisecond,
+	}
+}
+
+// User is one of the users whose fleet is shown.
+type User struct {
+	Name          string
+	Service       string
+	Places        []string
+	Processors    float64
+	Memory        float64
+	Organisations []string
+}
+
+// Users returns the sample users.
+func Users() []User {
+	return []User{
+		{
+			Name: "khula-din", Service: "listing-svc", Processors: 128, Memory: 512,
+			Places:        []string{"bagmati-patan", "gandaki-lakeside", "lumbini-garden"},
+			Organisations: []string{"temples", "tourism", "guides", "translators"},
+		},
+		{
+			Name: "hoang-thach", Service: "cube-report", Processors: 64, Memory: 128,
+			Places:        []string{"hanoi-a", "danang-a", "hcmc-a"},
+			Organisations: []string{"rigs", "reports", "contractors", "archive"},
+		},
+	}
+}
+
+// token returns the sample token of an organisation.
+func token(org string) string { return org + "-token" }
+
+// manifest writes the sample manifest, scaled down to the demonstrated fleet.
+func (u User) manifest() ([]byte, error) {
+	m := parser.Manifest{Version: 1, Checkpoint: parser.Duration(time.Second)}
+	for _, place := range u.Places {
+		m.Places = append(m.Places, parser.Place{
+			Name: place, Service: u.Service, Racks: 1, Workers: workers / len(u.Places), Slots: slots,
+			Processors: u.Processors, Memory: u.Memory, Accelerators: slots,
+		})
+	}
+	guarantees := [][]parser.Guarantee{
+		{{Service: u.Service, Slots: 16, Count: 1}},
+		{{Service: u.Service, Slots: 8, Count: 2}},
+		{{Service: u.Service, Place: u.Places[0], Slots: 8, Count: 1}},
+		{{Service: u.Service, Slots: 4, Count: 2}},
+	}
+	for i, org := range u.Organisations {
+		sum := sha256.Sum256([]byte(token(org)))
+		m.Organisations = append(m.Organisations, parser.Organisation{
+			Name: org, Token: hex.EncodeToString(sum[:]), Guarantees: guarantees[i],
+		})
+	}
+	return marshalIndent(m)
+}
+
+// fleet is one user's running fleet.
+type fleet struct {
+	user    User
+	timing  registrar.Timing
+	folder  string
+	log     *zap.Logger
+	daemons []*runner.Runner
+	workers []*executor.Executor
+	entries []netip.AddrPort
+	watch   *witness
+}
+
+// startFleet starts the daemons, puts the manifest in force and starts the workers.
+func startFleet(user User, log *zap.Logger) (*fleet, error) {
+	folder, err := os.MkdirTemp("", "bluebellgauge-demo-")
+	if err != nil {
+		return nil, fmt.Errorf("make data folder: %w", err)
+	}
+	f := &fleet{user: user, timing: Timing(), folder: folder, log: log, watch: newWitness()}
+	if err := f.start(); err != nil {
+		f.stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *fleet) start() error {
+	settings, err := f.settings()
+	if err != nil {
+		return err
+	}
+	for _, s := range settings {
+		d, err := runner.New(runner.Options{
+			Settings: s, Operator: operatorToken, Secret: daemonsToken, Timing: f.timing,
+			Tick: 20 * time.Millisecond, Snapshots: 500, Log: f.log,
+		})
+		if err != nil {
+			return err
+		}
+		f.daemons = append(f.daemons, d)
+		f.entries = append(f.entries, d.Address())
+	}
+	if err := f.applyManifest(); err != nil {
+		return err
+	}
+	return f.startWorkers()
+}
+
+// settings writes the settings of all daemons, on free ports.
+func (f *fleet) settings() ([]*parser.Settings, error) {
+	ports, err := freePorts(2 * daemons)
+	if err != nil {
+		return nil, err
+	}
+	var list []*parser.Settings
+	var peers []parser.Peer
+	for i := range daemons {
+		s := &parser.Settings{
+			Name: fmt.Sprintf("vm%d", i+1), Place: f.user.Places[i%len(f.user.Places)],
+			Listen: ports[2*i].String(), Peering: ports[2*i+1].String(), Drain: parser.Duration(5 * time.Second),
+		}
+		if i < keepers {
+			s.Data = filepath.Join(f.folder, s.Name)
+			peers = append(peers, parser.Peer{Name: s.Name, Place: s.Place, Address: s.Peering})
+		}
+		list = append(list, s)
+	}
+	for _, s := range list {
+		s.Keepers = peers
+	}
+	return list, nil
+}
+
+// freePorts returns loopback addresses that are free now.
+func freePorts(n int) ([]netip.AddrPort, error) {
+	var ports []netip.AddrPort
+	var open []net.Listener
+	defer func() {
+		for _, l := range open {
+			_ = l.Close()
+		}
+	}()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("find a port: %w", err)
+		}
+		open = append(open, l)
+		ports = append(ports, l.Addr().(*net.TCPAddr).AddrPort())
+	}
+	return ports, nil
+}
+
+func (f *fleet) applyManifest() error {
+	text, err := f.user.manifest()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	cl := client.New(f.entries, operatorToken)
+	defer cl.Close()
+	if _, err := cl.Apply(ctx, text); err != nil {
+		return fmt.Errorf("apply manifest: %w", err)
+	}
+	return nil
+}
+
+func (f *fleet) startWorkers() error {
+	for i := range workers {
+		place := f.user.Places[i%len(f.user.Places)]
+		w, err := executor.New(executor.Options{
+			Announcement: &messages.Announcement{
+				Name: fmt.Sprintf("w%02d", i+1), Place: place, Rack: "r1", Service: f.user.Service,
+				Incarnation: 1, Slots: slots, Connections: 64, Processors: f.user.Processors,
+				Memory: f.user.Memory, Accelerators: slots,
+			},
+			Listen: netip.MustParseAddrPort("127.0.0.1:0"), Entries: f.entries, Timing: f.timing,
+			Observe: f.watch.observe, Log: f.log,
+		})
+		if err != nil {
+			return err
+		}
+		f.workers = append(f.workers, w)
+	}
+	return f.waitForWorkers()
+}
+
+func (f *fleet) waitForWorkers() error {
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	cl := client.New(f.entries, operatorToken)
+	defer cl.Close()
+	for {
+		var list []struct{}
+		if err := cl.Get(ctx, "/v1/workers", &list); err != nil {
+			return err
+		}
+		if len(list) == workers {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%d of %d workers announced themselves in %s", len(list), workers, startTimeout)
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+// killLeader loses the leading keeper.
+func (f *fleet) killLeader() error {
+	for _, d := range f.daemons {
+		if d.IsLeader() {
+			d.Kill()
+			return nil
+		}
+	}
+	return errors.New("no daemon leads")
+}
+
+func (f *fleet) stop() {
+	var wait sync.WaitGroup
+	for _, w := range f.workers {
+		wait.Go(w.Kill)
+	}
+	for _, d := range f.daemons {
+		wait.Go(d.Kill)
+	}
+	wait.Wait()
+	if err := os.RemoveAll(f.folder); err != nil {
+		f.log.Warn("remove data folder", zap.Error(err))
+	}
+}
+
+// Options say what to show.
+type Options struct {
+	Seed     uint64
+	Progress io.Writer // nil for none
+	Log      *zap.Logger
+}
+
+// Run shows both users' fleets in turn and returns what was seen.
+func Run(opts Options) (*Result, error) {
+	total := &Result{}
+	for i, user := range Users() {
+		r, err := runUser(user, opts, opts.Seed+uint64(i)<<32)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", user.Name, err)
+		}
+		total.merge(r)
+	}
+	total.summarise()
+	return total, nil
+}
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 	"go.uber.org/zap"
@@ -117,7 +118,8 @@
 }
 
 func (r *Runner) metrics() (tally.Scope, http.Handler) {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "bluebellgauge", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
--- a/internal/entry/forwarder/server.go
+++ b/internal/entry/forwarder/server.go
@@ -84,6 +84,7 @@
 	AskManifest = "manifest"
 	AskDaemons  = "daemons"
 	AskMembers  = "members"
+	AskFigures  = "figures"
 )
 
 // Query answers from the leader's state.
@@ -114,6 +115,8 @@
 		return nonNil(state.Workers())
 	case AskShapes:
 		return nonNil(state.Shapes())
+	case AskFigures:
+		return FiguresView{Fragmentation: state.Fragmentation()}
 	case AskManifest:
 		_, text := state.Manifest()
 		return ManifestView{Version: state.Version(), Text: string(text)}
@@ -144,6 +147,12 @@
 	return list
 }
 
+// FiguresView is what the fleet looks like as a whole.
+type FiguresView struct {
+	// Fragmentation is the share of free slots that lie in no free cell of a whole worker.
+	Fragmentation float64 `json:"fragmentation"`
+}
+
 // ManifestView is the manifest in force.
 type ManifestView struct {
 	Version uint64 `json:"version"`
--- a/internal/entry/router/operator.go
+++ b/internal/entry/router/operator.go
@@ -19,6 +19,7 @@
 		"/v1/workers":  "workers",
 		"/v1/shapes":   "shapes",
 		"/v1/members":  "members",
+		"/v1/figures":  "figures",
 	} {
 		r.mux.HandleFunc(path, r.operator(func(w http.ResponseWriter, q *http.Request) *problem {
 			return r.passQuestion(w, q, &messages.Question{Kind: kind})
