planner: take back work only where no other room is free; failed attempts leave no trace

Guaranteed work evicted borrowed work though other cells were free, pieces were laid only at the start of a cell, and an attempt that found no room in the end had already thrown waiting claims out, which started again in the same pass, for ever. Ruled out: the lower bound and the driver, by comparing the work done with the work offered.

--- /dev/null
+++ b/internal/job/decider/baseline_test.go
@@ -0,0 +1,268 @@
+package decider_test
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
+	"github.com/bluebellgauge/bluebellgauge/internal/job/decider"
+)
+
+// baseline is a plain policy to compare with: first come first served on whole workers' free
+// slots, without guarantees, borrowing, checkpoints or estimates.
+type baseline struct {
+	bestFit  bool // choose the fullest worker that fits, and let later jobs pass a waiting one
+	workers  map[string]*baseWorker
+	names    []string
+	queue    []*baseJob
+	running  map[string]*baseJob
+	maxTasks int
+}
+
+type baseWorker struct {
+	info decider.WorkerInfo
+	free int
+	live bool
+}
+
+type baseJob struct {
+	id        string
+	org       string
+	spec      parser.Job
+	slots     int
+	attempt   uint32
+	submitted time.Time
+	parts     []decider.Part
+	ended     map[string]bool
+	failed    string
+	body      []byte
+	losses    int
+}
+
+func newBaseline(bestFit bool) *baseline {
+	return &baseline{bestFit: bestFit, workers: map[string]*baseWorker{}, running: map[string]*baseJob{}}
+}
+
+// Step implements policy.
+func (b *baseline) Step(now time.Time, e decider.Event) []decider.Order {
+	var orders []decider.Order
+	switch e := e.(type) {
+	case decider.Announce:
+		b.announce(e.Worker)
+	case decider.Lost:
+		orders = b.lose(e.Worker)
+	case decider.Submit:
+		orders = b.submit(now, e)
+	case decider.Cancel:
+		orders = b.cancel(now, e)
+	case decider.Report:
+		for _, a := range e.Acks {
+			orders = append(orders, b.ack(now, a)...)
+		}
+	case decider.ApplyManifest, decider.Tick:
+	}
+	return append(orders, b.schedule()...)
+}
+
+// Next implements policy.
+func (b *baseline) Next() (time.Time, bool) { return time.Time{}, false }
+
+// Outstanding implements policy; the measurements lose no messages.
+func (b *baseline) Outstanding() []decider.Order { return nil }
+
+func (b *baseline) announce(info decider.WorkerInfo) {
+	b.workers[info.Name] = &baseWorker{info: info, free: info.Slots, live: true}
+	if !slices.Contains(b.names, info.Name) {
+		b.names = append(b.names, info.Name)
+		slices.Sort(b.names)
+	}
+}
+
+func (b *baseline) submit(now time.Time, e decider.Submit) []decider.Order {
+	j := &baseJob{id: decider.JobID(e.Org, e.Key), org: e.Org, spec: e.Job, slots: max(e.Job.Accelerators, 1), submitted: now}
+	if j.slots > 8 || j.spec.GangSize() > 128 {
+		return b.answer(now, j, decider.NotRun)
+	}
+	b.queue = append(b.queue, j)
+	return nil
+}
+
+func (b *baseline) answer(now time.Time, j *baseJob, outcome decider.Outcome) []decider.Order {
+	return []decider.Order{decider.Answered{Job: decider.View{
+		ID: j.id, Org: j.org, Submitted: j.submitted, Answer: &decider.Answer{Outcome: outcome, Body: j.body, Time: now},
+	}}}
+}
+
+func (b *baseline) cancel(now time.Time, e decider.Cancel) []decider.Order {
+	var orders []decider.Order
+	for _, key := range e.Keys {
+		id := decider.JobID(e.Org, key)
+		if i := slices.IndexFunc(b.queue, func(j *baseJob) bool { return j.id == id }); i >= 0 {
+			orders = append(orders, b.answer(now, b.queue[i], decider.NotRun)...)
+			b.queue = slices.Delete(b.queue, i, i+1)
+			continue
+		}
+		if j := b.running[id]; j != nil {
+			j.failed = "cancelled"
+			orders = append(orders, b.stopRest(j)...)
+		}
+	}
+	return orders
+}
+
+func (b *baseline) stopRest(j *baseJob) []decider.Order {
+	var orders []decider.Order
+	for _, p := range j.parts {
+		if !j.ended[p.Worker] {
+			orders = append(orders, decider.Stop{Part: p})
+		}
+	}
+	return orders
+}
+
+func (b *baseline) ack(now time.Time, a decider.Ack) []decider.Order {
+	j := b.running[a.Job]
+	if j == nil || j.attempt != a.Attempt || j.ended[a.Worker] {
+		return nil
+	}
+	switch a.Kind {
+	case decider.AckStarted, decider.AckHeld, decider.AckCheckpointed:
+		return nil
+	case decider.AckFailed, decider.AckRefused, decider.AckStopped:
+		if j.failed == "" {
+			j.failed = a.Reason
+		}
+	case decider.AckDone:
+	}
+	return b.partEnded(now, j, a.Worker)
+}
+
+func (b *baseline) partEnded(now time.Time, j *baseJob, worker string) []decider.Order {
+	j.ended[worker] = true
+	for _, p := range j.parts {
+		if p.Worker == worker && b.workers[worker].live {
+			b.workers[worker].free += p.Slots
+		}
+	}
+	if len(j.ended) < len(j.parts) {
+		if j.failed != "" {
+			return b.stopRest(j)
+		}
+		return nil
+	}
+	delete(b.running, j.id)
+	switch {
+	case j.failed == "":
+		return b.answer(now, j, decider.Done)
+	case j.failed == "lost", j.failed == "worker fault" && j.losses < 3:
+		j.failed = ""
+		j.losses++
+		b.queue = slices.Insert(b.queue, 0, j)
+		return nil
+	}
+	return b.answer(now, j, decider.Failed)
+}
+
+func (b *baseline) lose(worker string) []decider.Order {
+	b.workers[worker].live = false
+	var orders []decider.Order
+	for _, id := range sortedKeys(b.running) {
+		j := b.running[id]
+		if slices.ContainsFunc(j.parts, func(p decider.Part) bool { return p.Worker == worker }) && !j.ended[worker] {
+			j.failed = "lost"
+			orders = append(orders, b.partEnded(time.Time{}, j, worker)...)
+		}
+	}
+	return orders
+}
+
+// schedule starts what fits, in the order of arrival.
+func (b *baseline) schedule() []decider.Order {
+	var orders []decider.Order
+	var waiting []*baseJob
+	for i, j := range b.queue {
+		parts := b.place(j)
+		if parts == nil {
+			waiting = append(waiting, j)
+			if !b.bestFit {
+				waiting = append(waiting, b.queue[i+1:]...)
+				break
+			}
+			continue
+		}
+		orders = append(orders, b.start(j, parts)...)
+	}
+	b.queue = waiting
+	return orders
+}
+
+func (b *baseline) start(j *baseJob, parts []decider.Part) []decider.Order {
+	j.attempt++
+	j.parts = parts
+	j.ended = map[string]bool{}
+	b.running[j.id] = j
+	var orders []decider.Order
+	for rank := range parts {
+		p := &parts[rank]
+		p.Job, p.Attempt, p.Rank, p.Members = j.id, j.attempt, rank, len(parts)
+		p.Runtime, p.Body, p.Service = j.spec.Runtime.Std(), j.spec.Body, j.spec.Service
+		b.workers[p.Worker].free -= p.Slots
+		orders = append(orders, decider.Start{Part: *p, Single: true})
+	}
+	return orders
+}
+
+// place finds workers within one rack, one place or anywhere, as the job asks.
+func (b *baseline) place(j *baseJob) []decider.Part {
+	groups := map[string][]*baseWorker{}
+	for _, name := range b.names {
+		w := b.workers[name]
+		key := ""
+		switch j.spec.Adjacency {
+		case "place":
+			key = w.info.Place
+		case "rack":
+			key = w.info.Place + "/" + w.info.Rack
+		case "worker":
+			key = name
+		}
+		if w.live && w.free >= j.slots {
+			groups[key] = append(groups[key], w)
+		}
+	}
+	for _, key := range sortedKeys(groups) {
+		if parts := b.fill(j, groups[key]); parts != nil {
+			return parts
+		}
+	}
+	return nil
+}
+
+func (b *baseline) fill(j *baseJob, list []*baseWorker) []decider.Part {
+	if b.bestFit {
+		slices.SortStableFunc(list, func(x, y *baseWorker) int { return cmp.Compare(x.free, y.free) })
+	}
+	left := j.spec.GangSize()
+	var parts []decider.Part
+	for _, w := range list {
+		n := min(left, w.free/j.slots)
+		if n > 0 {
+			parts = append(parts, decider.Part{Worker: w.info.Name, Incarnation: w.info.Incarnation, Tasks: n, Slots: n * j.slots})
+			left -= n
+		}
+		if left == 0 {
+			return parts
+		}
+	}
+	return nil
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/job/decider/measure_test.go
@@ -0,0 +1,427 @@
+package decider_test
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
+	"github.com/bluebellgauge/bluebellgauge/internal/job/decider"
+)
+
+// benchUser is one user's fleet and load.
+type benchUser struct {
+	name, service string
+	places        []string
+	orgs          []string
+	guarantees    [][]parser.Guarantee
+	jobs          func(r *rand.Rand, u benchUser) []arrival
+}
+
+// arrival is one job of a load with its true run time.
+type arrival struct {
+	at     time.Duration
+	event  decider.Submit
+	run    time.Duration
+	cancel time.Duration // after the arrival, 0 for never
+}
+
+const (
+	fleetSlots  = 3 * 2 * 8 * 8
+	reclaimTime = 5*time.Second + 2*time.Second // checkpoint deadline and 2 s
+	loadTarget  = 0.8
+)
+
+func benchUsers() []benchUser {
+	khula := benchUser{
+		name: "KhulaDin", service: "listing-svc", places: []string{"bagmati-patan", "gandaki-lakeside", "lumbini-garden"},
+		orgs: []string{"temples", "tourism", "guides", "translators", "wards"}, jobs: nightBatch,
+	}
+	hoang := benchUser{
+		name: "HoangThach", service: "cube-report", places: []string{"hanoi-a", "danang-a", "hcmc-a"},
+		orgs: []string{"rigs", "reports", "contractors", "archive", "audit"}, jobs: dayPeaks,
+	}
+	for _, u := range []*benchUser{&khula, &hoang} {
+		u.guarantees = [][]parser.Guarantee{
+			{{Service: u.service, Slots: 64, Count: 1}, {Service: u.service, Slots: 8, Count: 4}},
+			{{Service: u.service, Slots: 8, Count: 8}},
+			{{Service: u.service, Place: u.places[0], Slots: 8, Count: 4}},
+			{{Service: u.service, Slots: 8, Count: 2}, {Service: u.service, Slots: 2, Count: 4}},
+			{{Service: u.service, Slots: 16, Count: 1}},
+		}
+	}
+	return []benchUser{khula, hoang}
+}
+
+func (u benchUser) manifest() []byte {
+	m := parser.Manifest{Version: 1}
+	for _, place := range u.places {
+		m.Places = append(m.Places, parser.Place{
+			Name: place, Service: u.service, Racks: 2, Workers: 8, Slots: 8, Processors: 128, Memory: 512, Accelerators: 8,
+		})
+	}
+	for i, org := range u.orgs {
+		sum := sha256.Sum256([]byte(org))
+		m.Organisations = append(m.Organisations, parser.Organisation{Name: org, Token: hex.EncodeToString(sum[:]), Queue: 100_000, Guarantees: u.guarantees[i]})
+	}
+	text, err := json.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+// draw makes one job. Its declared time is off by up to five times.
+func (u benchUser) draw(r *rand.Rand, i int, tasks, accelerators int, adjacency string, run time.Duration) arrival {
+	declared := time.Duration(float64(run) * math.Exp((r.Float64()*2-1)*math.Log(5)))
+	job := parser.Job{
+		Service: u.service, Tasks: tasks, Accelerators: accelerators, Adjacency: adjacency,
+		Runtime: parser.Duration(declared), Checkpoint: r.IntN(2) == 0, Urgent: r.IntN(20) == 0,
+	}
+	job.Body = fmt.Appendf(nil, `{"run": "%dms"}`, run.Milliseconds())
+	if r.IntN(20) == 0 {
+		job.Accelerators = 9 // can never run
+	}
+	// A few large organisations send most of the work.
+	org := u.orgs[[]int{0, 0, 0, 0, 1, 1, 1, 2, 2, 3}[r.IntN(10)]]
+	return arrival{event: decider.Submit{Org: org, Key: fmt.Sprintf("j%05d", i), Job: job}, run: run}
+}
+
+// spreadOver gives arrivals their times so that the fleet's load meets the target.
+func spreadOver(list []arrival, at func(x float64) float64) []arrival {
+	work := 0.0
+	for _, a := range list {
+		if a.event.Job.Accelerators < 9 {
+			work += a.run.Seconds() * float64(a.event.Job.GangSize()*a.event.Job.Accelerators)
+		}
+	}
+	span := work / fleetSlots / loadTarget
+	for i := range list {
+		x := (float64(i) + 0.5) / float64(len(list))
+		list[i].at = time.Duration(at(x) * span * float64(time.Second))
+	}
+	slices.SortStableFunc(list, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+	return list
+}
+
+// nightBatch is many small jobs and large gangs that need adjacent workers.
+func nightBatch(r *rand.Rand, u benchUser) []arrival {
+	var list []arrival
+	for i := range 1500 {
+		switch k := r.IntN(100); {
+		case k < 8:
+			list = append(list, u.draw(r, i, []int{32, 48, 64}[r.IntN(3)], 1, "rack", minutes(r, 20, 90)))
+		case k < 20:
+			list = append(list, u.draw(r, i, []int{8, 16}[r.IntN(2)], 1, "place", minutes(r, 10, 60)))
+		default:
+			list = append(list, u.draw(r, i, []int{1, 1, 2, 4}[r.IntN(4)], 1+r.IntN(2), "worker", minutes(r, 2, 30)))
+		}
+	}
+	return withReclaims(spreadOver(list, func(x float64) float64 { return x }), u)
+}
+
+// dayPeaks is small and middle jobs that come in two waves.
+func dayPeaks(r *rand.Rand, u benchUser) []arrival {
+	var list []arrival
+	for i := range 3000 {
+		switch k := r.IntN(100); {
+		case k < 3:
+			list = append(list, u.draw(r, i, 32, 1, "place", minutes(r, 5, 20)))
+		case k < 15:
+			list = append(list, u.draw(r, i, []int{8, 16}[r.IntN(2)], 1, "place", minutes(r, 3, 15)))
+		default:
+			list = append(list, u.draw(r, i, []int{1, 1, 2, 4}[r.IntN(4)], 1, "worker", minutes(r, 1, 10)))
+		}
+	}
+	return withReclaims(spreadOver(list, func(x float64) float64 { return x - 0.07*math.Sin(4*math.Pi*x) }), u)
+}
+
+// withReclaims adds an organisation that is mostly away and wants its whole guaranteed shape back
+// now and then.
+func withReclaims(list []arrival, u benchUser) []arrival {
+	const gap, run = 6 * time.Minute, 2 * time.Minute
+	span := list[len(list)-1].at
+	for i := 1; time.Duration(i)*gap < span; i++ {
+		job := parser.Job{Service: u.service, Tasks: 16, Accelerators: 1, Adjacency: "rack", Runtime: parser.Duration(run)}
+		event := decider.Submit{Org: u.orgs[4], Key: fmt.Sprintf("reclaim%04d", i), Job: job}
+		list = append(list, arrival{at: time.Duration(i) * gap, event: event, run: run})
+	}
+	slices.SortStableFunc(list, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+	return list
+}
+
+func minutes(r *rand.Rand, least, most int) time.Duration {
+	return time.Duration(float64(time.Minute) * float64(least) * math.Pow(float64(most)/float64(least), r.Float64()))
+}
+
+// figures is what one run of a load under one policy showed.
+type figures struct {
+	done, slow          int
+	completion, starts  []float64 // seconds
+	slowdown            float64
+	stranded, free      float64 // slot-seconds
+	busy, span          float64
+	longWait            float64 // of a gang of 32 or more, seconds
+	urgent, entitled    []float64
+	broken              int
+	bound               float64
+	steps               int
+	decideTime, decided time.Duration
+}
+
+// measure runs one load under one policy.
+func measure(tb testing.TB, u benchUser, p policy, seed uint64) *figures {
+	list := u.jobs(rand.New(rand.NewPCG(seed, 7)), u)
+	d := newDriver(p, seed)
+	m := &measurement{d: d, u: u, f: &figures{bound: lowerBound(list)}, jobs: map[string]*arrival{}, entitled: map[string]bool{}, live: map[string]int{}}
+	d.after = m.observe
+	d.step(decider.ApplyManifest{Text: u.manifest()})
+	fleet := fleetOf(u.places, u.service, 2, 8, 8)
+	for _, w := range fleet {
+		d.addWorker(w)
+	}
+	began := d.now
+	for i := range list {
+		a := &list[i]
+		d.at(began.Add(a.at), func() { m.submit(a) })
+	}
+	last := list[len(list)-1].at
+	m.disturb(began, last, list, fleet)
+	d.runUntil(began.Add(last + 48*time.Hour))
+	if len(d.answers) != len(list) {
+		tb.Fatalf("%d of %d jobs have an answer", len(d.answers), len(list))
+	}
+	d.requireNoFaults(tb)
+	m.summarise(list)
+	return m.f
+}
+
+// disturb fails two workers, loses a rack for a while, and cancels a wave of jobs.
+func (m *measurement) disturb(began time.Time, span time.Duration, list []arrival, fleet []decider.WorkerInfo) {
+	d := m.d
+	d.at(began.Add(span/5), func() {
+		d.workers[fleet[3].Name].machine.FailAll = true
+		d.workers[fleet[30].Name].machine.FailAll = true
+	})
+	d.at(began.Add(span/3), func() {
+		for _, w := range fleet[8:16] {
+			d.kill(w.Name)
+		}
+	})
+	d.at(began.Add(span/3+20*time.Minute), func() {
+		for _, w := range fleet[8:16] {
+			d.addWorker(w)
+		}
+	})
+	d.at(began.Add(span/2), func() {
+		for _, a := range list[len(list)/2-60 : len(list)/2] {
+			m.cancelled++
+			d.step(decider.Cancel{Org: a.event.Org, Keys: []string{a.event.Key}})
+		}
+	})
+}
+
+type measurement struct {
+	d         *driver
+	u         benchUser
+	f         *figures
+	jobs      map[string]*arrival
+	entitled  map[string]bool
+	live      map[string]int // unanswered jobs of each organisation
+	last      time.Time
+	cancelled int
+}
+
+// submit hands a job over and notes whether its organisation is entitled to room at once: it
+// has no other job and the job fits into one cell of its guarantee.
+func (m *measurement) submit(a *arrival) {
+	id := decider.JobID(a.event.Org, a.event.Key)
+	m.jobs[id] = a
+	width := a.event.Job.GangSize() * a.event.Job.Accelerators
+	largest := 0
+	for _, g := range m.u.guarantees[slices.Index(m.u.orgs, a.event.Org)] {
+		largest = max(largest, g.Slots)
+	}
+	// While a rack is away its guarantees may be at risk, which is reported and not promised.
+	m.entitled[id] = m.live[a.event.Org] == 0 && width <= largest && a.event.Job.Accelerators < 9 && m.allAlive()
+	m.live[a.event.Org]++
+	m.d.step(a.event)
+}
+
+func (m *measurement) allAlive() bool {
+	for _, w := range m.d.workers {
+		if !w.alive {
+			return false
+		}
+	}
+	return true
+}
+
+// observe integrates the use of the fleet over time.
+func (m *measurement) observe(_ decider.Event, orders []decider.Order) {
+	m.f.steps++
+	for _, o := range orders {
+		if a, ok := o.(decider.Answered); ok {
+			m.live[a.Job.Org]--
+		}
+	}
+	now := m.d.now
+	dt := now.Sub(m.last).Seconds()
+	if m.last.IsZero() || dt <= 0 {
+		m.last = now
+		return
+	}
+	m.last = now
+	for _, w := range m.d.workers {
+		if !w.alive {
+			continue
+		}
+		used := w.machine.Used()
+		free := w.info.Slots - used
+		m.f.free += dt * float64(free)
+		m.f.busy += dt * float64(used)
+		if used > 0 {
+			m.f.stranded += dt * float64(free)
+		}
+	}
+}
+
+func (m *measurement) summarise(list []arrival) {
+	f := m.f
+	for i := range list {
+		a := &list[i]
+		id := decider.JobID(a.event.Org, a.event.Key)
+		v := m.d.answers[id]
+		if v.Answer.Outcome != decider.Done {
+			continue
+		}
+		f.done++
+		took := v.Answer.Time.Sub(v.Submitted).Seconds()
+		f.completion = append(f.completion, took)
+		f.slowdown += took / max(a.run.Seconds(), 1)
+		wait := m.d.runs[id][0].from.Sub(v.Submitted).Seconds()
+		f.starts = append(f.starts, wait)
+		if a.event.Job.GangSize() >= 32 {
+			f.longWait = max(f.longWait, wait)
+		}
+		if a.event.Job.Urgent {
+			f.urgent = append(f.urgent, wait)
+		}
+		if m.entitled[id] {
+			f.entitled = append(f.entitled, wait)
+			if wait > reclaimTime.Seconds() {
+				f.broken++
+			}
+		}
+	}
+	f.slowdown /= float64(max(f.done, 1))
+}
+
+// lowerBound is below the mean completion time of every policy: the larger one of the mean run
+// time, and the mean that shortest remaining work first reaches on one fluid machine as fast as
+// the whole fleet, which is the best there.
+func lowerBound(list []arrival) float64 {
+	var jobs []arrival
+	for _, a := range list {
+		if a.event.Job.Accelerators < 9 {
+			jobs = append(jobs, a)
+		}
+	}
+	var active []float64 // remaining work, slot-seconds
+	now, total, runs := 0.0, 0.0, 0.0
+	next := 0
+	for next < len(jobs) || len(active) > 0 {
+		until := math.Inf(1)
+		if next < len(jobs) {
+			until = jobs[next].at.Seconds()
+		}
+		for len(active) > 0 {
+			i := 0
+			for k := range active {
+				if active[k] < active[i] {
+					i = k
+				}
+			}
+			need := active[i] / fleetSlots
+			if now+need > until {
+				active[i] -= (until - now) * fleetSlots
+				break
+			}
+			now += need
+			total += now
+			active = slices.Delete(active, i, i+1)
+		}
+		if next < len(jobs) {
+			a := jobs[next]
+			now = max(now, until)
+			runs += a.run.Seconds()
+			width := float64(a.event.Job.GangSize() * a.event.Job.Accelerators)
+			active = append(active, a.run.Seconds()*width)
+			next++
+		}
+	}
+	for _, a := range jobs {
+		total -= a.at.Seconds()
+	}
+	return max(total, runs) / float64(len(jobs))
+}
+
+func mean(list []float64) float64 {
+	sum := 0.0
+	for _, v := range list {
+		sum += v
+	}
+	return sum / float64(max(len(list), 1))
+}
+
+func quantile(list []float64, q float64) float64 {
+	if len(list) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(list))
+	return sorted[int(q*float64(len(sorted)-1)+0.5)]
+}
+
+func (f *figures) report(b *testing.B) {
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(float64(f.done), "done")
+	b.ReportMetric(mean(f.completion), "mean-s")
+	b.ReportMetric(quantile(f.completion, 0.99), "p99-s")
+	b.ReportMetric(mean(f.completion)/f.bound, "x-bound")
+	b.ReportMetric(f.slowdown, "slowdown")
+	b.ReportMetric(f.stranded/max(f.free, 1), "fragmentation")
+	b.ReportMetric(f.busy/(f.busy+f.free), "use")
+	b.ReportMetric(f.longWait, "gang32-wait-s")
+	b.ReportMetric(quantile(f.urgent, 0.99), "urgent-p99-s")
+	b.ReportMetric(quantile(f.entitled, 0.99), "reclaim-p99-s")
+	b.ReportMetric(float64(len(f.entitled)), "entitled")
+	b.ReportMetric(float64(f.broken), "broken")
+}
+
+// BenchmarkPolicy compares the decisions with the baselines, side by side.
+func BenchmarkPolicy(b *testing.B) {
+	policies := []struct {
+		name string
+		make func() policy
+	}{
+		{"bluebellgauge", func() policy { return decider.New() }},
+		{"bestfit", func() policy { return newBaseline(true) }},
+		{"naive", func() policy { return newBaseline(false) }},
+	}
+	for _, u := range benchUsers() {
+		for _, p := range policies {
+			b.Run(u.name+"/"+p.name, func(b *testing.B) {
+				for range b.N {
+					measure(b, u, p.make(), 1).report(b)
+				}
+			})
+		}
+	}
+}
--- a/internal/job/estimator/estimator.go
+++ b/internal/job/estimator/estimator.go
@@ -22,6 +22,8 @@
 type Series struct {
 	Ratios  []float64 `json:"ratios,omitempty"`  // actual over declared
 	Seconds []float64 `json:"seconds,omitempty"` // actual
+
+	ratio, second float64 // quantiles of the above, 0 until they are needed
 }
 
 // Estimator keeps one series for each organisation and service. Its fields are exported for
@@ -43,6 +45,7 @@
 		s = &Series{}
 		e.Series[key] = s
 	}
+	s.ratio, s.second = 0, 0
 	s.Seconds = push(s.Seconds, actual.Seconds())
 	if declared > 0 {
 		ratio := float64(actual) / float64(declared)
@@ -57,9 +60,9 @@
 	switch {
 	case s == nil:
 	case declared > 0 && len(s.Ratios) >= minSamples:
-		return max(time.Duration(float64(declared)*quantileOf(s.Ratios)), minimumRuntime)
+		return max(time.Duration(float64(declared)*s.ratioQuantile()), minimumRuntime)
 	case declared == 0 && len(s.Seconds) >= minSamples:
-		return max(time.Duration(quantileOf(s.Seconds)*float64(undeclaredScale)), minimumRuntime)
+		return max(time.Duration(s.secondQuantile()*float64(undeclaredScale)), minimumRuntime)
 	}
 	if declared > 0 {
 		return declared
@@ -67,6 +70,20 @@
 	return defaultRuntime
 }
 
+func (s *Series) ratioQuantile() float64 {
+	if s.ratio == 0 {
+		s.ratio = quantileOf(s.Ratios)
+	}
+	return s.ratio
+}
+
+func (s *Series) secondQuantile() float64 {
+	if s.second == 0 {
+		s.second = quantileOf(s.Seconds)
+	}
+	return s.second
+}
+
 func push(samples []float64, v float64) []float64 {
 	if len(samples) == window {
 		copy(samples, samples[1:])
--- a/internal/job/planner/fleet.go
+++ b/internal/job/planner/fleet.go
@@ -104,6 +104,7 @@
 	workers map[string]position
 	roots   []*root
 	grants  map[GrantID]*Grant
+	soft    []GrantID // claims that evict nothing, in order; ended ones are dropped lazily
 	cost    func(GrantID) float64
 }
 
--- a/internal/job/planner/place.go
+++ b/internal/job/planner/place.go
@@ -69,34 +69,42 @@
 type Placement struct {
 	Grant     *Grant    // nil when there is no room now
 	Victims   []GrantID // owners that must go before the grant is ready
-	Displaced []GrantID // waiting claims that lost their slots, also when there is no room
+	Displaced []GrantID // waiting claims that lost their slots
 }
 
 // Place looks for room: within the guarantee first, then on borrowed or surplus cells.
 func (f *Fleet) Place(id GrantID, q Request) Placement {
-	var displaced []GrantID
-	for _, mode := range modesFor(q) {
+	for _, a := range approaches(q) {
 		for _, pools := range f.poolChoices(q) {
-			t := &placing{fleet: f, request: q, pools: pools, grant: &Grant{
-				ID: id, Org: q.Org, Mode: mode, reclaimable: q.Reclaimable, urgent: q.Evict,
+			t := &placing{fleet: f, request: q, pools: pools, evict: a.evict, grant: &Grant{
+				ID: id, Org: q.Org, Mode: a.mode, reclaimable: q.Reclaimable, urgent: q.Evict,
 			}}
-			found := t.run()
-			displaced = append(displaced, t.displaced...)
-			if found {
-				f.settle(t.grant)
-				return Placement{Grant: t.grant, Victims: t.victims, Displaced: displaced}
+			if t.run() {
+				return t.commit()
 			}
-			f.Release(id)
+			t.rollback()
 		}
 	}
-	return Placement{Displaced: displaced}
+	return Placement{}
 }
 
-func modesFor(q Request) []Mode {
-	if q.Reclaimable {
-		return []Mode{Guaranteed, Borrowed}
+// approach is one way to find room.
+type approach struct {
+	mode  Mode
+	evict bool // borrowed work may be taken back for it
+}
+
+// approaches lists the ways to find room in turn. Room that nobody uses comes before room that
+// must be taken back, so that work is evicted only when there is no other way.
+func approaches(q Request) []approach {
+	if !q.Reclaimable {
+		return []approach{{Guaranteed, false}, {Surplus, false}, {Guaranteed, true}}
 	}
-	return []Mode{Guaranteed, Surplus}
+	list := []approach{{Guaranteed, false}, {Borrowed, false}, {Guaranteed, true}}
+	if q.Evict {
+		list = append(list, approach{Borrowed, true})
+	}
+	return list
 }
 
 // poolChoices returns the groups of pools to try in turn: one place at a time, and for gangs
@@ -133,9 +141,35 @@
 	fleet     *Fleet
 	request   Request
 	pools     []*pool
+	evict     bool
 	grant     *Grant
 	victims   []GrantID
 	displaced []GrantID
+	taken     []takenClaim
+}
+
+// takenClaim is a slot whose waiting claim the attempt has written over.
+type takenClaim struct {
+	pool  *pool
+	index int
+	claim GrantID
+}
+
+func (t *placing) commit() Placement {
+	for _, id := range t.displaced {
+		t.fleet.Release(id)
+	}
+	t.fleet.settle(t.grant)
+	return Placement{Grant: t.grant, Victims: t.victims, Displaced: t.displaced}
+}
+
+// rollback leaves everything as it was before the attempt.
+func (t *placing) rollback() {
+	t.fleet.Release(t.grant.ID)
+	for _, c := range t.taken {
+		c.pool.slots[c.index].claim = c.claim
+		c.pool.refresh(t.fleet, c.index, 1)
+	}
 }
 
 // piece is a part of the gang that needs one cell.
@@ -206,7 +240,7 @@
 	case Guaranteed:
 		return t.takeGuaranteed(pc)
 	case Borrowed:
-		return t.takeFree(pc) || t.takeBackfill(pc) || t.request.Evict && t.takeEvicting(pc)
+		return t.takeFree(pc) || t.takeBackfill(pc) || t.evict && t.takeEvicting(pc)
 	case Surplus:
 		return t.takeFree(pc)
 	}
@@ -288,7 +322,7 @@
 	for _, p := range t.pools {
 		eachCell(&p.open, pc.level, func(first int) bool {
 			if !t.holdsUrgent(p, first, pc) {
-				t.weigh(&best, p, first, pc, -1)
+				t.weigh(&best, p, first, pc)
 			}
 			return best.seen < maxCandidates
 		})
@@ -320,22 +354,34 @@
 	pool  *pool
 	first int
 	root  int // root to bind first, -1 for none
+	base  int // first slot of the cell to bind it to
 	cost  float64
 	seen  int
 }
 
 // weigh compares one cell with the best one so far by the work that would be lost.
-func (t *placing) weigh(best *cellChoice, p *pool, first int, pc piece, bindRoot int) {
+func (t *placing) weigh(best *cellChoice, p *pool, first int, pc piece) {
 	best.seen++
-	if t.avoided(p, first, pc) {
+	if t.avoided(p, first, pc) || !t.evict && !t.vacant(p, first, pc) {
 		return
 	}
 	cost := t.reclaimCost(p, first, pc)
 	if best.pool == nil || cost < best.cost {
-		best.pool, best.first, best.cost, best.root = p, first, cost, bindRoot
+		best.pool, best.first, best.cost = p, first, cost
 	}
 }
 
+// vacant reports whether nothing runs or waits on the slots that the piece needs.
+func (t *placing) vacant(p *pool, first int, pc piece) bool {
+	vacant := true
+	t.eachRun(first, pc, func(start, n int) {
+		for _, s := range p.slots[start : start+n] {
+			vacant = vacant && s.owner == 0 && s.claim == 0
+		}
+	})
+	return vacant
+}
+
 // takeGuaranteed puts the piece into a cell of the organisation's guarantee, an already bound
 // one before a new one, the cheapest to clear first.
 func (t *placing) takeGuaranteed(pc piece) bool {
@@ -370,7 +416,7 @@
 	size := 1 << pc.level
 	for first := r.first; first < r.first+1<<r.promise.Level; first += size {
 		if t.clearable(r.pool, first, size) {
-			t.weigh(best, r.pool, first, pc, -1)
+			t.weigh(best, r.pool, first, pc)
 		}
 	}
 }
@@ -409,24 +455,37 @@
 			continue
 		}
 		seen := 0
-		eachCell(&p.open, int(r.promise.Level), func(first int) bool {
-			t.weigh(best, p, first, pc, index)
+		eachCell(&p.open, int(r.promise.Level), func(base int) bool {
+			t.weighInCell(best, r, p, base, pc, index)
 			seen++
 			return seen < maxCandidates
 		})
 	}
 }
 
+// weighInCell weighs the places of the piece inside one cell to which a root could be bound.
+func (t *placing) weighInCell(best *cellChoice, r *root, p *pool, base int, pc piece, index int) {
+	size := 1 << pc.level
+	inside := *best
+	for first := base; first < base+1<<r.promise.Level; first += size {
+		t.weigh(&inside, p, first, pc)
+	}
+	if inside.pool != best.pool || inside.first != best.first {
+		inside.root, inside.base = index, base
+	}
+	*best = inside
+}
+
 // bindAndMark binds the chosen root. When the cheapest cell would break the packing of the
 // other guarantees, the cell of best fit, which never does, is bound in its stead.
 func (t *placing) bindAndMark(c cellChoice, pc piece) bool {
 	f := t.fleet
 	safe := f.Feasible()
-	f.bind(c.root, c.pool, c.first)
+	f.bind(c.root, c.pool, c.base)
 	if safe && !f.Feasible() {
 		f.unbind(f.roots[c.root])
 		first, ok := c.pool.open.bestFit(int(f.roots[c.root].promise.Level))
-		if !ok || t.avoided(c.pool, first, pc) {
+		if !ok || t.avoided(c.pool, first, pc) || !t.evict && !t.vacant(c.pool, first, pc) {
 			return false
 		}
 		f.bind(c.root, c.pool, first)
@@ -505,8 +564,10 @@
 func (t *placing) claimSlot(p *pool, i int) {
 	s := &p.slots[i]
 	if s.claim != 0 {
-		t.displaced = append(t.displaced, s.claim)
-		t.fleet.Release(s.claim)
+		t.taken = append(t.taken, takenClaim{p, i, s.claim})
+		if !slices.Contains(t.displaced, s.claim) {
+			t.displaced = append(t.displaced, s.claim)
+		}
 	}
 	if s.owner != 0 && !slices.Contains(t.victims, s.owner) {
 		t.victims = append(t.victims, s.owner)
@@ -628,6 +689,7 @@
 		return nil
 	}
 	t.grant.start = start
+	f.soft = append(f.soft, id)
 	t.mark(best.pool, best.first, pc)
 	f.settle(t.grant)
 	return t.grant
@@ -671,12 +733,9 @@
 
 // softClaims returns the waiting claims that evict nothing, in order.
 func (f *Fleet) softClaims() []GrantID {
-	var ids []GrantID
-	for id, g := range f.grants {
-		if g.soft && !g.Ready {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	return ids
+	f.soft = slices.DeleteFunc(f.soft, func(id GrantID) bool {
+		g := f.grants[id]
+		return g == nil || !g.soft || g.Ready
+	})
+	return f.soft
 }
--- a/internal/job/planner/snapshot.go
+++ b/internal/job/planner/snapshot.go
@@ -131,6 +131,9 @@
 	g := s.Grant
 	g.reclaimable, g.urgent, g.soft, g.start = s.Reclaimable, s.Urgent, s.Soft, s.Start
 	f.grants[g.ID] = &g
+	if g.soft {
+		f.soft = append(f.soft, g.ID)
+	}
 	for _, part := range g.Parts {
 		at, ok := f.workers[part.Worker]
 		if !ok || part.First < 0 || part.First+part.Slots > len(at.pool.slots) {
