--- /dev/null
+++ b/internal/job/decider/size_test.go
@@ -0,0 +1,171 @@
+package decider_test
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
+	"github.com/bluebellgauge/bluebellgauge/internal/job/decider"
+)
+
+const (
+	sizePlaces = 12
+	sizeOrgs   = 58
+	sizeSlots  = 16
+	sizeRack   = 8
+	sizeTasks  = 14 // running on each worker
+)
+
+// sizedState is a state with a loaded fleet of a number of workers.
+type sizedState struct {
+	s    *decider.State
+	now  time.Time
+	jobs int
+}
+
+func newSizedState(workers int) *sizedState {
+	z := &sizedState{s: decider.New(), now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	z.step(decider.ApplyManifest{Text: sizedManifest(workers)})
+	for i := range workers {
+		z.step(decider.Announce{Worker: decider.WorkerInfo{
+			Name: fmt.Sprintf("w%05d", i), Place: fmt.Sprintf("p%02d", i%sizePlaces), Rack: fmt.Sprintf("r%d", i/sizePlaces/sizeRack),
+			Service: "s", Incarnation: 1, Slots: sizeSlots, Address: netip.MustParseAddrPort("127.0.0.1:1"),
+		}})
+	}
+	for tasks := 0; tasks < workers*sizeTasks; {
+		size := []int{1, 2, 8, 16, 64, 128}[z.jobs%6]
+		z.submit(size, false)
+		tasks += size
+	}
+	return z
+}
+
+func sizedManifest(workers int) []byte {
+	m := parser.Manifest{Version: 1, Width: parser.Width{Slots: sizeSlots, Workers: sizeRack}}
+	for i := range sizePlaces {
+		m.Places = append(m.Places, parser.Place{
+			Name: fmt.Sprintf("p%02d", i), Service: "s", Racks: max(workers/sizePlaces/sizeRack, 1), Workers: sizeRack,
+			Slots: sizeSlots, Processors: 128, Memory: 512, Accelerators: 8,
+		})
+	}
+	for i := range sizeOrgs {
+		name := fmt.Sprintf("org%02d", i)
+		sum := sha256.Sum256([]byte(name))
+		slots := max(workers*sizeSlots/sizeOrgs/2/16, 1) // half of the fleet is promised
+		m.Organisations = append(m.Organisations, parser.Organisation{
+			Name: name, Token: hex.EncodeToString(sum[:]), Queue: 10_000,
+			Guarantees: []parser.Guarantee{{Service: "s", Slots: 16, Count: slots}},
+		})
+	}
+	text, err := json.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+func (z *sizedState) step(e decider.Event) []decider.Order {
+	z.now = z.now.Add(time.Millisecond)
+	return z.s.Step(z.now, e)
+}
+
+// submit hands a gang over and lets its workers answer.
+func (z *sizedState) submit(tasks int, urgent bool) (id string, orders []decider.Order) {
+	z.jobs++
+	e := decider.Submit{Org: fmt.Sprintf("org%02d", z.jobs%sizeOrgs), Key: fmt.Sprintf("k%d", z.jobs), Job: parser.Job{
+		Service: "s", Tasks: tasks, Adjacency: "place", Runtime: parser.Duration(2 * time.Hour), Checkpoint: true, Urgent: urgent,
+	}}
+	orders = z.step(e)
+	z.answerHolds(orders)
+	return decider.JobID(e.Org, e.Key), orders
+}
+
+func (z *sizedState) answerHolds(orders []decider.Order) {
+	var acks []decider.Ack
+	for _, o := range orders {
+		switch o := o.(type) {
+		case decider.Hold:
+			acks = append(acks, ackOf(o.Part, decider.AckHeld))
+		case decider.Start:
+			acks = append(acks, ackOf(o.Part, decider.AckStarted))
+		}
+	}
+	if len(acks) > 0 {
+		z.answerHolds(z.step(decider.Report{Acks: acks}))
+	}
+}
+
+func ackOf(p decider.Part, kind decider.AckKind) decider.Ack {
+	return decider.Ack{Job: p.Job, Attempt: p.Attempt, Worker: p.Worker, Incarnation: p.Incarnation, Kind: kind}
+}
+
+// finish ends one running job.
+func (z *sizedState) finish(orders []decider.Order) {
+	var acks []decider.Ack
+	for _, o := range orders {
+		switch o := o.(type) {
+		case decider.Start:
+			acks = append(acks, ackOf(o.Part, decider.AckDone))
+		case decider.Hold:
+			acks = append(acks, ackOf(o.Part, decider.AckDone))
+		}
+	}
+	z.answerHolds(z.step(decider.Report{Acks: acks}))
+}
+
+func heapBytes() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkSize gives the slopes of docs/CAPACITY.md: time and memory against the fleet's size.
+func BenchmarkSize(b *testing.B) {
+	for _, workers := range []int{48, 500, 2000, 6600} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			before := heapBytes()
+			z := newSizedState(workers)
+			after := heapBytes()
+			var submits, finishes, urgents []float64
+			for i := range 300 {
+				began := time.Now()
+				_, orders := z.submit([]int{1, 4, 16}[i%3], false)
+				submits = append(submits, float64(time.Since(began).Microseconds()))
+				began = time.Now()
+				z.finish(orders)
+				finishes = append(finishes, float64(time.Since(began).Microseconds()))
+				began = time.Now()
+				_, orders = z.submit(8, true)
+				urgents = append(urgents, float64(time.Since(began).Microseconds()))
+				z.finish(orders)
+			}
+			began := time.Now()
+			data, err := z.s.Save()
+			if err != nil {
+				b.Fatal(err)
+			}
+			saving := time.Since(began)
+			began = time.Now()
+			if _, err := decider.Restore(data); err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(float64(workers*sizeTasks), "tasks")
+			b.ReportMetric(float64(after-before)/1e6, "heap-MB")
+			b.ReportMetric(quantile(submits, 0.5), "submit-p50-us")
+			b.ReportMetric(quantile(submits, 0.99), "submit-p99-us")
+			b.ReportMetric(quantile(urgents, 0.99), "urgent-p99-us")
+			b.ReportMetric(quantile(finishes, 0.99), "finish-p99-us")
+			b.ReportMetric(float64(len(data))/1e6, "snapshot-MB")
+			b.ReportMetric(float64(saving.Milliseconds()), "save-ms")
+			b.ReportMetric(float64(time.Since(began).Milliseconds()), "restore-ms")
+		})
+	}
+}
--- a/internal/job/planner/guarantee.go
+++ b/internal/job/planner/guarantee.go
@@ -140,7 +140,7 @@
 func (f *Fleet) unbind(r *root) {
 	f.markRoot(r, 0)
 	r.pool = nil
-	r.used = 0
+	r.first, r.used = 0, 0
 }
 
 // unbindOver unbinds the guaranteed cells that overlap n slots from first.
