planner: packing counts kinds of cells, not cells; roots indexed by organisation

Each feasibility check sorted all 3300 unbound cells, and each piece looked at the cells of all 58 organisations.

The packing still agrees with exhaustive search.

--- a/internal/job/planner/fleet.go
+++ b/internal/job/planner/fleet.go
@@ -103,6 +103,8 @@
 	pools   []*pool
 	workers map[string]position
 	roots   []*root
+	needs   []need           // unbound roots by kind, in the order of packing
+	byOrg   map[string][]int // organisation to the indexes of its roots
 	grants  map[GrantID]*Grant
 	soft    []GrantID // claims that evict nothing, in order; ended ones are dropped lazily
 	cost    func(GrantID) float64
--- a/internal/job/planner/guarantee.go
+++ b/internal/job/planner/guarantee.go
@@ -46,6 +46,7 @@
 			f.roots = append(f.roots, takeMatching(old, one))
 		}
 	}
+	f.indexRoots()
 	for i, r := range f.roots {
 		if r.pool != nil {
 			f.markRoot(r, int32(i)+1)
@@ -139,6 +140,7 @@
 
 func (f *Fleet) unbind(r *root) {
 	f.markRoot(r, 0)
+	f.adjustNeed(r.promise, 1)
 	r.pool = nil
 	r.first, r.used = 0, 0
 }
@@ -161,12 +163,40 @@
 func (f *Fleet) bind(index int, p *pool, first int) {
 	r := f.roots[index]
 	r.pool, r.first, r.used = p, first, 0
+	f.adjustNeed(r.promise, -1)
 	f.markRoot(r, int32(index)+1)
 }
 
 // AtRisk returns the guarantees that could not all be given back at once, each with the
 // number of its cells that don't fit. It is empty while every promise holds.
 func (f *Fleet) AtRisk() []Guarantee {
+	if f.Feasible() {
+		return nil
+	}
+	counts := f.openCounts()
+	var missing []Guarantee
+	for _, r := range f.unboundRoots() {
+		if f.takeCells(counts, needOf(r.promise, 1)) > 0 {
+			missing = append(missing, r.promise)
+		}
+	}
+	return mergeCounts(missing)
+}
+
+// Feasible reports whether all guarantees could be given back at the same moment. Its cost
+// depends on the kinds of promised cells and the number of pools, not on the workers.
+func (f *Fleet) Feasible() bool {
+	counts := f.openCounts()
+	for _, n := range f.needs {
+		if f.takeCells(counts, n) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// openCounts returns the numbers of maximal open cells by pool and level.
+func (f *Fleet) openCounts() [][]int {
 	counts := make([][]int, len(f.pools))
 	for i, p := range f.pools {
 		counts[i] = make([]int, f.shape.levels())
@@ -174,17 +204,58 @@
 			counts[i][l] = p.open.maximal(l)
 		}
 	}
-	var missing []Guarantee
-	for _, r := range f.unboundRoots() {
-		if !f.takeCell(counts, r.promise) {
-			missing = append(missing, r.promise)
+	return counts
+}
+
+// need is how many unbound cells of one kind are promised, to all organisations together.
+type need struct {
+	promise Guarantee // without an organisation, with Count 0
+	count   int
+}
+
+func needOf(g Guarantee, n int) need {
+	g.Org, g.Count = "", 0
+	return need{promise: g, count: n}
+}
+
+// compareNeeds gives the order in which greedy packing is exact: cells tied to a place first,
+// and larger cells before smaller ones.
+func compareNeeds(a, b Guarantee) int {
+	if (a.Place == "") != (b.Place == "") {
+		if a.Place == "" {
+			return 1
 		}
+		return -1
 	}
-	return mergeCounts(missing)
+	if n := cmp.Compare(b.Level, a.Level); n != 0 {
+		return n
+	}
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Place, b.Place))
 }
 
-// Feasible reports whether all guarantees could be given back at the same moment.
-func (f *Fleet) Feasible() bool { return len(f.AtRisk()) == 0 }
+// indexRoots rebuilds what is derived from the roots.
+func (f *Fleet) indexRoots() {
+	f.needs = nil
+	f.byOrg = map[string][]int{}
+	for i, r := range f.roots {
+		f.byOrg[r.promise.Org] = append(f.byOrg[r.promise.Org], i)
+		if r.pool == nil {
+			f.adjustNeed(r.promise, 1)
+		}
+	}
+}
+
+func (f *Fleet) adjustNeed(g Guarantee, by int) {
+	n := needOf(g, by)
+	i, ok := slices.BinarySearchFunc(f.needs, n.promise, func(m need, g Guarantee) int {
+		return compareNeeds(m.promise, g)
+	})
+	if !ok {
+		f.needs = slices.Insert(f.needs, i, n)
+		return
+	}
+	f.needs[i].count += by
+}
 
 // unboundRoots lists the unbound roots in the order in which greedy packing is exact: those
 // tied to a place first, and larger cells before smaller ones.
@@ -195,34 +266,40 @@
 			unbound = append(unbound, r)
 		}
 	}
-	slices.SortStableFunc(unbound, func(a, b *root) int {
-		if (a.promise.Place == "") != (b.promise.Place == "") {
-			if a.promise.Place == "" {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Compare(b.promise.Level, a.promise.Level)
-	})
+	slices.SortStableFunc(unbound, func(a, b *root) int { return compareNeeds(a.promise, b.promise) })
 	return unbound
 }
 
-// takeCell takes one cell out of the counts of maximal cells, by best fit over all pools that
-// may carry the promise.
-func (f *Fleet) takeCell(counts [][]int, g Guarantee) bool {
-	for l := int(g.Level); l < f.shape.levels(); l++ {
+// takeCells takes cells out of the counts of maximal cells, by best fit over all pools that may
+// carry the promise. It returns how many are missing.
+func (f *Fleet) takeCells(counts [][]int, n need) int {
+	left := n.count
+	for l := int(n.promise.Level); l < f.shape.levels() && left > 0; l++ {
 		for i, p := range f.pools {
-			if !p.carries(g) || counts[i][l] == 0 {
-				continue
+			if p.carries(n.promise) {
+				left = splitCells(counts[i], int(n.promise.Level), l, left)
 			}
-			counts[i][l]--
-			for k := l - 1; k >= int(g.Level); k-- {
-				counts[i][k]++
-			}
-			return true
 		}
 	}
-	return false
+	return left
+}
+
+// splitCells serves cells of a level out of the larger or equal cells of level l, and puts what
+// remains of the last one back as smaller cells. It returns how many are missing.
+func splitCells(counts []int, level, l, left int) int {
+	share := 1 << (l - level)
+	whole := min(left/share, counts[l])
+	counts[l] -= whole
+	left -= whole * share
+	if left == 0 || left >= share || counts[l] == 0 {
+		return left
+	}
+	counts[l]--
+	rest := share - left
+	for k := level; k < l; k++ {
+		counts[k] += rest >> (k - level) & 1
+	}
+	return 0
 }
 
 func (p *pool) carries(g Guarantee) bool {
--- a/internal/job/planner/place.go
+++ b/internal/job/planner/place.go
@@ -386,7 +386,8 @@
 // one before a new one, the cheapest to clear first.
 func (t *placing) takeGuaranteed(pc piece) bool {
 	best := cellChoice{}
-	for _, r := range t.fleet.roots {
+	for _, i := range t.fleet.byOrg[t.request.Org] {
+		r := t.fleet.roots[i]
 		if r.pool != nil && t.mayUse(r, pc) && slices.Contains(t.pools, r.pool) {
 			t.weighInside(&best, r, pc)
 		}
@@ -438,7 +439,8 @@
 	best := cellChoice{}
 	tried := map[Guarantee]bool{}
 	for level := pc.level; level <= int(t.fleet.shape.MaxLevel()) && best.pool == nil; level++ {
-		for i, r := range t.fleet.roots {
+		for _, i := range t.fleet.byOrg[t.request.Org] {
+			r := t.fleet.roots[i]
 			if r.pool != nil || int(r.promise.Level) != level || !t.mayUse(r, pc) || tried[r.promise] {
 				continue
 			}
--- a/internal/job/planner/snapshot.go
+++ b/internal/job/planner/snapshot.go
@@ -90,6 +90,7 @@
 		}
 		f.roots = append(f.roots, r)
 	}
+	f.indexRoots()
 	for _, gs := range s.Grants {
 		if err := f.restoreGrant(gs); err != nil {
 			return nil, err
