--- /dev/null
+++ b/internal/daemon/runner/process_test.go
@@ -0,0 +1,218 @@
+package runner_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
+	"github.com/bluebellgauge/bluebellgauge/internal/console/client"
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+	"github.com/bluebellgauge/bluebellgauge/internal/worker/executor"
+	"github.com/bluebellgauge/bluebellgauge/internal/worker/registrar"
+)
+
+const (
+	operatorToken = "operator-token"
+	orgToken      = "org-token"
+)
+
+// TestMain lets the test binary serve as the daemon, so that real processes need no build.
+func TestMain(m *testing.M) {
+	if path := os.Getenv("BLUEBELLGAUGE_TEST_DAEMON"); path != "" {
+		daemonMain(path)
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// processes is a fleet of daemons as real processes, with workers in this one.
+type processes struct {
+	tb       testing.TB
+	folder   string
+	settings []*parser.Settings
+	commands []*exec.Cmd
+	entries  []netip.AddrPort
+	workers  []*executor.Executor
+	observe  func(executor.Trace)
+}
+
+func startProcesses(tb testing.TB, keepers, daemons int) *processes {
+	tb.Helper()
+	p := &processes{tb: tb, folder: tb.TempDir()}
+	p.writeSettings(keepers, daemons)
+	p.commands = make([]*exec.Cmd, daemons)
+	for i := range daemons {
+		p.start(i)
+	}
+	tb.Cleanup(p.stopAll)
+	return p
+}
+
+func (p *processes) writeSettings(keepers, daemons int) {
+	p.must(os.WriteFile(filepath.Join(p.folder, "operator"), []byte(operatorToken), 0o600))
+	p.must(os.WriteFile(filepath.Join(p.folder, "secret"), []byte("secret"), 0o600))
+	var peers []parser.Peer
+	for i := range daemons {
+		s := &parser.Settings{
+			Name: fmt.Sprintf("vm%d", i+1), Place: fmt.Sprintf("p%d", i%3+1), Listen: freePort(p.tb), Peering: freePort(p.tb),
+			Operator: filepath.Join(p.folder, "operator"), Secret: filepath.Join(p.folder, "secret"),
+			Drain: parser.Duration(10 * time.Second), Level: "info", Format: "json",
+		}
+		if i < keepers {
+			s.Data = filepath.Join(p.folder, s.Name)
+			peers = append(peers, parser.Peer{Name: s.Name, Place: s.Place, Address: s.Peering})
+		}
+		p.settings = append(p.settings, s)
+		p.entries = append(p.entries, netip.MustParseAddrPort(s.Listen))
+	}
+	for _, s := range p.settings {
+		s.Keepers = peers
+		text, err := json.Marshal(s)
+		p.must(err)
+		p.must(os.WriteFile(p.path(s), text, 0o600))
+	}
+}
+
+func (p *processes) path(s *parser.Settings) string { return filepath.Join(p.folder, s.Name+".json") }
+
+func freePort(tb testing.TB) string {
+	tb.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (p *processes) must(err error) {
+	p.tb.Helper()
+	if err != nil {
+		p.tb.Fatal(err)
+	}
+}
+
+// start starts one daemon as a process of its own.
+func (p *processes) start(i int) {
+	p.tb.Helper()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "BLUEBELLGAUGE_TEST_DAEMON="+p.path(p.settings[i]))
+	log, err := os.OpenFile(p.path(p.settings[i])+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	p.must(err)
+	cmd.Stderr = log
+	p.must(cmd.Start())
+	p.must(log.Close())
+	p.commands[i] = cmd
+}
+
+// end sends a signal to one daemon and waits for it.
+func (p *processes) end(i int, signal os.Signal) {
+	if p.commands[i] == nil {
+		return
+	}
+	_ = p.commands[i].Process.Signal(signal)
+	_ = p.commands[i].Wait()
+	p.commands[i] = nil
+}
+
+func (p *processes) stopAll() {
+	for _, w := range p.workers {
+		w.Kill()
+	}
+	for i := range p.commands {
+		p.end(i, os.Kill)
+	}
+}
+
+// apply puts a manifest with one organisation in force.
+func (p *processes) apply(version uint64, slots int) {
+	p.tb.Helper()
+	sum := sha256.Sum256([]byte(orgToken))
+	m := parser.Manifest{Version: version, Checkpoint: parser.Duration(time.Second)}
+	for i := range 3 {
+		m.Places = append(m.Places, parser.Place{
+			Name: fmt.Sprintf("p%d", i+1), Service: "s", Racks: 4, Workers: 8, Slots: slots, Processors: 8, Memory: 8, Accelerators: slots,
+		})
+	}
+	m.Organisations = []parser.Organisation{{Name: "org", Token: hex.EncodeToString(sum[:]), Queue: 20_000}}
+	text, err := json.Marshal(m)
+	p.must(err)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	cl := client.New(p.entries, operatorToken)
+	defer cl.Close()
+	_, err = cl.Apply(ctx, text)
+	p.must(err)
+}
+
+// addWorkers starts workers and waits until they are known.
+func (p *processes) addWorkers(n int, timing registrar.Timing) {
+	p.tb.Helper()
+	for range n {
+		i := len(p.workers)
+		w, err := executor.New(executor.Options{
+			Announcement: &messages.Announcement{
+				Name: fmt.Sprintf("w%03d", i), Place: fmt.Sprintf("p%d", i%3+1), Rack: fmt.Sprintf("r%d", i/24), Service: "s",
+				Incarnation: 1, Slots: 8, Connections: 64, Processors: 8, Memory: 8, Accelerators: 8,
+			},
+			Listen: netip.MustParseAddrPort("127.0.0.1:0"), Entries: p.entries, Timing: timing, Observe: p.observe, Log: zap.NewNop(),
+		})
+		p.must(err)
+		p.workers = append(p.workers, w)
+	}
+	p.eventually(20*time.Second, "workers announced", func(ctx context.Context) bool {
+		cl := client.New(p.entries, operatorToken)
+		defer cl.Close()
+		var list []struct{}
+		return cl.Get(ctx, "/v1/workers", &list) == nil && len(list) == len(p.workers)
+	})
+}
+
+// eventually waits for something that must come true within a bound.
+func (p *processes) eventually(bound time.Duration, what string, ok func(context.Context) bool) {
+	p.tb.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	for !ok(ctx) {
+		select {
+		case <-ctx.Done():
+			p.tb.Fatalf("not within %s: %s", bound, what)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// leader returns the index of the leading daemon.
+func (p *processes) leader() int {
+	p.tb.Helper()
+	found := -1
+	p.eventually(15*time.Second, "a leader", func(ctx context.Context) bool {
+		cl := client.New(p.entries, operatorToken)
+		defer cl.Close()
+		var members []struct{ Name, Role string }
+		if cl.Get(ctx, "/v1/members", &members) != nil {
+			return false
+		}
+		for _, m := range members {
+			for i, s := range p.settings {
+				if m.Role == "leader" && m.Name == s.Name && p.commands[i] != nil {
+					found = i
+				}
+			}
+		}
+		return found >= 0
+	})
+	return found
+}
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -50,8 +50,8 @@
 // Dial opens a connection to another daemon.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-// DefaultTick is the tick of the consensus: an election starts after 10 to 20 of them.
-const DefaultTick = 60 * time.Millisecond
+// DefaultTick is the tick of the consensus: an election starts after 8 to 16 of them.
+const DefaultTick = 100 * time.Millisecond
 
 // DefaultSnapshots is the number of entries between two snapshots.
 const DefaultSnapshots = 2000
--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -29,7 +29,7 @@
 )
 
 const (
-	electionTicks  = 10
+	electionTicks  = 8
 	heartbeatTicks = 3
 	driftTicks     = 1
 	maxBatch       = 1 << 20   // bytes
@@ -43,7 +43,7 @@
 	Name          string
 	Folder        string
 	Bootstrap     *messages.Members // used when the folder is new
-	Tick          time.Duration     // of the consensus; an election takes 10 to 20
+	Tick          time.Duration     // of the consensus; an election starts after 8 to 16
 	SnapshotEvery int               // entries between snapshots
 	Seed          uint64
 	Now           func() time.Time
--- a/internal/worker/executor/executor.go
+++ b/internal/worker/executor/executor.go
@@ -75,6 +75,7 @@
 	outbox   []*messages.WorkerAck
 	leaving  bool
 	announce bool
+	heard    time.Time // sending of the last report that a home confirmed, zero before the first
 	home     string
 	entry    int
 }
@@ -198,6 +199,7 @@
 func (e *Executor) carryOut(orders *messages.WorkerOrders) ([]*messages.WorkerAck, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.renewIncarnation(time.Now())
 	if !e.machine.Admit(orders.GetTerm()) {
 		return nil, false
 	}
@@ -214,3 +216,17 @@
 	signal(e.rearm)
 	return acks, true
 }
+
+// renewIncarnation gives the worker a new incarnation when it was cut off, or frozen, for longer
+// than its leases run. By then it has been declared lost, and orders to the earlier incarnation
+// that arrive late must not be carried out.
+func (e *Executor) renewIncarnation(now time.Time) {
+	if e.heard.IsZero() || now.Sub(e.heard) <= e.opts.Timing.Lease {
+		return
+	}
+	e.machine.Kill(now)
+	e.opts.Announcement.Incarnation++
+	e.outbox = nil
+	e.announce = true
+	e.heard = time.Time{}
+}
--- a/internal/worker/executor/report.go
+++ b/internal/worker/executor/report.go
@@ -95,25 +95,26 @@
 
 func (e *Executor) trySpeak(ctx context.Context) error {
 	e.mu.Lock()
+	e.renewIncarnation(time.Now())
 	announce, leaving := e.announce, e.leaving
+	a := proto.Clone(e.opts.Announcement).(*messages.Announcement)
 	e.mu.Unlock()
+	a.Leaving = leaving
 	if announce {
-		if err := e.sendAnnouncement(ctx, leaving); err != nil {
+		if err := e.sendAnnouncement(ctx, a); err != nil {
 			return err
 		}
 	}
 	return e.sendReport(ctx)
 }
 
-func (e *Executor) sendAnnouncement(ctx context.Context, leaving bool) error {
-	a := proto.Clone(e.opts.Announcement).(*messages.Announcement)
-	a.Leaving = leaving
+func (e *Executor) sendAnnouncement(ctx context.Context, a *messages.Announcement) error {
 	if err := e.post(ctx, "/v1/workers", a, nil); err != nil {
 		return err
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.leaving == leaving {
+	if e.leaving == a.GetLeaving() && e.opts.Announcement.GetIncarnation() == a.GetIncarnation() {
 		e.announce = false
 	}
 	return nil
@@ -129,14 +130,20 @@
 	if err := e.post(ctx, path, r, renewal); err != nil {
 		return err
 	}
-	e.renew(sent, len(r.GetAcks()), renewal)
+	e.renew(sent, r, renewal)
 	return nil
 }
 
-func (e *Executor) renew(sent time.Time, delivered int, r *messages.Renewal) {
+func (e *Executor) renew(sent time.Time, report *messages.WorkerReport, r *messages.Renewal) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.outbox = e.outbox[delivered:]
+	if report.GetIncarnation() != e.opts.Announcement.GetIncarnation() {
+		return
+	}
+	e.outbox = e.outbox[len(report.GetAcks()):]
+	if r.GetLease() > 0 {
+		e.heard = sent
+	}
 	e.announce = e.announce || r.GetAnnounce()
 	e.home = r.GetHome()
 	until := sent.Add(time.Duration(r.GetLease()) * time.Millisecond)
--- a/internal/worker/registrar/home.go
+++ b/internal/worker/registrar/home.go
@@ -26,7 +26,7 @@
 // DefaultTiming returns the timing of a real fleet.
 func DefaultTiming() Timing {
 	return Timing{
-		Report: time.Second, Beat: 500 * time.Millisecond, Silent: 3 * time.Second,
+		Report: time.Second, Beat: time.Second, Silent: 3 * time.Second,
 		Grace: 3 * time.Second, Lease: 8 * time.Second, Drift: time.Second,
 	}
 }
