keeper: a checksum of its own for each length; parser: positions from the syntax tree

Cause: found by flipping each bit of a log. A flipped length in the middle of the file looked like a write that was cut off, so that synced entries behind it were dropped without a word. Errors in nested fields pointed at the first field of that name; they point at the field now.

--- a/internal/config/parser/parser.go
+++ b/internal/config/parser/parser.go
@@ -106,12 +106,27 @@
 	if ok || c.err != nil {
 		return
 	}
-	name := field[strings.LastIndexByte(field, '.')+1:]
-	if i := bytes.Index(c.text, []byte(`"`+name+`"`)); i >= 0 && name != "" {
-		c.err = at(c.file, c.text, int64(i), field, fmt.Sprintf(format, args...))
-		return
+	reason := fmt.Sprintf(format, args...)
+	c.err = &Error{File: c.file, Field: field, Reason: reason}
+	if offset, ok := c.locate(field); ok {
+		c.err = at(c.file, c.text, int64(offset), field, reason)
+	}
+}
+
+// locate returns the offset of a field's value, or of the object or array that lacks it.
+func (c *checker) locate(field string) (offset int, ok bool) {
+	root, err := hujson.Parse(bytes.Clone(c.text))
+	if err != nil {
+		return 0, false
+	}
+	pointer := "/" + strings.NewReplacer(".", "/", "[", "/", "]", "").Replace(field)
+	for pointer != "" {
+		if v := root.Find(pointer); v != nil {
+			return v.StartOffset, true
+		}
+		pointer = pointer[:strings.LastIndexByte(pointer, '/')]
 	}
-	c.err = &Error{File: c.file, Field: field, Reason: fmt.Sprintf(format, args...)}
+	return 0, false
 }
 
 func (c *checker) result() error {
--- a/internal/state/keeper/keeper.go
+++ b/internal/state/keeper/keeper.go
@@ -23,7 +23,7 @@
 
 const (
 	fileFormat   = 1
-	frameHeader  = 8       // bytes: length and CRC-32C, both little-endian
+	frameHeader  = 12      // bytes: length, CRC-32C of the length, CRC-32C of the data, little-endian
 	maxFrame     = 8 << 20 // bytes
 	logName      = "log"
 	snapshotName = "snapshot"
@@ -256,9 +256,17 @@
 		if err != nil {
 			return nil, fmt.Errorf("encode record: %w", err)
 		}
-		buffer = binary.LittleEndian.AppendUint32(buffer, uint32(len(data)))
-		buffer = binary.LittleEndian.AppendUint32(buffer, crc32.Checksum(data, castagnoli))
-		buffer = append(buffer, data...)
+		buffer = appendFrame(buffer, data)
 	}
 	return buffer, nil
 }
+
+// appendFrame appends data with its header. The length has a checksum of its own, so that a
+// damaged one is not taken for a write that was cut off.
+func appendFrame(buffer, data []byte) []byte {
+	length := binary.LittleEndian.AppendUint32(nil, uint32(len(data)))
+	buffer = append(buffer, length...)
+	buffer = binary.LittleEndian.AppendUint32(buffer, crc32.Checksum(length, castagnoli))
+	buffer = binary.LittleEndian.AppendUint32(buffer, crc32.Checksum(data, castagnoli))
+	return append(buffer, data...)
+}
--- a/internal/state/keeper/reader.go
+++ b/internal/state/keeper/reader.go
@@ -56,7 +56,10 @@
 		return nil, false, nil
 	}
 	length := binary.LittleEndian.Uint32(data)
-	sum := binary.LittleEndian.Uint32(data[4:])
+	if crc32.Checksum(data[:4], castagnoli) != binary.LittleEndian.Uint32(data[4:]) {
+		return nil, false, errors.New("checksum of the length does not match")
+	}
+	sum := binary.LittleEndian.Uint32(data[8:])
 	if length > maxFrame {
 		return nil, false, fmt.Errorf("frame of %d bytes, want at most %d", length, maxFrame)
 	}
@@ -155,10 +158,7 @@
 	if err != nil {
 		return fmt.Errorf("encode head: %w", err)
 	}
-	var prefix []byte
-	prefix = binary.LittleEndian.AppendUint32(prefix, uint32(len(head)))
-	prefix = binary.LittleEndian.AppendUint32(prefix, crc32.Checksum(head, castagnoli))
-	for _, piece := range [][]byte{prefix, head, s.Data} {
+	for _, piece := range [][]byte{appendFrame(nil, head), s.Data} {
 		if _, err := w.Write(piece); err != nil {
 			return fmt.Errorf("write snapshot: %w", err)
 		}
