--- a/internal/console/demonstrator/demonstrator.go
+++ b/internal/console/demonstrator/demonstrator.go
@@ -71,8 +71,8 @@
 	}
 }
 
-// token returns the sample token of an organisation.
-func token(org string) string { return org + "-token" }
+// Token returns the sample token of an organisation.
+func Token(org string) string { return org + "-token" }
 
 // manifest writes the sample manifest, scaled down to the demonstrated fleet.
 func (u User) manifest() ([]byte, error) {
@@ -90,7 +90,7 @@
 		{{Service: u.Service, Slots: 4, Count: 2}},
 	}
 	for i, org := range u.Organisations {
-		sum := sha256.Sum256([]byte(token(org)))
+		sum := sha256.Sum256([]byte(Token(org)))
 		m.Organisations = append(m.Organisations, parser.Organisation{
 			Name: org, Token: hex.EncodeToString(sum[:]), Guarantees: guarantees[i],
 		})
@@ -98,8 +98,8 @@
 	return marshalIndent(m)
 }
 
-// fleet is one user's running fleet.
-type fleet struct {
+// Fleet is one user's running fleet.
+type Fleet struct {
 	user    User
 	timing  registrar.Timing
 	folder  string
@@ -110,21 +110,27 @@
 	watch   *witness
 }
 
+// Start starts a user's fleet without logs.
+func Start(user User) (*Fleet, error) { return startFleet(user, zap.NewNop()) }
+
+// Entries returns where callers reach the daemons.
+func (f *Fleet) Entries() []netip.AddrPort { return f.entries }
+
 // startFleet starts the daemons, puts the manifest in force and starts the workers.
-func startFleet(user User, log *zap.Logger) (*fleet, error) {
+func startFleet(user User, log *zap.Logger) (*Fleet, error) {
 	folder, err := os.MkdirTemp("", "bluebellgauge-demo-")
 	if err != nil {
 		return nil, fmt.Errorf("make data folder: %w", err)
 	}
-	f := &fleet{user: user, timing: Timing(), folder: folder, log: log, watch: newWitness()}
+	f := &Fleet{user: user, timing: Timing(), folder: folder, log: log, watch: newWitness()}
 	if err := f.start(); err != nil {
-		f.stop()
+		f.Stop()
 		return nil, err
 	}
 	return f, nil
 }
 
-func (f *fleet) start() error {
+func (f *Fleet) start() error {
 	settings, err := f.settings()
 	if err != nil {
 		return err
@@ -147,7 +153,7 @@
 }
 
 // settings writes the settings of all daemons, on free ports.
-func (f *fleet) settings() ([]*parser.Settings, error) {
+func (f *Fleet) settings() ([]*parser.Settings, error) {
 	ports, err := freePorts(2 * daemons)
 	if err != nil {
 		return nil, err
@@ -191,7 +197,7 @@
 	return ports, nil
 }
 
-func (f *fleet) applyManifest() error {
+func (f *Fleet) applyManifest() error {
 	text, err := f.user.manifest()
 	if err != nil {
 		return err
@@ -206,7 +212,7 @@
 	return nil
 }
 
-func (f *fleet) startWorkers() error {
+func (f *Fleet) startWorkers() error {
 	for i := range workers {
 		place := f.user.Places[i%len(f.user.Places)]
 		w, err := executor.New(executor.Options{
@@ -226,7 +232,7 @@
 	return f.waitForWorkers()
 }
 
-func (f *fleet) waitForWorkers() error {
+func (f *Fleet) waitForWorkers() error {
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
 	cl := client.New(f.entries, operatorToken)
@@ -248,7 +254,7 @@
 }
 
 // killLeader loses the leading keeper.
-func (f *fleet) killLeader() error {
+func (f *Fleet) killLeader() error {
 	for _, d := range f.daemons {
 		if d.IsLeader() {
 			d.Kill()
@@ -258,7 +264,8 @@
 	return errors.New("no daemon leads")
 }
 
-func (f *fleet) stop() {
+// Stop ends all daemons and workers and removes their files.
+func (f *Fleet) Stop() {
 	var wait sync.WaitGroup
 	for _, w := range f.workers {
 		wait.Go(w.Kill)
--- a/internal/console/demonstrator/load.go
+++ b/internal/console/demonstrator/load.go
@@ -70,14 +70,14 @@
 	if err != nil {
 		return nil, err
 	}
-	defer f.stop()
+	defer f.Stop()
 	c := &campaign{fleet: f, opts: opts, seen: make([]sighting, jobsOfUser)}
 	return c.run(load(user, seed))
 }
 
 // campaign is one load on its way through a fleet.
 type campaign struct {
-	fleet *fleet
+	fleet *Fleet
 	opts  Options
 
 	mu    sync.Mutex
@@ -124,7 +124,7 @@
 func (c *campaign) call(ctx context.Context, i int, r request) sighting {
 	entries := c.fleet.entries
 	first := append(entries[i%len(entries):len(entries):len(entries)], entries[:i%len(entries)]...)
-	cl := client.New(first, token(r.org))
+	cl := client.New(first, Token(r.org))
 	defer cl.Close()
 	began := time.Now()
 	if _, err := cl.Submit(ctx, r.key, r.job); err != nil {
@@ -140,7 +140,7 @@
 		return sighting{err: err}
 	}
 	s := sighting{answer: view.Answer, elapsed: time.Since(began)}
-	other := client.New(append(first[1:len(first):len(first)], first[0]), token(r.org))
+	other := client.New(append(first[1:len(first):len(first)], first[0]), Token(r.org))
 	defer other.Close()
 	again, err := other.Submit(ctx, r.key, r.job)
 	s.again, s.err = again.Answer, err
