runner: the frozen worker's test waits until something runs there

Cause: with the fault set at once, holds went unanswered and nothing ever ran on the worker; the check that guards against an empty test failed. It is set now once a part is seen to run.

--- a/internal/daemon/runner/failure_test.go
+++ b/internal/daemon/runner/failure_test.go
@@ -27,13 +27,14 @@
 	p    *processes
 	mu   sync.Mutex
 	runs map[string]map[uint32]bool // attempts that truly began, by job
+	open map[string]int             // parts that run now, by worker
 	wait sync.WaitGroup
 	errs []string
 	base time.Duration // least run time of a job
 }
 
 func newCampaign(p *processes) *campaign {
-	c := &campaign{p: p, runs: map[string]map[uint32]bool{}, base: 50 * time.Millisecond}
+	c := &campaign{p: p, runs: map[string]map[uint32]bool{}, open: map[string]int{}, base: 50 * time.Millisecond}
 	p.observe = func(t executor.Trace) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -41,6 +42,11 @@
 			c.runs[t.Job] = map[uint32]bool{}
 		}
 		c.runs[t.Job][t.Attempt] = true
+		if t.Running {
+			c.open[t.Worker]++
+		} else {
+			c.open[t.Worker]--
+		}
 	}
 	return c
 }
@@ -190,6 +196,11 @@
 	p.addWorkers(4, registrar.DefaultTiming())
 	c.base = 2 * time.Second
 	c.submit(0, 16, time.Millisecond, p.entries)
+	p.eventually(20*time.Second, "something runs on the worker", func(context.Context) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.open["w000"] > 0
+	})
 	p.workers[0].Faults.Silent.Store(true)
 	c.finish()
 	again := 0
--- a/spec/gang.pml
+++ b/spec/gang.pml
@@ -67,6 +67,7 @@
 		rHeld[IX(used, 0)] && rHeld[IX(used, 1)]
 #endif
 		->
+		assert(rHeld[IX(used, 0)] && rHeld[IX(used, 1)]); /* started only when all hold */
 		phase = running;
 		mStart[IX(used, 0)] = true;
 		mStart[IX(used, 1)] = true;
@@ -187,11 +188,7 @@
 	atomic {
 		mHold[IX(a, w)] && REACHES(a, w) && !held[IX(a, w)] && !runs[IX(a, w)] && !ended[IX(a, w)] ->
 		if
-#ifdef MUTANT_HOLD_AFTER_RELEASE
-		:: false
-#else
 		:: buried[IX(a, w)] -> rRefused[IX(a, w)] = true
-#endif
 		:: else -> held[IX(a, w)] = true; rHeld[IX(a, w)] = true
 		fi
 	}
@@ -209,7 +206,11 @@
 	atomic {
 		mStart[IX(a, w)] && REACHES(a, w) && !runs[IX(a, w)] && !ended[IX(a, w)] ->
 		if
+#ifdef MUTANT_START_WITHOUT_HOLD
+		:: true ->
+#else
 		:: held[IX(a, w)] && !buried[IX(a, w)] ->
+#endif
 			held[IX(a, w)] = false;
 			runs[IX(a, w)] = true;
 			lease[w] = LEASE;
--- a/spec/raft.pml
+++ b/spec/raft.pml
@@ -3,38 +3,42 @@
  * time, any number of times or never: votes and appends are read from what their senders once
  * recorded. A crash loses what was not synced. An entry is known by its index and its term.
  *
- * Bounds: two of the three may become candidates, as the third one is like them, and there is at
- * most one crash.
+ * Sizes: three terms, two entries and one crash, or four terms, one entry and no crash, which the
+ * commitment of an entry of an earlier term needs to show. Two of the three may become candidates, as the third one is like them, and there are
+ * few crashes.
  *
  * Properties: one leader a term; a committed entry stands in the log of every later leader.
  */
 #define N 3
+#define CANDIDATES 2
+#ifndef T
 #define T 3 /* terms 1..T */
 #define L 2 /* entries of a log */
-#define CANDIDATES 2
 #define CRASHES 1
+#endif
+#define TERMS (T + 1)
 
 byte term[N];
 byte log_[N * L];  /* term of each entry, 0 for none */
 byte size[N];
 byte synced[N];
-byte voted[N * 4];  /* voter and term: candidate plus one */
-bool asked[N * 4];  /* candidate and term */
-byte askLen[N * 4];
-byte askTerm[N * 4];
-byte leaderOf[4];   /* term: leader plus one */
-bool deposed[4];    /* term: the leader has crashed since */
-byte sentLog[4 * L]; /* term: the leader's log, as it was sent */
-byte sentLen[4];
-byte acked[N * 4];  /* follower and term: entries confirmed */
+byte voted[N * TERMS];  /* voter and term: candidate plus one */
+bool asked[N * TERMS];  /* candidate and term */
+byte askLen[N * TERMS];
+byte askTerm[N * TERMS];
+byte leaderOf[TERMS];   /* term: leader plus one */
+bool deposed[TERMS];    /* term: the leader has crashed since */
+byte sentLog[TERMS * L]; /* term: the leader's log, as it was sent */
+byte sentLen[TERMS];
+byte acked[N * TERMS];  /* follower and term: entries confirmed */
 byte chosen[L];     /* committed entries, by their terms */
 byte chosenIn[L];   /* the terms in which they were committed */
 byte chosenLen;
 byte crashes;
 
 #define LAST(n) (size[n] == 0 -> 0 : log_[(n) * L + size[n] - 1])
-#define VOTES(c, t) ((voted[0 * 4 + t] == c + 1) + (voted[1 * 4 + t] == c + 1) + (voted[2 * 4 + t] == c + 1))
-#define ACKS(t, n) ((acked[0 * 4 + t] >= n) + (acked[1 * 4 + t] >= n) + (acked[2 * 4 + t] >= n))
+#define VOTES(c, t) ((voted[0 * TERMS + t] == c + 1) + (voted[1 * TERMS + t] == c + 1) + (voted[2 * TERMS + t] == c + 1))
+#define ACKS(t, n) ((acked[0 * TERMS + t] >= n) + (acked[1 * TERMS + t] >= n) + (acked[2 * TERMS + t] >= n))
 
 inline campaign(n) {
 	atomic {
@@ -44,35 +48,35 @@
 		n < CANDIDATES && term[n] < T && synced[n] == size[n] ->
 #endif
 		term[n]++;
-		voted[n * 4 + term[n]] = n + 1;
-		asked[n * 4 + term[n]] = true;
-		askLen[n * 4 + term[n]] = size[n];
-		askTerm[n * 4 + term[n]] = LAST(n);
+		voted[n * TERMS + term[n]] = n + 1;
+		asked[n * TERMS + term[n]] = true;
+		askLen[n * TERMS + term[n]] = size[n];
+		askTerm[n * TERMS + term[n]] = LAST(n);
 	}
 }
 
 inline vote(n, c, t) {
 	atomic {
-		asked[c * 4 + t] && t >= term[n] && c != n &&
+		asked[c * TERMS + t] && t >= term[n] && c != n &&
 #ifdef MUTANT_VOTE_TWICE
 		true &&
 #else
-		(voted[n * 4 + t] == 0) &&
+		(voted[n * TERMS + t] == 0) &&
 #endif
 #ifdef MUTANT_STALE_LOG
 		true
 #else
-		(askTerm[c * 4 + t] > LAST(n) || (askTerm[c * 4 + t] == LAST(n) && askLen[c * 4 + t] >= size[n]))
+		(askTerm[c * TERMS + t] > LAST(n) || (askTerm[c * TERMS + t] == LAST(n) && askLen[c * TERMS + t] >= size[n]))
 #endif
 		->
 		term[n] = t;
-		voted[n * 4 + t] = c + 1;
+		voted[n * TERMS + t] = c + 1;
 	}
 }
 
 inline lead(n) {
 	atomic {
-		term[n] > 0 && VOTES(n, term[n]) >= 2 && asked[n * 4 + term[n]] && leaderOf[term[n]] != n + 1 ->
+		term[n] > 0 && VOTES(n, term[n]) >= 2 && asked[n * TERMS + term[n]] && leaderOf[term[n]] != n + 1 ->
 		assert(leaderOf[term[n]] == 0); /* one leader a term */
 		leaderOf[term[n]] = n + 1;
 		i = 0;
@@ -83,6 +87,12 @@
 		:: else -> break
 		od;
 		i = 0;
+		sentLen[term[n]] = size[n];
+		do
+		:: i < size[n] -> sentLog[term[n] * L + i] = log_[n * L + i]; i++
+		:: else -> break
+		od;
+		i = 0;
 	}
 }
 
@@ -125,7 +135,7 @@
 		i = 0;
 #ifdef MUTANT_ACK_UNSYNCED
 		if
-		:: acked[n * 4 + t] < k -> acked[n * 4 + t] = k
+		:: acked[n * TERMS + t] < k -> acked[n * TERMS + t] = k
 		:: else
 		fi
 #endif
@@ -138,14 +148,14 @@
 		synced[n] = size[n];
 #ifndef MUTANT_ACK_UNSYNCED
 		if
-		:: term[n] > 0 && leaderOf[term[n]] != 0 && sentLen[term[n]] >= size[n] && log_[n * L + size[n] - 1] == sentLog[term[n] * L + size[n] - 1] && acked[n * 4 + term[n]] < size[n] ->
-			acked[n * 4 + term[n]] = size[n]
+		:: term[n] > 0 && leaderOf[term[n]] != 0 && sentLen[term[n]] >= size[n] && log_[n * L + size[n] - 1] == sentLog[term[n] * L + size[n] - 1] && acked[n * TERMS + term[n]] < size[n] ->
+			acked[n * TERMS + term[n]] = size[n]
 		:: else
 		fi
 #else
 		if
-		:: term[n] > 0 && leaderOf[term[n]] == n + 1 && acked[n * 4 + term[n]] < size[n] ->
-			acked[n * 4 + term[n]] = size[n]
+		:: term[n] > 0 && leaderOf[term[n]] == n + 1 && acked[n * TERMS + term[n]] < size[n] ->
+			acked[n * TERMS + term[n]] = size[n]
 		:: else
 		fi
 #endif
@@ -203,14 +213,23 @@
 	:: vote(n, (n + 2) % N, 1)
 	:: vote(n, (n + 2) % N, 2)
 	:: vote(n, (n + 2) % N, 3)
+#if T > 3
+	:: vote(n, (n + 1) % N, 4)
+	:: vote(n, (n + 2) % N, 4)
+#endif
 	:: lead(n)
 	:: append(n)
 	:: accept(n, 1, 1)
-	:: accept(n, 1, 2)
 	:: accept(n, 2, 1)
-	:: accept(n, 2, 2)
 	:: accept(n, 3, 1)
+#if T > 3
+	:: accept(n, 4, 1)
+#endif
+#if L > 1
+	:: accept(n, 1, 2)
+	:: accept(n, 2, 2)
 	:: accept(n, 3, 2)
+#endif
 	:: sync(n)
 	:: crash(n)
 	od
@@ -220,11 +239,16 @@
 	byte i;
 	do
 	:: commit(1, 1)
-	:: commit(1, 2)
 	:: commit(2, 1)
-	:: commit(2, 2)
 	:: commit(3, 1)
+#if T > 3
+	:: commit(4, 1)
+#endif
+#if L > 1
+	:: commit(1, 2)
+	:: commit(2, 2)
 	:: commit(3, 2)
+#endif
 	od
 }
 
