report: history and service-level burn; all: lint of the tests

Cause: nobody could ask why something was decided. Each keeper writes the records that follow from its log to two bounded files, and reads them again at its start for the burn over four windows.

--- a/internal/config/parser/parser_test.go
+++ b/internal/config/parser/parser_test.go
@@ -119,10 +119,10 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		switch base := filepath.Base(path); {
-		case base == "manifest.hujson":
+		switch filepath.Base(path) {
+		case "manifest.hujson":
 			_, err = ParseManifest(path, text)
-		case base == "job.hujson":
+		case "job.hujson":
 			_, err = ParseJob(text)
 		default:
 			_, err = ParseSettings(path, text)
--- a/internal/console/commander/commands.go
+++ b/internal/console/commander/commands.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/url"
 	"time"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
@@ -217,3 +218,19 @@
 		return nil
 	})
 }
+
+// historyCommand prints the account of one subject, or of all.
+type historyCommand struct {
+	listCommand
+	Subject string `long:"subject" description:"job, worker, manifest version or organisation"`
+	Org     string `long:"organisation" description:"organisation whose records to show"`
+}
+
+// Execute reads the latest lines of the account and prints them.
+func (h *historyCommand) Execute(args []string) error {
+	query := url.Values{}
+	query.Set("subject", h.Subject)
+	query.Set("organisation", h.Org)
+	h.path += "?" + query.Encode()
+	return h.listCommand.Execute(args)
+}
--- a/internal/console/demonstrator/demonstrator.go
+++ b/internal/console/demonstrator/demonstrator.go
@@ -77,6 +77,7 @@
 // manifest writes the sample manifest, scaled down to the demonstrated fleet.
 func (u User) manifest() ([]byte, error) {
 	m := parser.Manifest{Version: 1, Checkpoint: parser.Duration(time.Second)}
+	m.Objectives = []parser.Objective{{Service: u.Service, Target: 0.99, Within: parser.Duration(10 * time.Minute)}}
 	for _, place := range u.Places {
 		m.Places = append(m.Places, parser.Place{
 			Name: place, Service: u.Service, Racks: 1, Workers: workers / len(u.Places), Slots: slots,
--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"hash/fnv"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -11,6 +14,8 @@
 
 	"github.com/bluebellgauge/bluebellgauge/internal/entry/forwarder"
 	"github.com/bluebellgauge/bluebellgauge/internal/job/decider"
+	"github.com/bluebellgauge/bluebellgauge/internal/report/burner"
+	"github.com/bluebellgauge/bluebellgauge/internal/report/recorder"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/applier"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/replicator"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
@@ -21,6 +26,7 @@
 	leadInterval   = 250 * time.Millisecond // between a leader's looks at what is due
 	statusTimeout  = time.Second
 	handOverWithin = 2 * time.Second
+	folderMode     = 0o700
 )
 
 // replica is the part of a daemon that only keepers have.
@@ -28,6 +34,8 @@
 	applier    *applier.Applier
 	server     *forwarder.Server
 	dispatcher *dispatcher.Dispatcher
+	history    *recorder.Recorder
+	burn       *burner.Burner
 	log        *zap.Logger
 	delivered  tally.Counter
 }
@@ -38,7 +46,17 @@
 	for _, k := range s.Keepers {
 		bootstrap.Voters = append(bootstrap.Voters, &messages.Member{Name: k.Name, Place: k.Place, Address: k.Address})
 	}
-	rep := &replica{log: r.log, delivered: metrics.Counter("answers")}
+	rep := &replica{log: r.log, burn: burner.New(), delivered: metrics.Counter("answers")}
+	if err := os.MkdirAll(s.Data, folderMode); err != nil {
+		return fmt.Errorf("make data folder: %w", err)
+	}
+	history, err := recorder.New(s.Data, func(l recorder.Line) { rep.burn.Observe(l.Record) }, func(err error) {
+		r.log.Warn("account", zap.Error(err))
+	})
+	if err != nil {
+		return err
+	}
+	rep.history = history
 	rep.dispatcher = dispatcher.New(dispatcher.Options{
 		Locate: rep.locate, Report: rep.commitAcks, Metrics: metrics, Log: r.log,
 	})
@@ -49,10 +67,12 @@
 	})
 	if err != nil {
 		rep.dispatcher.Stop()
-		return err
+		return errors.Join(err, history.Close())
 	}
 	rep.applier = a
-	rep.server = forwarder.NewServer(a, r.opts.Timing, time.Now, r.peers.keeperAddress)
+	rep.server = forwarder.NewServer(forwarder.ServerOptions{
+		Replica: a, Timing: r.opts.Timing, Now: time.Now, Address: r.peers.keeperAddress, History: history, Burn: rep.burn,
+	})
 	r.replica = rep
 	r.wait.Go(func() { rep.lead(r.ctx) })
 	r.wait.Go(func() {
@@ -73,7 +93,7 @@
 }
 
 // deliver hands the orders that follow from an entry to the workers.
-func (p *replica) deliver(_, term uint64, leading bool, orders []decider.Order) {
+func (p *replica) deliver(index, term uint64, leading bool, orders []decider.Order) {
 	for _, o := range orders {
 		if _, ok := o.(decider.Answered); ok && leading {
 			p.delivered.Inc(1)
@@ -82,6 +102,9 @@
 	if leading {
 		p.dispatcher.Send(term, orders)
 	}
+	for _, l := range p.history.Append(index, orders) {
+		p.burn.Observe(l.Record)
+	}
 }
 
 func (p *replica) locate(worker string) (netip.AddrPort, bool) {
@@ -170,4 +193,7 @@
 func (p *replica) stop() {
 	p.applier.Stop()
 	p.dispatcher.Stop()
+	if err := p.history.Close(); err != nil {
+		p.log.Warn("close account", zap.Error(err))
+	}
 }
--- a/internal/entry/forwarder/server.go
+++ b/internal/entry/forwarder/server.go
@@ -10,6 +10,8 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/job/decider"
+	"github.com/bluebellgauge/bluebellgauge/internal/report/burner"
+	"github.com/bluebellgauge/bluebellgauge/internal/report/recorder"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/applier"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 	"github.com/bluebellgauge/bluebellgauge/internal/worker/registrar"
@@ -17,10 +19,7 @@
 
 // Server answers other daemons on a keeper.
 type Server struct {
-	replica *applier.Applier
-	timing  registrar.Timing
-	now     func() time.Time
-	address func(name string) string // of a keeper, "" when unknown
+	ServerOptions
 
 	mu    sync.Mutex
 	term  uint64 // of the watch
@@ -29,14 +28,22 @@
 
 var _ messages.Peer = (*Server)(nil)
 
-// NewServer returns the server of one replica.
-func NewServer(replica *applier.Applier, timing registrar.Timing, now func() time.Time, address func(string) string) *Server {
-	return &Server{replica: replica, timing: timing, now: now, address: address}
+// ServerOptions are the dependencies of a server.
+type ServerOptions struct {
+	Replica *applier.Applier
+	Timing  registrar.Timing
+	Now     func() time.Time
+	Address func(name string) string // of a keeper, "" when unknown
+	History *recorder.Recorder
+	Burn    *burner.Burner
 }
 
+// NewServer returns the server of one replica.
+func NewServer(opts ServerOptions) *Server { return &Server{ServerOptions: opts} }
+
 // Exchange takes in messages of the consensus.
 func (s *Server) Exchange(ctx context.Context, b *messages.Batch) (*messages.Taken, error) {
-	if err := s.replica.Step(ctx, b.GetMessages()); err != nil {
+	if err := s.Replica.Step(ctx, b.GetMessages()); err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
 	return &messages.Taken{}, nil
@@ -48,7 +55,7 @@
 	if err != nil {
 		return nil, twirp.NewError(twirp.InvalidArgument, err.Error())
 	}
-	orders, err := s.replica.Propose(ctx, event)
+	orders, err := s.Replica.Propose(ctx, event)
 	if err != nil {
 		return nil, s.explain(ctx, err)
 	}
@@ -65,7 +72,7 @@
 func (s *Server) Await(ctx context.Context, w *messages.Wait) (*messages.Decision, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(w.GetMilliseconds())*time.Millisecond)
 	defer cancel()
-	view, known, err := s.replica.Await(ctx, w.GetOrganisation(), w.GetKey())
+	view, known, err := s.Replica.Await(ctx, w.GetOrganisation(), w.GetKey())
 	if err != nil {
 		return nil, s.explain(context.WithoutCancel(ctx), err)
 	}
@@ -75,6 +82,9 @@
 	return decision(string(decider.StatusOK), view)
 }
 
+// maxHistory bounds the lines of one reply on the history.
+const maxHistory = 1000
+
 // Questions that a leader answers.
 const (
 	AskJob      = "job"
@@ -85,17 +95,26 @@
 	AskDaemons  = "daemons"
 	AskMembers  = "members"
 	AskFigures  = "figures"
+	AskHistory  = "history"
+	AskBurn     = "burn"
 )
 
 // Query answers from the leader's state.
 func (s *Server) Query(ctx context.Context, q *messages.Question) (*messages.Decision, error) {
 	var body any
-	err := s.replica.Read(ctx, func(_ uint64, state *decider.State) { body = s.look(state, q) })
+	err := s.Replica.Read(ctx, func(_ uint64, state *decider.State) { body = s.look(state, q) })
 	if err != nil {
 		return nil, s.explain(ctx, err)
 	}
+	if q.GetKind() == AskHistory {
+		lines, err := s.History.Find(recorder.Filter{Subject: q.GetKey(), Org: q.GetOrganisation(), Limit: maxHistory})
+		if err != nil {
+			return nil, twirp.InternalErrorWith(err)
+		}
+		body = lines
+	}
 	if q.GetKind() == AskMembers {
-		status, err := s.replica.Status(ctx)
+		status, err := s.Replica.Status(ctx)
 		if err != nil {
 			return nil, s.explain(ctx, err)
 		}
@@ -127,15 +146,21 @@
 		if s.watch == nil {
 			return list
 		}
-		for _, d := range s.watch.Daemons(s.now()) {
+		for _, d := range s.watch.Daemons(s.Now()) {
 			list = append(list, DaemonView{
 				Name: d.GetName(), Place: d.GetPlace(), Version: d.GetVersion(), Draining: d.GetDraining(),
 				Keeper: d.GetKeeper(), Current: d.GetVersion() == state.Version(),
 			})
 		}
 		return list
-	case AskMembers:
-		return struct{}{}
+	case AskBurn:
+		m, _ := state.Manifest()
+		if m == nil {
+			return []burner.Row{}
+		}
+		return s.Burn.Report(s.Now(), m.Objectives)
+	case AskMembers, AskHistory:
+		return struct{}{} // filled in outside of the replica's goroutine
 	}
 	return nil
 }
@@ -195,8 +220,8 @@
 // Sync takes in a daemon's beat.
 func (s *Server) Sync(ctx context.Context, b *messages.Beat) (*messages.Orders, error) {
 	reply := &messages.Orders{}
-	now := s.now()
-	err := s.replica.Read(ctx, func(term uint64, state *decider.State) {
+	now := s.Now()
+	err := s.Replica.Read(ctx, func(term uint64, state *decider.State) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		watch := s.watchOf(term)
@@ -220,7 +245,7 @@
 func (s *Server) watchOf(term uint64) *registrar.Watch {
 	if s.watch == nil || s.term != term {
 		s.term = term
-		s.watch = registrar.NewWatch(s.timing, s.now())
+		s.watch = registrar.NewWatch(s.Timing, s.Now())
 	}
 	return s.watch
 }
@@ -229,7 +254,7 @@
 func (s *Server) Lost(term uint64, state *decider.State) []decider.Lost {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.watchOf(term).Lost(s.now(), state)
+	return s.watchOf(term).Lost(s.Now(), state)
 }
 
 // explain turns an error of the replica into one that points to the leader.
@@ -237,11 +262,11 @@
 	if !errors.Is(err, applier.ErrNotLeader) {
 		return twirp.NewError(twirp.Unavailable, err.Error())
 	}
-	status, statusErr := s.replica.Status(ctx)
+	status, statusErr := s.Replica.Status(ctx)
 	if statusErr != nil || status.Role.String() == "leader" {
 		return NotLeader("")
 	}
-	return NotLeader(s.address(status.Leader))
+	return NotLeader(s.Address(status.Leader))
 }
 
 func decision(status string, body any) (*messages.Decision, error) {
--- a/internal/entry/router/operator.go
+++ b/internal/entry/router/operator.go
@@ -20,9 +20,13 @@
 		"/v1/shapes":   "shapes",
 		"/v1/members":  "members",
 		"/v1/figures":  "figures",
+		"/v1/history":  "history",
+		"/v1/burn":     "burn",
 	} {
 		r.mux.HandleFunc(path, r.operator(func(w http.ResponseWriter, q *http.Request) *problem {
-			return r.passQuestion(w, q, &messages.Question{Kind: kind})
+			return r.passQuestion(w, q, &messages.Question{
+				Kind: kind, Key: q.URL.Query().Get("subject"), Organisation: q.URL.Query().Get("organisation"),
+			})
 		})).Methods(http.MethodGet)
 	}
 	r.mux.HandleFunc("/v1/drain", r.operator(r.drain)).Methods(http.MethodPost)
--- a/internal/job/decider/admit.go
+++ b/internal/job/decider/admit.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
@@ -200,7 +201,10 @@
 	s.health.Answered(j.ID)
 	s.answered[j.Org] = append(s.answered[j.Org], j.ID)
 	s.emit(Answered{s.view(j)})
-	s.record("job", j.ID, j.Org, "answered %s %s", a.Outcome, a.Reason)
+	s.emit(Record{
+		Time: s.now, Kind: "job", Subject: j.ID, Org: j.Org, Text: strings.TrimSpace("answered " + string(a.Outcome) + " " + a.Reason),
+		Service: j.Spec.Service, Outcome: a.Outcome, Code: a.Code, Seconds: s.now.Sub(j.Submitted).Seconds(),
+	})
 	s.trimAnswers(j.Org)
 }
 
--- a/internal/job/decider/baseline_test.go
+++ b/internal/job/decider/baseline_test.go
@@ -12,12 +12,11 @@
 // baseline is a plain policy to compare with: first come first served on whole workers' free
 // slots, without guarantees, borrowing, checkpoints or estimates.
 type baseline struct {
-	bestFit  bool // choose the fullest worker that fits, and let later jobs pass a waiting one
-	workers  map[string]*baseWorker
-	names    []string
-	queue    []*baseJob
-	running  map[string]*baseJob
-	maxTasks int
+	bestFit bool // choose the fullest worker that fits, and let later jobs pass a waiting one
+	workers map[string]*baseWorker
+	names   []string
+	queue   []*baseJob
+	running map[string]*baseJob
 }
 
 type baseWorker struct {
--- a/internal/job/decider/invariants_test.go
+++ b/internal/job/decider/invariants_test.go
@@ -132,11 +132,11 @@
 				continue
 			}
 			// Cells of one place that leave the same free counts behind are the same choice.
-			if key := p.place + fmt.Sprint(aroundCell(p.open, first, size)); tried[key] {
+			key := p.place + fmt.Sprint(aroundCell(p.open, first, size))
+			if tried[key] {
 				continue
-			} else {
-				tried[key] = true
 			}
+			tried[key] = true
 			fill(p.open, first, size, false)
 			ok := packNext(pools, need[1:])
 			fill(p.open, first, size, true)
--- a/internal/job/decider/measure_test.go
+++ b/internal/job/decider/measure_test.go
@@ -27,10 +27,9 @@
 
 // arrival is one job of a load with its true run time.
 type arrival struct {
-	at     time.Duration
-	event  decider.Submit
-	run    time.Duration
-	cancel time.Duration // after the arrival, 0 for never
+	at    time.Duration
+	event decider.Submit
+	run   time.Duration
 }
 
 const (
@@ -163,17 +162,16 @@
 
 // figures is what one run of a load under one policy showed.
 type figures struct {
-	done, slow          int
-	completion, starts  []float64 // seconds
-	slowdown            float64
-	stranded, free      float64 // slot-seconds
-	busy, span          float64
-	longWait            float64 // of a gang of 32 or more, seconds
-	urgent, entitled    []float64
-	broken              int
-	bound               float64
-	steps               int
-	decideTime, decided time.Duration
+	done               int
+	completion, starts []float64 // seconds
+	slowdown           float64
+	stranded, free     float64 // slot-seconds
+	busy               float64
+	longWait           float64 // of a gang of 32 or more, seconds
+	urgent, entitled   []float64
+	broken             int
+	bound              float64
+	steps              int
 }
 
 // measure runs one load under one policy.
--- a/internal/job/decider/order.go
+++ b/internal/job/decider/order.go
@@ -45,6 +45,11 @@
 	Subject string    `json:"subject"`
 	Org     string    `json:"org,omitempty"`
 	Text    string    `json:"text"`
+	// Service, Outcome, Code and Seconds are set when a job is answered.
+	Service string  `json:"service,omitempty"`
+	Outcome Outcome `json:"outcome,omitempty"`
+	Code    string  `json:"code,omitempty"`
+	Seconds float64 `json:"seconds,omitempty"` // from the submit to the answer
 }
 
 func (Hold) order()       {}
--- /dev/null
+++ b/internal/report/recorder/recorder_test.go
@@ -0,0 +1,85 @@
+package recorder
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/job/decider"
+)
+
+func newRecorder(t *testing.T, folder string, each func(Line)) *Recorder {
+	t.Helper()
+	r, err := New(folder, each, func(err error) { t.Error(err) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func record(i int, text string) []decider.Order {
+	return []decider.Order{
+		decider.Reply{},
+		decider.Record{Time: time.Unix(int64(i), 0).UTC(), Kind: "job", Subject: fmt.Sprintf("o/k%d", i%3), Org: "o", Text: text},
+	}
+}
+
+func TestReopenedAccountHasEachLineOnce(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	r := newRecorder(t, folder, func(Line) {})
+	for i := 1; i <= 6; i++ {
+		r.Append(uint64(i), record(i, "first run"))
+	}
+	is.NoErr(r.Close())
+	seen := 0
+	r = newRecorder(t, folder, func(Line) { seen++ })
+	is.Equal(seen, 6)
+	for i := 4; i <= 9; i++ { // the log is applied again from a snapshot
+		r.Append(uint64(i), record(i, "second run"))
+	}
+	is.NoErr(r.Close())
+	r = newRecorder(t, folder, func(Line) {})
+	all, err := r.Find(Filter{})
+	is.NoErr(err)
+	is.Equal(len(all), 9)
+	for i, l := range all {
+		is.Equal(l.Index, uint64(i+1))
+	}
+	one, err := r.Find(Filter{Subject: "o/k1", Limit: 2})
+	is.NoErr(err)
+	is.Equal(len(one), 2)
+	is.Equal(one[1].Index, uint64(7))
+	is.NoErr(r.Close())
+}
+
+func TestAccountIsBoundedAndSurvivesACutLine(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	r := newRecorder(t, folder, func(Line) {})
+	text := strings.Repeat("x", 100_000)
+	for i := 1; i <= 500; i++ {
+		r.Append(uint64(i), record(i, text))
+	}
+	is.NoErr(r.Close())
+	total := int64(0)
+	for _, name := range []string{currentName, earlierName} {
+		info, err := os.Stat(filepath.Join(folder, name))
+		is.NoErr(err)
+		total += info.Size()
+	}
+	is.True(total <= 2*maxFileBytes)
+	path := filepath.Join(folder, currentName)
+	data, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.NoErr(os.WriteFile(path, data[:len(data)-5], fileMode))
+	last := uint64(0)
+	r = newRecorder(t, folder, func(l Line) { last = l.Index })
+	is.Equal(last, uint64(499)) // entry 500 will be applied and recorded again
+	is.NoErr(r.Close())
+}
--- a/internal/state/replicator/schedule_test.go
+++ b/internal/state/replicator/schedule_test.go
@@ -286,7 +286,7 @@
 			"inorder":  inOrder,
 			"inorder2": inOrder,
 			"propose":  func(t *rapid.T) { c.t = t; c.propose() },
-			"lose":     func(t *rapid.T) { c.network = nil },
+			"lose":     func(*rapid.T) { c.network = nil },
 			"cut":      func(t *rapid.T) { c.t = t; c.cutLink(c.draw(), c.draw()) },
 			"isolate": func(t *rapid.T) {
 				c.t = t
