decider: no member may start before all hold, checked on the orders themselves

Cause: the mutation that starts a gang when one member holds survived, as the check on running parts allows for a lease.

--- a/internal/job/decider/invariants_test.go
+++ b/internal/job/decider/invariants_test.go
@@ -19,6 +19,36 @@
 	// disturbed is set once workers were lost, left or failed, or the manifest changed: then
 	// work that can't be taken back may stand where a guarantee would need it.
 	disturbed bool
+	held      map[attemptKey]map[string]bool // workers that said they hold, by attempt
+}
+
+type attemptKey struct {
+	job     string
+	attempt uint32
+}
+
+// startsOnlyWhatAllHold makes sure that no member of a gang is told to start before each of them
+// has said that it holds.
+func (c *checker) startsOnlyWhatAllHold(e decider.Event, orders []decider.Order) error {
+	if report, ok := e.(decider.Report); ok {
+		for _, a := range report.Acks {
+			key := attemptKey{a.Job, a.Attempt}
+			if a.Kind == decider.AckHeld && c.held[key] == nil {
+				c.held[key] = map[string]bool{}
+			}
+			if a.Kind == decider.AckHeld {
+				c.held[key][a.Worker] = true
+			}
+		}
+	}
+	for _, o := range orders {
+		start, ok := o.(decider.Start)
+		if ok && !start.Single && len(c.held[attemptKey{start.Job, start.Attempt}]) < start.Members {
+			return fmt.Errorf("gangs whole: %s attempt %d starts, held by %d of %d members", start.Job, start.Attempt,
+				len(c.held[attemptKey{start.Job, start.Attempt}]), start.Members)
+		}
+	}
+	return nil
 }
 
 func (c *checker) check() error {
--- a/internal/job/decider/property_test.go
+++ b/internal/job/decider/property_test.go
@@ -1,6 +1,7 @@
 package decider_test
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -74,9 +75,9 @@
 		d.delay = func() time.Duration { return time.Duration(d.random.IntN(400)) * time.Millisecond }
 		d.lossy = rapid.SampledFrom([]float64{0, 0.1, 0.3}).Draw(t, "lossy")
 		d.double = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "double")
-		c := &checker{d: d, s: s, once: map[string]bool{}, disturbed: true}
-		d.after = func(e decider.Event, _ []decider.Order) {
-			if err := c.check(); err != nil {
+		c := &checker{d: d, s: s, once: map[string]bool{}, disturbed: true, held: map[attemptKey]map[string]bool{}}
+		d.after = func(e decider.Event, orders []decider.Order) {
+			if err := errors.Join(c.startsOnlyWhatAllHold(e, orders), c.check()); err != nil {
 				t.Fatalf("after %T: %v", e, err)
 			}
 		}
