runner: a lost keeper is replaced by a standby without an operator

Cause: the loss of a keeper's VM left the others one loss away from a halt, for ever. The leader notes the identity of each voter's data folder, takes standby keepers in as learners, promotes a caught-up one when a voter has been gone for 5 minutes, and removes the gone voter after that. Keepers refuse messages from a folder of another identity, so that a wiped disk under a used name can't vote.

Two of three folders wiped at one time still look like a first start.

--- a/cmd/bluebellgauged/main.go
+++ b/cmd/bluebellgauged/main.go
@@ -79,7 +79,7 @@
 	}
 	d, err := runner.New(runner.Options{
 		Settings: s, Operator: operator, Secret: secret, Timing: registrar.DefaultTiming(),
-		Tick: runner.DefaultTick, Snapshots: runner.DefaultSnapshots, Log: log,
+		Tick: runner.DefaultTick, Snapshots: runner.DefaultSnapshots, RepairAfter: runner.DefaultRepairAfter, Log: log,
 	})
 	return d, log, err
 }
--- a/internal/console/demonstrator/demonstrator.go
+++ b/internal/console/demonstrator/demonstrator.go
@@ -139,7 +139,7 @@
 	for _, s := range settings {
 		d, err := runner.New(runner.Options{
 			Settings: s, Operator: operatorToken, Secret: daemonsToken, Timing: f.timing,
-			Tick: 20 * time.Millisecond, Snapshots: 500, Log: f.log,
+			Tick: 20 * time.Millisecond, Snapshots: 500, RepairAfter: runner.DefaultRepairAfter, Log: f.log,
 		})
 		if err != nil {
 			return err
--- a/internal/daemon/runner/daemon_test.go
+++ b/internal/daemon/runner/daemon_test.go
@@ -34,7 +34,7 @@
 	}
 	d, err := runner.New(runner.Options{
 		Settings: s, Operator: operatorToken, Secret: "secret", Timing: registrar.DefaultTiming(),
-		Tick: runner.DefaultTick, Snapshots: runner.DefaultSnapshots, Log: log, Dial: slowDial(os.Getenv("BLUEBELLGAUGE_TEST_DELAY")),
+		Tick: runner.DefaultTick, Snapshots: runner.DefaultSnapshots, RepairAfter: repairAfter(), Log: log, Dial: slowDial(os.Getenv("BLUEBELLGAUGE_TEST_DELAY")),
 	})
 	if err != nil {
 		log.Error("start", zap.Error(err))
@@ -100,3 +100,11 @@
 	for range chunks {
 	}
 }
+
+// repairAfter reads the bound from the environment of the process.
+func repairAfter() time.Duration {
+	if d, err := time.ParseDuration(os.Getenv("BLUEBELLGAUGE_TEST_REPAIR")); err == nil {
+		return d
+	}
+	return runner.DefaultRepairAfter
+}
--- a/internal/daemon/runner/failure_test.go
+++ b/internal/daemon/runner/failure_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/netip"
 	"os"
+	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -364,3 +366,60 @@
 	c.submit(30, 60, 10*time.Millisecond, p.entries)
 	c.finish()
 }
+
+// TestRepairedKeepers loses a keeper for good, waits until a standby has taken its place, loses a
+// second one right then, and lets the first come back with a wiped disk under its old name.
+func TestRepairedKeepers(t *testing.T) {
+	t.Setenv("BLUEBELLGAUGE_TEST_REPAIR", "2s")
+	p := &processes{tb: t, folder: t.TempDir()}
+	p.writeSettings(3, 5)
+	p.settings[3].Data = filepath.Join(p.folder, "standby")
+	p.rewriteSettings()
+	p.commands = make([]*os.Process, 5)
+	for i := range p.commands {
+		p.start(i)
+	}
+	t.Cleanup(p.stopAll)
+	c := newCampaign(p)
+	p.apply(1, 8)
+	p.addWorkers(3, registrar.DefaultTiming())
+	c.submit(0, 20, time.Millisecond, p.entries)
+	p.awaitRole("vm4", "learner")
+	first := p.leader()
+	p.end(first, os.Kill)
+	p.awaitRole("vm4", "voter")
+	p.awaitRole(p.settings[first].Name, "")
+	second := p.leader()
+	p.end(second, os.Kill)
+	c.submit(20, 40, time.Millisecond, p.entries)
+	c.submit(0, 20, time.Millisecond, p.entries) // known answers, from the keepers that are left
+	p.must(os.RemoveAll(p.settings[first].Data))
+	p.start(first)
+	c.finish()
+	for i := range 20 {
+		if n := len(c.runs[fmt.Sprintf("org/k%d", i)]); i%3 == 0 && n > 1 {
+			t.Errorf("job k%d ran %d times", i, n)
+		}
+	}
+	p.awaitRole(p.settings[first].Name, "voter") // in place of the second one
+}
+
+// awaitRole waits until a member has a role, "" for none. A leader counts as a voter.
+func (p *processes) awaitRole(name, role string) {
+	p.tb.Helper()
+	p.eventually(30*time.Second, name+" is "+role, func(ctx context.Context) bool {
+		cl := client.New(p.entries, operatorToken)
+		defer cl.Close()
+		var members []struct{ Name, Role string }
+		if cl.Get(ctx, "/v1/members", &members) != nil {
+			return false
+		}
+		found := ""
+		for _, m := range members {
+			if m.Name == name {
+				found = strings.Replace(m.Role, "leader", "voter", 1)
+			}
+		}
+		return found == role
+	})
+}
--- a/internal/daemon/runner/peering.go
+++ b/internal/daemon/runner/peering.go
@@ -14,6 +14,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -33,17 +34,19 @@
 
 // peering carries calls between daemons.
 type peering struct {
-	scheme  string
-	secret  string
-	name    string
-	client  *http.Client
-	log     *zap.Logger
-	cancel  context.CancelFunc
-	ctx     context.Context
-	wait    sync.WaitGroup
-	mu      sync.Mutex
-	keepers []*messages.Member // known by settings or from the leader
-	senders map[string]chan *messages.Message
+	scheme string
+	secret string
+	name   string
+	// identity is of this daemon's data folder, set before the first message.
+	identity atomic.Pointer[string]
+	client   *http.Client
+	log      *zap.Logger
+	cancel   context.CancelFunc
+	ctx      context.Context
+	wait     sync.WaitGroup
+	mu       sync.Mutex
+	keepers  []*messages.Member // known by settings or from the leader
+	senders  map[string]chan *messages.Message
 }
 
 func peerProtocols() *http.Protocols {
@@ -210,11 +213,18 @@
 	ctx, cancel := context.WithTimeout(p.ctx, exchangeTimeout)
 	defer cancel()
 	client := messages.NewPeerProtobufClient(p.scheme+"://"+address, p.client)
-	if _, err := client.Exchange(ctx, &messages.Batch{To: name, Messages: list}); err != nil {
+	if _, err := client.Exchange(ctx, &messages.Batch{To: name, Messages: list, From: p.name, Identity: p.ownIdentity()}); err != nil {
 		p.log.Debug("messages not delivered", zap.String("to", name), zap.Error(err))
 	}
 }
 
+func (p *peering) ownIdentity() string {
+	if id := p.identity.Load(); id != nil {
+		return *id
+	}
+	return ""
+}
+
 func (p *peering) close() {
 	p.cancel()
 	p.wait.Wait()
--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -36,6 +36,7 @@
 	dispatcher *dispatcher.Dispatcher
 	history    *recorder.Recorder
 	burn       *burner.Burner
+	repair     *repairer
 	log        *zap.Logger
 	delivered  tally.Counter
 }
@@ -70,6 +71,9 @@
 		return errors.Join(err, history.Close())
 	}
 	rep.applier = a
+	identity := a.Identity()
+	r.peers.identity.Store(&identity)
+	rep.repair = newRepairer(len(s.Keepers), r.opts.RepairAfter)
 	rep.server = forwarder.NewServer(forwarder.ServerOptions{
 		Replica: a, Timing: r.opts.Timing, Now: time.Now, Address: r.peers.keeperAddress, History: history, Burn: rep.burn,
 	})
@@ -152,6 +156,7 @@
 		return
 	}
 	p.dispatcher.Send(leading, orders)
+	p.repairMembers(ctx, leading)
 	for _, l := range lost {
 		if _, err := p.applier.Propose(ctx, l); err != nil {
 			p.log.Debug("loss not committed", zap.String("worker", l.Worker), zap.Error(err))
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -43,8 +43,10 @@
 	Timing    registrar.Timing
 	Tick      time.Duration // of the consensus
 	Snapshots int           // entries between snapshots
-	Dial      Dial          // to other daemons, nil for the network
-	Log       *zap.Logger
+	// RepairAfter is how long a keeper may be gone until another one takes its place.
+	RepairAfter time.Duration
+	Dial        Dial // to other daemons, nil for the network
+	Log         *zap.Logger
 }
 
 // Dial opens a connection to another daemon.
@@ -53,6 +55,9 @@
 // DefaultTick is the tick of the consensus: an election starts after 8 to 16 of them.
 const DefaultTick = 100 * time.Millisecond
 
+// DefaultRepairAfter is how long a keeper may be gone until a standby takes its place.
+const DefaultRepairAfter = 5 * time.Minute
+
 // DefaultSnapshots is the number of entries between two snapshots.
 const DefaultSnapshots = 2000
 
--- a/internal/entry/forwarder/server.go
+++ b/internal/entry/forwarder/server.go
@@ -43,6 +43,9 @@
 
 // Exchange takes in messages of the consensus.
 func (s *Server) Exchange(ctx context.Context, b *messages.Batch) (*messages.Taken, error) {
+	if !s.Replica.Knows(b.GetFrom(), b.GetIdentity()) {
+		return nil, twirp.NewError(twirp.PermissionDenied, "the data folder of "+b.GetFrom()+" is not the one that is a member")
+	}
 	if err := s.Replica.Step(ctx, b.GetMessages()); err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
@@ -250,6 +253,13 @@
 	return s.watch
 }
 
+// KeepersSeen returns the keepers that sent beats, as the leader of a term sees them.
+func (s *Server) KeepersSeen(term uint64) []registrar.KeeperSeen {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watchOf(term).Keepers()
+}
+
 // Lost returns the workers whose leases have run out, as the leader of a term sees it.
 func (s *Server) Lost(term uint64, state *decider.State) []decider.Lost {
 	s.mu.Lock()
--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -71,6 +72,9 @@
 	done      chan struct{}
 	stop      chan struct{}
 	failure   error
+
+	// current is the membership at the end of the log, for readers outside of the goroutine.
+	current atomic.Pointer[messages.Members]
 }
 
 // input is something for the goroutine that owns the replica.
@@ -122,6 +126,7 @@
 		Name: opts.Name, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
 		DriftTicks: driftTicks, MaxBatch: maxBatch, ChunkSize: chunkSize, Seed: opts.Seed,
 	}, initial)
+	a.current.Store(a.node.Members())
 	go func() {
 		defer close(a.done)
 		a.failure = a.run()
@@ -232,6 +237,7 @@
 			return err
 		}
 	}
+	a.current.Store(a.node.Members())
 	if leading && a.node.Role() != replicator.Leader {
 		a.failPending(ErrUnsure)
 		a.ticking = false
@@ -499,6 +505,7 @@
 	Members   *messages.Members
 	Identity  string
 	LogBytes  int64
+	CaughtUp  []string // members that have nearly all committed entries, on a leader
 }
 
 // Status returns the state of the replica.
@@ -508,7 +515,7 @@
 		s = Status{
 			Role: a.node.Role(), Leader: a.node.Leader(), Term: a.node.Term(), Lease: a.node.HasLease(),
 			Applied: a.applied, Committed: a.node.Committed(), Members: a.node.Members(),
-			Identity: a.keeper.Identity(), LogBytes: a.keeper.Size(),
+			Identity: a.keeper.Identity(), LogBytes: a.keeper.Size(), CaughtUp: a.node.CaughtUp(),
 		}
 		return nil
 	})
@@ -533,6 +540,23 @@
 	return ok, err
 }
 
+// Identity returns the name that the data folder was given when it was made.
+func (a *Applier) Identity() string { return a.keeper.Identity() }
+
+// Knows reports whether a data folder may speak for a member. A folder that was wiped or brought
+// back under a used name may not: it has forgotten what it voted for and confirmed.
+func (a *Applier) Knows(name, identity string) bool {
+	m := a.current.Load()
+	for _, list := range [][]*messages.Member{m.GetVoters(), m.GetLearners()} {
+		for _, k := range list {
+			if k.GetName() == name {
+				return k.GetIdentity() == "" || k.GetIdentity() == identity
+			}
+		}
+	}
+	return true
+}
+
 // Done is closed when the replica has stopped, on request or after a failed write.
 func (a *Applier) Done() <-chan struct{} { return a.done }
 
--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -428,3 +428,18 @@
 	from, until := index-n.log.offset, n.log.taken-n.log.offset
 	return n.hard, n.log.entries[from:until:until]
 }
+
+// maxBehind is how many entries a member may lack and still count as caught up.
+const maxBehind = 64
+
+// CaughtUp returns the other members that answer a leader and lack few committed entries, sorted.
+func (n *Node) CaughtUp() []string {
+	var names []string
+	for _, name := range n.peerNames() {
+		p := n.peers[name]
+		if n.tick-p.answered <= n.opts.ElectionTicks && p.match+maxBehind >= n.log.committed && p.match > 0 {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- a/internal/worker/registrar/watch.go
+++ b/internal/worker/registrar/watch.go
@@ -140,3 +140,27 @@
 	slices.SortFunc(list, func(a, b *messages.Daemon) int { return compareStrings(a.GetName(), b.GetName()) })
 	return list
 }
+
+// KeeperSeen is a daemon with a data folder, as its last beat described it.
+type KeeperSeen struct {
+	Name     string
+	Place    string
+	Address  string
+	Identity string
+	Last     time.Time
+}
+
+// Keepers returns the daemons with a data folder that have sent a beat in this term, sorted by
+// name, also those that have fallen silent since.
+func (w *Watch) Keepers() []KeeperSeen {
+	var list []KeeperSeen
+	for name, d := range w.daemons {
+		if d.beat.GetIdentity() != "" {
+			list = append(list, KeeperSeen{
+				Name: name, Place: d.beat.GetPlace(), Address: d.beat.GetAddress(), Identity: d.beat.GetIdentity(), Last: d.last,
+			})
+		}
+	}
+	slices.SortFunc(list, func(a, b KeeperSeen) int { return compareStrings(a.Name, b.Name) })
+	return list
+}
