applier: a corrupt log is put aside and rebuilt from the other keepers

Cause: a flipped bit stopped the keeper until an operator came. It now comes back as a learner under a new identity; the folder is marked, as it must not take part in a first election. The test showed that a voter with a replaced disk and no standby was never removed, so that its new disk could never come in: it is removed then, as its vote is lost anyway.

--- a/internal/daemon/runner/failure_test.go
+++ b/internal/daemon/runner/failure_test.go
@@ -408,18 +408,64 @@
 func (p *processes) awaitRole(name, role string) {
 	p.tb.Helper()
 	p.eventually(30*time.Second, name+" is "+role, func(ctx context.Context) bool {
-		cl := client.New(p.entries, operatorToken)
-		defer cl.Close()
-		var members []struct{ Name, Role string }
-		if cl.Get(ctx, "/v1/members", &members) != nil {
-			return false
-		}
-		found := ""
-		for _, m := range members {
-			if m.Name == name {
-				found = strings.Replace(m.Role, "leader", "voter", 1)
-			}
+		m := p.member(ctx, name)
+		return m.known && strings.Replace(m.Role, "leader", "voter", 1) == role
+	})
+}
+
+// memberState is how the leader lists a member, known when a leader answered.
+type memberState struct {
+	Name, Role, Identity string
+	known                bool
+}
+
+func (p *processes) member(ctx context.Context, name string) memberState {
+	cl := client.New(p.entries, operatorToken)
+	defer cl.Close()
+	var members []memberState
+	if cl.Get(ctx, "/v1/members", &members) != nil {
+		return memberState{}
+	}
+	for _, m := range members {
+		if m.Name == name {
+			m.known = true
+			return m
 		}
-		return found == role
+	}
+	return memberState{known: true}
+}
+
+// TestCorruptKeeper flips a bit in the log of a keeper that is down. It must not speak for what it
+// no longer knows; it comes back as a learner and is promoted.
+func TestCorruptKeeper(t *testing.T) {
+	t.Setenv("BLUEBELLGAUGE_TEST_REPAIR", "3s")
+	p := startProcesses(t, 3, 4)
+	c := newCampaign(p)
+	p.apply(1, 8)
+	p.addWorkers(2, registrar.DefaultTiming())
+	c.submit(0, 10, time.Millisecond, p.entries)
+	c.finish()
+	var identity string
+	p.eventually(20*time.Second, "vm3's identity is noted", func(ctx context.Context) bool {
+		identity = p.member(ctx, "vm3").Identity
+		return identity != ""
+	})
+	p.end(2, os.Kill)
+	path := filepath.Join(p.settings[2].Data, "log")
+	data, err := os.ReadFile(path)
+	p.must(err)
+	data[len(data)/2] ^= 1
+	p.must(os.WriteFile(path, data, 0o600))
+	p.start(2)
+	p.eventually(20*time.Second, "the log is put aside", func(context.Context) bool {
+		_, err := os.Stat(path + ".corrupt")
+		return err == nil
 	})
+	p.eventually(30*time.Second, "vm3 votes with its new disk", func(ctx context.Context) bool {
+		m := p.member(ctx, "vm3")
+		return m.Role != "" && m.Role != "learner" && m.Identity != "" && m.Identity != identity
+	})
+	p.end(0, os.Kill) // the two that are left are a quorum only if vm3 counts
+	c.submit(10, 20, time.Millisecond, p.entries)
+	c.finish()
 }
--- a/internal/daemon/runner/repair.go
+++ b/internal/daemon/runner/repair.go
@@ -29,28 +29,47 @@
 // next returns the membership to propose, nil when nothing is to be done. In this order: identities
 // of voters are noted at their first beat, standby keepers become learners, a caught-up learner is
 // promoted when a voter is gone, and only then the gone voter is removed. So a second loss right
-// after a repair finds a whole quorum.
+// after a repair finds a whole quorum. A voter whose disk was replaced is removed when there is no
+// learner to take its place.
 func (r *repairer) next(now time.Time, m *messages.Members, seen []registrar.KeeperSeen, caughtUp []string) *messages.Members {
 	m = proto.Clone(m).(*messages.Members)
 	if noteIdentity(m, seen) || r.dropLearner(now, m, seen) || addLearner(now, r.after, m, seen) {
 		return m
 	}
 	gone := slices.IndexFunc(m.GetVoters(), func(k *messages.Member) bool { return r.isGone(now, k, seen) })
-	switch {
-	case gone < 0:
-		return nil
-	case len(m.GetVoters()) > r.voters:
+	if gone >= 0 && len(m.GetVoters()) > r.voters {
 		m.Voters = slices.Delete(m.Voters, gone, gone+1)
 		return m
 	}
+	if (gone >= 0 || len(m.GetVoters()) < r.voters) && r.promote(now, m, seen, caughtUp) {
+		return m
+	}
+	replaced := slices.IndexFunc(m.GetVoters(), func(k *messages.Member) bool { return isReplaced(k, seen) })
+	if replaced >= 0 && len(m.GetVoters()) >= r.voters && r.voters > 1 {
+		// Its vote is lost with its disk; the others need each other with it or without it, and
+		// only without it can the new disk come in as a learner.
+		m.Voters = slices.Delete(m.Voters, replaced, replaced+1)
+		return m
+	}
+	return nil
+}
+
+// isReplaced reports whether a daemon of the member's name has another data folder.
+func isReplaced(k *messages.Member, seen []registrar.KeeperSeen) bool {
+	s := find(seen, k.GetName())
+	return s != nil && k.GetIdentity() != "" && s.Identity != k.GetIdentity()
+}
+
+// promote makes a learner that is caught up and alive a voter.
+func (r *repairer) promote(now time.Time, m *messages.Members, seen []registrar.KeeperSeen, caughtUp []string) bool {
 	for i, k := range m.GetLearners() {
 		if slices.Contains(caughtUp, k.GetName()) && !r.isGone(now, k, seen) {
 			m.Voters = append(m.Voters, k)
 			m.Learners = slices.Delete(m.Learners, i, i+1)
-			return m
+			return true
 		}
 	}
-	return nil
+	return false
 }
 
 func find(seen []registrar.KeeperSeen, name string) *registrar.KeeperSeen {
--- a/internal/entry/forwarder/server.go
+++ b/internal/entry/forwarder/server.go
@@ -203,6 +203,8 @@
 	Place   string `json:"place"`
 	Address string `json:"address"`
 	Role    string `json:"role"` // leader, voter or learner
+	// Identity is of the data folder that speaks for the member, "" before its first beat.
+	Identity string `json:"identity,omitempty"`
 }
 
 func membersView(s applier.Status) []MemberView {
@@ -212,10 +214,10 @@
 		if m.GetName() == s.Leader {
 			role = "leader"
 		}
-		list = append(list, MemberView{Name: m.GetName(), Place: m.GetPlace(), Address: m.GetAddress(), Role: role})
+		list = append(list, MemberView{Name: m.GetName(), Place: m.GetPlace(), Address: m.GetAddress(), Role: role, Identity: m.GetIdentity()})
 	}
 	for _, m := range s.Members.GetLearners() {
-		list = append(list, MemberView{Name: m.GetName(), Place: m.GetPlace(), Address: m.GetAddress(), Role: "learner"})
+		list = append(list, MemberView{Name: m.GetName(), Place: m.GetPlace(), Address: m.GetAddress(), Role: "learner", Identity: m.GetIdentity()})
 	}
 	return list
 }
--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -103,10 +103,13 @@
 
 // New opens the storage and starts the replica.
 func New(opts Options) (*Applier, error) {
-	k, initial, err := keeper.Open(opts.Folder, opts.Name)
+	k, initial, err := open(opts)
 	if err != nil {
 		return nil, err
 	}
+	if keeper.IsRebuilt(opts.Folder) {
+		opts.Bootstrap = &messages.Members{}
+	}
 	initial.Members = opts.Bootstrap
 	a := &Applier{
 		opts: opts, keeper: k, state: decider.New(), members: opts.Bootstrap,
@@ -138,6 +141,19 @@
 	return a, nil
 }
 
+// open opens the storage. A corrupt one is put aside when there are others to rebuild it from.
+func open(opts Options) (*keeper.Keeper, replicator.Initial, error) {
+	k, initial, err := keeper.Open(opts.Folder, opts.Name)
+	if !errors.Is(err, keeper.ErrCorrupt) || len(opts.Bootstrap.GetVoters()) == 1 {
+		return k, initial, err
+	}
+	opts.Log.Error("stored data is put aside and rebuilt from the other keepers", zap.Error(err))
+	if err := keeper.Reset(opts.Folder); err != nil {
+		return nil, initial, fmt.Errorf("put corrupt data aside: %w", err)
+	}
+	return keeper.Open(opts.Folder, opts.Name)
+}
+
 // run is the loop of the goroutine that owns the replica.
 func (a *Applier) run() error {
 	ticker := time.NewTicker(a.opts.Tick)
--- a/internal/state/keeper/keeper.go
+++ b/internal/state/keeper/keeper.go
@@ -28,6 +28,7 @@
 	logName      = "log"
 	snapshotName = "snapshot"
 	asideSuffix  = ".new"
+	rebuildName  = "rebuilt"
 	fileMode     = 0o600
 	folderMode   = 0o700
 )
@@ -237,9 +238,10 @@
 func (k *Keeper) path(name string) string { return filepath.Join(k.folder, name) }
 
 // Reset moves the files of a folder aside, so that the daemon can rebuild from its peers under
-// a new identity.
+// a new identity. The folder is marked: what was in it is forgotten, so it must never take part in
+// the first election of a new cluster.
 func Reset(folder string) error {
-	var errs []error
+	errs := []error{os.WriteFile(filepath.Join(folder, rebuildName), nil, fileMode)}
 	for _, name := range []string{logName, snapshotName} {
 		path := filepath.Join(folder, name)
 		if err := os.Rename(path, path+".corrupt"); err != nil && !errors.Is(err, os.ErrNotExist) {
@@ -249,6 +251,12 @@
 	return errors.Join(append(errs, syncFolder(folder))...)
 }
 
+// IsRebuilt reports whether a folder was reset at some time.
+func IsRebuilt(folder string) bool {
+	_, err := os.Stat(filepath.Join(folder, rebuildName))
+	return err == nil
+}
+
 func encodeFrames(records []*messages.Record) ([]byte, error) {
 	var buffer []byte
 	for _, r := range records {
