--- /dev/null
+++ b/internal/job/decider/codec_test.go
@@ -0,0 +1,42 @@
+package decider
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// FuzzDecode feeds any bytes to the decoder of log entries. What it takes must come out the same
+// after another round.
+func FuzzDecode(f *testing.F) {
+	for _, e := range []Event{ApplyManifest{Text: []byte("{}")}, Announce{}, Lost{Worker: "w"}, Submit{Org: "o"}, Cancel{Keys: []string{"k"}}, Report{Acks: []Ack{{}}}, Tick{}} {
+		data, err := Encode(time.Unix(1, 0).UTC(), e)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		now, e, err := Decode(data)
+		if err != nil {
+			return
+		}
+		again, err := Encode(now, e)
+		if err != nil {
+			return // such as a year beyond 9999
+		}
+		_, back, err := Decode(again)
+		if err != nil || kindOf(back) != kindOf(e) {
+			t.Fatalf("%T came back as %T: %v", e, back, err)
+		}
+	})
+}
+
+func TestDecodeRefusesOtherFormats(t *testing.T) {
+	is := is.New(t)
+	_, _, err := Decode([]byte(`{"format": 2, "kind": "tick"}`))
+	is.Equal(err.Error(), "decode entry: format 2, want 1")
+	_, _, err = Decode([]byte(`{"format": 1, "kind": "dance"}`))
+	is.Equal(err.Error(), `decode entry "dance": unknown kind`)
+}
