--- a/internal/console/client/client.go
+++ b/internal/console/client/client.go
@@ -27,7 +27,8 @@
 	tryTimeout   = 15 * time.Second
 	firstRetry   = 50 * time.Millisecond
 	longestRetry = time.Second
-	pollWait     = 20 * time.Second
+	pollWait     = 5 * time.Second // of one long poll, short so that a silent connection is found
+	pollSlack    = 3 * time.Second // for the reply to a long poll to arrive
 )
 
 // ErrUnreachable tells that no entry gave a usable reply in time. The outcome is open.
@@ -72,7 +73,7 @@
 func New(entries []netip.AddrPort, token string) *Client {
 	return &Client{
 		entries: entries, token: token,
-		http: &http.Client{Transport: &http.Transport{ResponseHeaderTimeout: pollWait + tryTimeout}},
+		http: &http.Client{Transport: &http.Transport{ResponseHeaderTimeout: tryTimeout}},
 	}
 }
 
@@ -177,7 +178,7 @@
 	for {
 		var view decider.View
 		path := "/v1/jobs/" + key + "/answer?wait=" + pollWait.String()
-		err := c.do(ctx, call{method: http.MethodGet, path: path, timeout: pollWait + tryTimeout}, &view)
+		err := c.do(ctx, call{method: http.MethodGet, path: path, timeout: pollWait + pollSlack}, &view)
 		if err != nil || view.Answer != nil || ctx.Err() != nil {
 			return view, err
 		}
--- a/internal/console/commander/commander.go
+++ b/internal/console/commander/commander.go
@@ -243,7 +243,7 @@
 		return exitError{ExitNotRun}
 	case decider.Failed:
 		return exitError{ExitFailed}
-	case decider.OutcomeUnsure:
+	case decider.Unknown:
 		return exitError{ExitUnsure}
 	case decider.Done:
 	}
--- a/internal/console/demonstrator/result.go
+++ b/internal/console/demonstrator/result.go
@@ -142,7 +142,7 @@
 		row.Failed++
 	case decider.NotRun:
 		row.NotRun++
-	case decider.OutcomeUnsure:
+	case decider.Unknown:
 		row.Unknown++
 	}
 }
--- a/internal/daemon/runner/failure_test.go
+++ b/internal/daemon/runner/failure_test.go
@@ -98,7 +98,7 @@
 	if !idempotent && attempts > 1 {
 		c.fail("job %s is not idempotent and ran %d times", key, attempts)
 	}
-	if a.Outcome == decider.OutcomeUnsure && idempotent {
+	if a.Outcome == decider.Unknown && idempotent {
 		c.fail("job %s is idempotent and ended %s", key, a.Outcome)
 	}
 }
@@ -469,3 +469,20 @@
 	c.submit(10, 20, time.Millisecond, p.entries)
 	c.finish()
 }
+
+// TestSilentCallers swallows the open connections between callers and an entry for good. Callers
+// ask again over new connections, and nothing runs twice for it.
+func TestSilentCallers(t *testing.T) {
+	p := startProcesses(t, 1, 2)
+	c := newCampaign(p)
+	p.apply(1, 8)
+	p.addWorkers(2, registrar.DefaultTiming())
+	proxy := newSilentProxy(t, p.entries[1].String())
+	through := []netip.AddrPort{netip.MustParseAddrPort(proxy.listener.Addr().String())}
+	c.base = time.Second // so that callers wait for answers when their connections fall silent
+	c.submit(0, 9, 10*time.Millisecond, through)
+	time.Sleep(200 * time.Millisecond)
+	proxy.swallowOpen()
+	c.submit(9, 18, 10*time.Millisecond, through)
+	c.finish()
+}
--- a/internal/job/decider/attempt.go
+++ b/internal/job/decider/attempt.go
@@ -243,7 +243,7 @@
 	case ran:
 		return Answer{Outcome: Failed, Code: CodeCancelled, Reason: "cancelled while it ran"}
 	case lost && !idempotent:
-		return Answer{Outcome: OutcomeUnsure, Code: CodeWorkerLost, Reason: "cancelled, and its worker was lost after the start order"}
+		return Answer{Outcome: Unknown, Code: CodeWorkerLost, Reason: "cancelled, and its worker was lost after the start order"}
 	case lost:
 		return Answer{Outcome: Failed, Code: CodeCancelled, Reason: "cancelled after its start order"}
 	}
@@ -256,7 +256,7 @@
 	case j.Next == nextFailed:
 		return Answer{Outcome: Failed, Code: CodeTaskFailed, Reason: j.Reason}
 	case lost:
-		return Answer{Outcome: OutcomeUnsure, Code: CodeWorkerLost, Reason: "a worker was lost after the start order"}
+		return Answer{Outcome: Unknown, Code: CodeWorkerLost, Reason: "a worker was lost after the start order"}
 	case ran:
 		return Answer{Outcome: Failed, Code: CodeNotWhole, Reason: j.Reason}
 	}
--- a/internal/job/decider/event.go
+++ b/internal/job/decider/event.go
@@ -12,7 +12,7 @@
 // Event is something that happened. Events reach the decisions through the replicated log.
 type Event interface{ event() }
 
-// ApplyManifest asks to put a manifest in force in place of version Base.
+// ApplyManifest asks to put a manifest in force.
 type ApplyManifest struct {
 	Text []byte `json:"text"`
 }
--- a/internal/job/decider/order.go
+++ b/internal/job/decider/order.go
@@ -94,10 +94,10 @@
 
 // The outcomes of a job.
 const (
-	Done          Outcome = "done"
-	Failed        Outcome = "failed"
-	NotRun        Outcome = "notrun"
-	OutcomeUnsure Outcome = "unknown"
+	Done    Outcome = "done"
+	Failed  Outcome = "failed"
+	NotRun  Outcome = "notrun"
+	Unknown Outcome = "unknown"
 )
 
 // Answer is the one final answer of a job.
--- a/internal/report/burner/burner_test.go
+++ b/internal/report/burner/burner_test.go
@@ -24,7 +24,7 @@
 	observe(4*time.Hour, 8, decider.Done, "", 31) // too late
 	observe(time.Minute, 5, decider.NotRun, decider.CodeImpossible, 0)
 	observe(time.Minute, 5, decider.NotRun, decider.CodeCancelled, 0)
-	observe(time.Minute, 1, decider.OutcomeUnsure, "", 1)
+	observe(time.Minute, 1, decider.Unknown, "", 1)
 	observe(time.Minute, 1, decider.NotRun, decider.CodeQueueFull, 0)
 	rows := b.Report(now, []parser.Objective{
 		{Service: "s", Target: 0.9, Within: parser.Duration(30 * time.Second)},
--- a/internal/worker/registrar/home.go
+++ b/internal/worker/registrar/home.go
@@ -5,6 +5,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -120,7 +121,7 @@
 			b.Heard = append(b.Heard, &messages.Heard{Worker: name, Incarnation: r.incarnation})
 		}
 	}
-	slices.SortFunc(b.Heard, func(x, y *messages.Heard) int { return compareStrings(x.GetWorker(), y.GetWorker()) })
+	slices.SortFunc(b.Heard, func(x, y *messages.Heard) int { return strings.Compare(x.GetWorker(), y.GetWorker()) })
 	b.Silent = slices.Clone(h.silent)
 }
 
@@ -128,16 +129,6 @@
 	h.silent = slices.DeleteFunc(h.silent, func(s string) bool { return s == name })
 }
 
-func compareStrings(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // expire moves workers without a report to the silent ones.
 func (h *Home) expire() {
 	now := h.now()
--- a/internal/worker/registrar/watch.go
+++ b/internal/worker/registrar/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/job/decider"
@@ -85,7 +86,7 @@
 			lost = append(lost, decider.Lost{Worker: info.Name, Incarnation: info.Incarnation})
 		}
 	})
-	slices.SortFunc(lost, func(a, b decider.Lost) int { return compareStrings(a.Worker, b.Worker) })
+	slices.SortFunc(lost, func(a, b decider.Lost) int { return strings.Compare(a.Worker, b.Worker) })
 	return lost
 }
 
@@ -137,7 +138,7 @@
 			Version: b.GetVersion(), Draining: b.GetDraining(), Keeper: b.GetIdentity() != "",
 		})
 	}
-	slices.SortFunc(list, func(a, b *messages.Daemon) int { return compareStrings(a.GetName(), b.GetName()) })
+	slices.SortFunc(list, func(a, b *messages.Daemon) int { return strings.Compare(a.GetName(), b.GetName()) })
 	return list
 }
 
@@ -161,6 +162,6 @@
 			})
 		}
 	}
-	slices.SortFunc(list, func(a, b KeeperSeen) int { return compareStrings(a.Name, b.Name) })
+	slices.SortFunc(list, func(a, b KeeperSeen) int { return strings.Compare(a.Name, b.Name) })
 	return list
 }
