planner: the manifest says whether fragmentation or completion weighs more

A small job bound a new guaranteed cell on a free worker while others stood half empty. Filling those first makes more work borrowed, which is evicted later, so it costs completion time.

--- a/internal/config/parser/manifest.go
+++ b/internal/config/parser/manifest.go
@@ -24,6 +24,7 @@
 	Version       uint64         `json:"version"`
 	Width         Width          `json:"width,omitempty"`
 	Checkpoint    Duration       `json:"checkpoint,omitempty"` // deadline of a checkpoint on reclaim
+	Weigh         string         `json:"weigh,omitempty"`      // completion or fragmentation
 	Places        []Place        `json:"places"`
 	Organisations []Organisation `json:"organisations"`
 	Objectives    []Objective    `json:"objectives,omitempty"`
@@ -106,6 +107,9 @@
 	if m.Width.Workers == 0 {
 		m.Width.Workers = defaultWidth
 	}
+	if m.Weigh == "" {
+		m.Weigh = "completion"
+	}
 	if m.Checkpoint == 0 {
 		m.Checkpoint = defaultCheckpoint
 	}
@@ -121,6 +125,7 @@
 	c.require(isPowerOfTwo(m.Width.Slots) && m.Width.Slots <= 64, "width.slots", "is %d, want a power of two up to 64", m.Width.Slots)
 	c.require(isPowerOfTwo(m.Width.Workers) && m.Width.Workers <= 64, "width.workers", "is %d, want a power of two up to 64", m.Width.Workers)
 	c.require(m.Checkpoint > 0 && m.Checkpoint <= Duration(600e9), "checkpoint", "is %s, want up to 10m", m.Checkpoint.Std())
+	c.require(m.Weigh == "completion" || m.Weigh == "fragmentation", "weigh", "is %q, want completion or fragmentation", m.Weigh)
 	c.require(len(m.Places) > 0, "places", "is empty, want at least one")
 	for i, p := range m.Places {
 		m.checkPlace(c, fmt.Sprintf("places[%d].", i), p)
@@ -227,6 +232,9 @@
 	return f
 }
 
+// IsCompact reports whether little fragmentation weighs more than early completion.
+func (m *Manifest) IsCompact() bool { return m.Weigh == "fragmentation" }
+
 // Shape returns the width of the cell hierarchy.
 func (m *Manifest) Shape() planner.Shape {
 	return planner.Shape{Slots: m.Width.Slots, Workers: m.Width.Workers}
--- a/internal/config/parser/parser_test.go
+++ b/internal/config/parser/parser_test.go
@@ -67,6 +67,7 @@
 		{"unknown field", manifest, strings.Replace(goodManifest, `"version": 1`, `"version": 1, "colour": 2`, 1)},
 		{"unknown nested field", manifest, strings.Replace(goodManifest, `"racks": 1`, `"racks": 1, "tall": 2`, 1)},
 		{"wrong type", manifest, strings.Replace(goodManifest, `"version": 1`, `"version": "one"`, 1)},
+		{"weigh", manifest, strings.Replace(goodManifest, `"version": 1`, `"version": 1, "weigh": "both"`, 1)},
 		{"no version", manifest, strings.Replace(goodManifest, `"version": 1`, `"version": 0`, 1)},
 		{"slots beyond the width", manifest, strings.Replace(goodManifest, `"slots": 8, "processors"`, `"slots": 9, "processors"`, 1)},
 		{"token", manifest, strings.Replace(goodManifest, `000"`, `00"`, 1)},
--- a/internal/job/decider/manifest.go
+++ b/internal/job/decider/manifest.go
@@ -57,6 +57,7 @@
 	if m.Shape() != s.fleet.Shape() {
 		s.fleet = planner.New(m.Shape(), s.lostWork)
 	}
+	s.fleet.SetCompact(m.IsCompact())
 	s.fleet.SetGuarantees(m.Promises())
 	s.freed = true
 	s.noteRisk()
--- a/internal/job/decider/measure_test.go
+++ b/internal/job/decider/measure_test.go
@@ -19,6 +19,7 @@
 // benchUser is one user's fleet and load.
 type benchUser struct {
 	name, service string
+	weigh         string
 	places        []string
 	orgs          []string
 	guarantees    [][]parser.Guarantee
@@ -40,11 +41,11 @@
 
 func benchUsers() []benchUser {
 	khula := benchUser{
-		name: "KhulaDin", service: "listing-svc", places: []string{"bagmati-patan", "gandaki-lakeside", "lumbini-garden"},
+		name: "KhulaDin", weigh: "fragmentation", service: "listing-svc", places: []string{"bagmati-patan", "gandaki-lakeside", "lumbini-garden"},
 		orgs: []string{"temples", "tourism", "guides", "translators", "wards"}, jobs: nightBatch,
 	}
 	hoang := benchUser{
-		name: "HoangThach", service: "cube-report", places: []string{"hanoi-a", "danang-a", "hcmc-a"},
+		name: "HoangThach", weigh: "completion", service: "cube-report", places: []string{"hanoi-a", "danang-a", "hcmc-a"},
 		orgs: []string{"rigs", "reports", "contractors", "archive", "audit"}, jobs: dayPeaks,
 	}
 	for _, u := range []*benchUser{&khula, &hoang} {
@@ -60,7 +61,7 @@
 }
 
 func (u benchUser) manifest() []byte {
-	m := parser.Manifest{Version: 1}
+	m := parser.Manifest{Version: 1, Weigh: u.weigh}
 	for _, place := range u.places {
 		m.Places = append(m.Places, parser.Place{
 			Name: place, Service: u.service, Racks: 2, Workers: 8, Slots: 8, Processors: 128, Memory: 512, Accelerators: 8,
--- a/internal/job/decider/property_test.go
+++ b/internal/job/decider/property_test.go
@@ -14,7 +14,7 @@
 )
 
 const smallManifest = `{
-  "version": %d, "width": {"slots": 4, "workers": 2}, "checkpoint": "2s",
+  "version": %d, "weigh": %q, "width": {"slots": 4, "workers": 2}, "checkpoint": "2s",
   "places": [
     {"name": "p1", "service": "s", "racks": 2, "workers": 2, "slots": 4, "processors": 16, "memory": 64, "accelerators": 4},
     {"name": "p2", "service": "s", "racks": 1, "workers": 2, "slots": 4, "processors": 16, "memory": 64, "accelerators": 4},
@@ -36,12 +36,13 @@
 			}
 			orgs = append(orgs, fmt.Sprintf(`{"name": %q, "token": "%064d", "queue": 20, "guarantees": [%s]}`, org, i, strings.Join(promises, ",")))
 		}
-		text := fmt.Appendf(nil, smallManifest, version, strings.Join(orgs, ","))
+		weigh := rapid.SampledFrom([]string{"completion", "fragmentation"}).Draw(t, "weigh")
+		text := fmt.Appendf(nil, smallManifest, version, weigh, strings.Join(orgs, ","))
 		if _, err := parser.ParseManifest("m", text); err == nil {
 			return text
 		}
 		if try > 20 {
-			return fmt.Appendf(nil, smallManifest, version, `{"name": "a", "token": "`+strings.Repeat("0", 64)+`"}`)
+			return fmt.Appendf(nil, smallManifest, version, "completion", `{"name": "a", "token": "`+strings.Repeat("0", 64)+`"}`)
 		}
 	}
 }
--- a/internal/job/decider/snapshot.go
+++ b/internal/job/decider/snapshot.go
@@ -69,6 +69,9 @@
 		return nil, fmt.Errorf("restore decisions: %w", err)
 	}
 	s.fleet = fleet
+	if s.manifest != nil {
+		s.fleet.SetCompact(s.manifest.IsCompact())
+	}
 	s.now = snap.Now
 	s.gone = snap.Gone
 	s.lastGrant = snap.LastGrant
--- a/internal/job/planner/fleet.go
+++ b/internal/job/planner/fleet.go
@@ -108,6 +108,7 @@
 	grants  map[GrantID]*Grant
 	soft    []GrantID // claims that evict nothing, in order; ended ones are dropped lazily
 	cost    func(GrantID) float64
+	compact bool
 }
 
 // New returns an empty fleet. cost gives the work, in slot-seconds, that is lost when a
@@ -121,6 +122,9 @@
 	}
 }
 
+// SetCompact says whether partly used workers are filled before free ones are split.
+func (f *Fleet) SetCompact(compact bool) { f.compact = compact }
+
 // Shape returns the width of the cell hierarchy.
 func (f *Fleet) Shape() Shape { return f.shape }
 
--- a/internal/job/planner/place.go
+++ b/internal/job/planner/place.go
@@ -43,9 +43,9 @@
 
 // Place looks for room: within the guarantee first, then on borrowed or surplus cells.
 func (f *Fleet) Place(id GrantID, q Request) Placement {
-	for _, a := range approaches(q) {
+	for _, a := range f.approaches(q) {
 		for _, pools := range f.poolChoices(q) {
-			t := &placing{fleet: f, request: q, pools: pools, evict: a.evict, grant: &Grant{
+			t := &placing{fleet: f, request: q, pools: pools, evict: a.evict, split: a.split, grant: &Grant{
 				ID: id, Org: q.Org, Mode: a.mode, reclaimable: q.Reclaimable, urgent: q.Evict,
 			}}
 			if t.run() {
@@ -61,17 +61,28 @@
 type approach struct {
 	mode  Mode
 	evict bool // borrowed work may be taken back for it
+	split bool // a free worker may be split, or a new guaranteed cell bound, for it
 }
 
 // approaches lists the ways to find room in turn. Room that nobody uses comes before room that
-// must be taken back, so that work is evicted only when there is no other way.
-func approaches(q Request) []approach {
+// must be taken back, so that work is evicted only when there is no other way. A compact fleet
+// fills partly used workers before it splits a free one, which leaves larger cells whole and lets
+// more work run on borrowed room, to be evicted later.
+func (f *Fleet) approaches(q Request) []approach {
+	beyond := Borrowed
 	if !q.Reclaimable {
-		return []approach{{Guaranteed, false}, {Surplus, false}, {Guaranteed, true}}
+		beyond = Surplus
 	}
-	list := []approach{{Guaranteed, false}, {Borrowed, false}, {Guaranteed, true}}
-	if q.Evict {
-		list = append(list, approach{Borrowed, true})
+	var list []approach
+	if f.compact {
+		list = append(list, approach{Guaranteed, false, false})
+		if q.Reclaimable {
+			list = append(list, approach{Borrowed, false, false})
+		}
+	}
+	list = append(list, approach{Guaranteed, false, true}, approach{beyond, false, true}, approach{Guaranteed, true, true})
+	if q.Evict && q.Reclaimable {
+		list = append(list, approach{Borrowed, true, true})
 	}
 	return list
 }
@@ -111,6 +122,7 @@
 	request   Request
 	pools     []*pool
 	evict     bool
+	split     bool
 	grant     *Grant
 	victims   []GrantID
 	displaced []GrantID
@@ -221,6 +233,9 @@
 	for _, p := range t.pools {
 		found := false
 		eachCell(&p.free, pc.level, func(first int) bool {
+			if !t.split && t.splitsWorker(p, first) {
+				return false
+			}
 			if t.avoided(p, first, pc) || t.pinsGuarantee(p, first, pc) {
 				return true
 			}
@@ -342,3 +357,9 @@
 	tasks := n / t.request.Slots
 	t.grant.Parts = append(t.grant.Parts, Part{Worker: worker, First: start, Slots: n, Tasks: tasks})
 }
+
+// splitsWorker reports whether the slot lies on a worker that is wholly free.
+func (t *placing) splitsWorker(p *pool, first int) bool {
+	level := int(t.fleet.shape.WorkerLevel())
+	return p.free.has(level, first>>level)
+}
--- a/internal/job/planner/place_test.go
+++ b/internal/job/planner/place_test.go
@@ -41,6 +41,7 @@
 func TestFailedPlaceChangesNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := smallFleet(t)
+		f.SetCompact(rapid.Bool().Draw(t, "compact"))
 		for id := GrantID(1); id < 30; id++ {
 			before := f.Save()
 			placed := f.Place(id, drawRequest(t))
--- a/internal/job/planner/reclaim.go
+++ b/internal/job/planner/reclaim.go
@@ -82,7 +82,10 @@
 		t.mark(best.pool, best.first, pc)
 		return true
 	}
-	fresh := t.weighUnbound(pc)
+	fresh := cellChoice{}
+	if t.split {
+		fresh = t.weighUnbound(pc)
+	}
 	if fresh.pool != nil && (best.pool == nil || fresh.cost < best.cost) {
 		return t.bindAndMark(fresh, pc)
 	}
