applier: proposals of a leader that steps down are answered; tests: ports below the outgoing ones

Ports come from below that range now, and a failed test shows the daemons' logs. Reading for the cause showed that a leader that stepped down on a tick left its proposers without a reply until their own deadline.

--- a/internal/console/demonstrator/demonstrator.go
+++ b/internal/console/demonstrator/demonstrator.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -155,7 +156,7 @@
 
 // settings writes the settings of all daemons, on free ports.
 func (f *Fleet) settings() ([]*parser.Settings, error) {
-	ports, err := freePorts(2 * daemons)
+	ports, err := FreePorts(2 * daemons)
 	if err != nil {
 		return nil, err
 	}
@@ -178,8 +179,16 @@
 	return list, nil
 }
 
-// freePorts returns loopback addresses that are free now.
-func freePorts(n int) ([]netip.AddrPort, error) {
+// Ports for daemons lie below those that the system gives to outgoing connections, as one of these
+// could otherwise take a port between its choice here and its use.
+const (
+	firstPort = 10_000
+	lastPort  = 32_000
+	portTries = 1000
+)
+
+// FreePorts returns loopback addresses that nobody listens at now.
+func FreePorts(n int) ([]netip.AddrPort, error) {
 	var ports []netip.AddrPort
 	var open []net.Listener
 	defer func() {
@@ -187,15 +196,19 @@
 			_ = l.Close()
 		}
 	}()
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portTries {
+		if len(ports) == n {
+			return ports, nil
+		}
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+rand.IntN(lastPort-firstPort)))
+		l, err := net.Listen("tcp", address.String())
 		if err != nil {
-			return nil, fmt.Errorf("find a port: %w", err)
+			continue
 		}
 		open = append(open, l)
-		ports = append(ports, l.Addr().(*net.TCPAddr).AddrPort())
+		ports = append(ports, address)
 	}
-	return ports, nil
+	return nil, fmt.Errorf("found %d free ports of %d in %d tries", len(ports), n, portTries)
 }
 
 func (f *Fleet) applyManifest() error {
--- a/internal/daemon/runner/process_test.go
+++ b/internal/daemon/runner/process_test.go
@@ -6,7 +6,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -18,6 +17,7 @@
 
 	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
 	"github.com/bluebellgauge/bluebellgauge/internal/console/client"
+	"github.com/bluebellgauge/bluebellgauge/internal/console/demonstrator"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 	"github.com/bluebellgauge/bluebellgauge/internal/worker/executor"
 	"github.com/bluebellgauge/bluebellgauge/internal/worker/registrar"
@@ -95,12 +95,11 @@
 
 func freePort(tb testing.TB) string {
 	tb.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ports, err := demonstrator.FreePorts(1)
 	if err != nil {
 		tb.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return ports[0].String()
 }
 
 func (p *processes) must(err error) {
@@ -140,6 +139,19 @@
 	for i := range p.commands {
 		p.end(i, os.Kill)
 	}
+	if p.tb.Failed() {
+		p.showLogs()
+	}
+}
+
+// showLogs prints the end of what each daemon has logged.
+func (p *processes) showLogs() {
+	const tail = 2000 // bytes
+	for _, s := range p.settings {
+		if text, err := os.ReadFile(p.path(s) + ".log"); err == nil {
+			p.tb.Logf("%s: ...%s", s.Name, text[max(len(text)-tail, 0):])
+		}
+	}
 }
 
 // apply puts a manifest with one organisation in force.
--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -64,6 +64,7 @@
 	applied  uint64
 	lastTime time.Time
 	ticking  bool // a Tick has been proposed and not applied
+	leading  bool // at the end of the last step
 
 	inbox     chan input
 	proposals map[uint64]*proposal
@@ -215,6 +216,9 @@
 		return
 	}
 	p.term = a.node.Term()
+	if old := a.proposals[index]; old != nil {
+		old.reply <- result{err: ErrUnsure}
+	}
 	a.proposals[index] = p
 }
 
@@ -242,7 +246,6 @@
 
 // settle carries out what the consensus asks for until there is nothing left.
 func (a *Applier) settle() error {
-	leading := a.node.Role() == replicator.Leader
 	for {
 		out := a.node.Take()
 		if out.Empty() {
@@ -253,10 +256,12 @@
 		}
 	}
 	a.current.Store(a.node.Members())
-	if leading && a.node.Role() != replicator.Leader {
+	leading := a.node.Role() == replicator.Leader
+	if a.leading && !leading {
 		a.failPending(ErrUnsure)
 		a.ticking = false
 	}
+	a.leading = leading
 	if a.node.LogLength() >= a.opts.SnapshotEvery && a.applied > 0 {
 		return a.saveSnapshot()
 	}
