--- a/internal/job/planner/place_test.go
+++ b/internal/job/planner/place_test.go
@@ -93,3 +93,64 @@
 	is.Equal(again.Grant.Mode, Guaranteed)
 	is.Equal(len(again.Victims), 0)
 }
+
+// TestRefusalIsRight compares each refusal of an organisation without guarantees with a plain
+// search over all slots: there must truly be no room.
+func TestRefusalIsRight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := smallFleet(t)
+		f.SetCompact(rapid.Bool().Draw(t, "compact"))
+		for id := GrantID(1); id < 40; id++ {
+			q := drawRequest(t)
+			q.Evict = false
+			before := freeSlots(f)
+			placed := f.Place(id, q).Grant != nil
+			if q.Org == "c" && q.Reclaimable {
+				if fits := fitsSomewhere(before, q, f.Shape()); fits != placed {
+					t.Fatalf("%+v was placed: %t, a search says %t over %v", q, placed, fits, before)
+				}
+			}
+			if rapid.IntRange(0, 2).Draw(t, "release") == 0 {
+				f.Release(GrantID(rapid.IntRange(1, int(id)).Draw(t, "which")))
+			}
+		}
+	})
+}
+
+func freeSlots(f *Fleet) []bool {
+	var free []bool
+	f.EachCell(func(_, _ int, c Cell) {
+		free = append(free, c.Usable && c.Owner == 0 && c.Claim == 0)
+	})
+	return free
+}
+
+// fitsSomewhere searches one place. A gang in one worker or rack needs one aligned cell whose slots
+// are all free; a looser one needs an aligned run for each task, which greedy search finds.
+func fitsSomewhere(free []bool, q Request, shape Shape) bool {
+	perWorker := shape.Slots / q.Slots
+	size := 1 << levelFor(q.Slots)
+	if q.Adjacency >= SameRack {
+		size = 1 << levelFor(q.Tasks*q.Slots)
+		if q.Tasks > perWorker {
+			workers := (q.Tasks + perWorker - 1) / perWorker
+			size = shape.Slots << levelFor(workers)
+		}
+		limit := shape.rackSlots()
+		if q.Adjacency == SameWorker {
+			limit = shape.Slots
+		}
+		return size <= limit && alignedRuns(free, size) > 0
+	}
+	return alignedRuns(free, size) >= q.Tasks
+}
+
+func alignedRuns(free []bool, size int) int {
+	n := 0
+	for first := 0; first+size <= len(free); first += size {
+		if allOf(free[first : first+size]) {
+			n++
+		}
+	}
+	return n
+}
