replicator: one look-up of a member by name; drop two unused methods

Cause: reading the whole change again: three places searched voters and learners by hand, the rule of a replaced disk stood twice, and two exported methods had no caller.

--- a/internal/daemon/runner/peering.go
+++ b/internal/daemon/runner/peering.go
@@ -37,7 +37,8 @@
 	scheme string
 	secret string
 	name   string
-	// identity is of this daemon's data folder, set before the first message.
+	// identity is of this daemon's data folder, known once the folder is open. Others refuse what
+	// is sent before that, and the consensus repeats itself.
 	identity atomic.Pointer[string]
 	client   *http.Client
 	log      *zap.Logger
--- a/internal/daemon/runner/repair.go
+++ b/internal/daemon/runner/repair.go
@@ -85,7 +85,7 @@
 // another data folder is not the member.
 func (r *repairer) isGone(now time.Time, k *messages.Member, seen []registrar.KeeperSeen) bool {
 	last := r.began
-	if s := find(seen, k.GetName()); s != nil && (k.GetIdentity() == "" || s.Identity == k.GetIdentity()) && s.Last.After(last) {
+	if s := find(seen, k.GetName()); s != nil && !isReplaced(k, seen) && s.Last.After(last) {
 		last = s.Last
 	}
 	return now.Sub(last) > r.after
@@ -111,8 +111,7 @@
 
 func addLearner(now time.Time, after time.Duration, m *messages.Members, seen []registrar.KeeperSeen) bool {
 	for _, s := range seen {
-		same := func(k *messages.Member) bool { return k.GetName() == s.Name }
-		if slices.ContainsFunc(m.GetVoters(), same) || slices.ContainsFunc(m.GetLearners(), same) || now.Sub(s.Last) > after {
+		if replicator.FindMember(m, s.Name) != nil || now.Sub(s.Last) > after {
 			continue
 		}
 		m.Learners = append(m.Learners, &messages.Member{Name: s.Name, Place: s.Place, Address: s.Address, Identity: s.Identity})
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -186,9 +186,6 @@
 // Failed delivers the error that makes the daemon unable to go on.
 func (r *Runner) Failed() <-chan error { return r.failed }
 
-// Name returns the name of the daemon.
-func (r *Runner) Name() string { return r.opts.Settings.Name }
-
 // Address returns where callers, operators and workers reach the daemon.
 func (r *Runner) Address() netip.AddrPort { return r.opts.Settings.ListenAddr() }
 
--- a/internal/state/applier/requests.go
+++ b/internal/state/applier/requests.go
@@ -176,15 +176,8 @@
 // Knows reports whether a data folder may speak for a member. A folder that was wiped or brought
 // back under a used name may not: it has forgotten what it voted for and confirmed.
 func (a *Applier) Knows(name, identity string) bool {
-	m := a.current.Load()
-	for _, list := range [][]*messages.Member{m.GetVoters(), m.GetLearners()} {
-		for _, k := range list {
-			if k.GetName() == name {
-				return k.GetIdentity() == "" || k.GetIdentity() == identity
-			}
-		}
-	}
-	return true
+	k := replicator.FindMember(a.current.Load(), name)
+	return k == nil || k.GetIdentity() == "" || k.GetIdentity() == identity
 }
 
 // Done is closed when the replica has stopped, on request or after a failed write.
--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -265,6 +265,14 @@
 	return d
 }
 
+// FindMember returns the voter or learner of a name, or nil.
+func FindMember(m *messages.Members, name string) *messages.Member {
+	if voter := findMember(m.GetVoters(), name); voter != nil {
+		return voter
+	}
+	return findMember(m.GetLearners(), name)
+}
+
 func findMember(list []*messages.Member, name string) *messages.Member {
 	for _, m := range list {
 		if m.GetName() == name {
@@ -391,9 +399,7 @@
 	}
 }
 
-func (n *Node) isMember(name string) bool {
-	return n.isVoter(name) || findMember(n.members.GetLearners(), name) != nil
-}
+func (n *Node) isMember(name string) bool { return FindMember(n.members, name) != nil }
 
 func (n *Node) peerNames() []string {
 	names := make([]string, 0, len(n.peers))
--- a/internal/worker/executor/executor.go
+++ b/internal/worker/executor/executor.go
@@ -61,14 +61,13 @@
 type Executor struct {
 	Faults Faults
 
-	opts    Options
-	server  *http.Server
-	client  *http.Client
-	address netip.AddrPort
-	cancel  context.CancelFunc
-	kick    chan struct{} // a report is due
-	rearm   chan struct{} // the machine's next time has changed
-	wait    sync.WaitGroup
+	opts   Options
+	server *http.Server
+	client *http.Client
+	cancel context.CancelFunc
+	kick   chan struct{} // a report is due
+	rearm  chan struct{} // the machine's next time has changed
+	wait   sync.WaitGroup
 
 	mu       sync.Mutex
 	machine  *Machine
@@ -93,8 +92,7 @@
 		client: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{}},
 	}
 	e.machine = NewMachine(int(opts.Announcement.GetSlots()), opts.Timing.Lease, e.trace)
-	e.address = listener.Addr().(*net.TCPAddr).AddrPort()
-	opts.Announcement.Address = e.address.String()
+	opts.Announcement.Address = listener.Addr().String()
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/orders", e.serveOrders)
 	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: requestTimeout}
@@ -108,9 +106,6 @@
 	return e, nil
 }
 
-// Address returns where the worker takes orders.
-func (e *Executor) Address() netip.AddrPort { return e.address }
-
 // Leave announces that the worker takes no new work, and returns once its tasks have ended and
 // their ends are reported, or when the context ends.
 func (e *Executor) Leave(ctx context.Context) error {
