replicator: the commit rule for earlier terms has a test; docs: a claim set right

Figures: the new test fails with the mutation (entry 1 committed, want 0) and passes without it.

Conclusion: the rule was right in the code; its proof was not, and is now.

--- /dev/null
+++ b/internal/state/replicator/commit_test.go
@@ -0,0 +1,31 @@
+package replicator
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+)
+
+// TestOldTermIsNotCommittedAlone lets a quorum confirm an entry of an earlier term to a new leader.
+// Another node may still replace it, so it is committed only with an entry of the leader's own term.
+func TestOldTermIsNotCommittedAlone(t *testing.T) {
+	is := is.New(t)
+	members := &messages.Members{Voters: []*messages.Member{{Name: "n0"}, {Name: "n1"}, {Name: "n2"}}}
+	n := New(Options{Name: "n0", ElectionTicks: testElection, HeartbeatTicks: 2, DriftTicks: 1, MaxBatch: 64, ChunkSize: 8}, Initial{
+		Hard: &messages.HardState{Term: 2}, Members: members, Entries: []*messages.Entry{{Index: 1, Term: 1}},
+	})
+	for n.Role() == Follower {
+		n.Tick()
+	}
+	n.Step(&messages.Message{Kind: messages.Kind_KIND_PREVOTE_REPLY, From: "n1", To: "n0", Term: 3})
+	n.Step(&messages.Message{Kind: messages.Kind_KIND_VOTE_REPLY, From: "n1", To: "n0", Term: 3})
+	is.Equal(n.Role(), Leader)
+	n.Take()
+	n.Synced(2)
+	n.Step(&messages.Message{Kind: messages.Kind_KIND_APPEND_REPLY, From: "n1", To: "n0", Term: 3, Index: 1})
+	is.Equal(n.Committed(), uint64(0))
+	n.Step(&messages.Message{Kind: messages.Kind_KIND_APPEND_REPLY, From: "n1", To: "n0", Term: 3, Index: 2})
+	is.Equal(n.Committed(), uint64(2))
+}
--- a/spec/raft.pml
+++ b/spec/raft.pml
@@ -6,7 +6,7 @@
  * Sizes: three terms and one entry, or two terms and two entries. Two of the three may become
  * candidates, as the third one is like them, and there is one crash. That an entry of an earlier
  * term is committed only together with one of the leader's own needs four terms to show, which is
- * too large here; the schedules of the Go code show it.
+ * too large here; TestOldTermIsNotCommittedAlone shows it.
  *
  * Properties: one leader a term; a committed entry stands in the log of every later leader.
  */
