--- a/internal/wire/messages/generate.go
+++ b/internal/wire/messages/generate.go
@@ -2,4 +2,4 @@
 // from bluebellgauge.proto; no logic may live here.
 package messages
 
-//go:generate protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative bluebellgauge.proto
+//go:generate protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative bluebellgauge.proto queue.proto
