--- /dev/null
+++ b/cmd/bluebellplatformd/main.go
@@ -0,0 +1,118 @@
+// Command bluebellplatformd is the daemon on the users' platform. The platform's settings file says
+// whether it is an entry or a keeper.
+package main
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/report/logger"
+	"github.com/bluebellgauge/bluebellgauge/platform"
+)
+
+const (
+	exitFailure  = 1
+	exitSettings = 2
+	lookEvery    = time.Second // at the settings file, which may change without a signal
+)
+
+type options struct {
+	Check bool `long:"check" description:"check the settings file and exit"`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var opts options
+	if _, err := flags.Parse(&opts); err != nil {
+		var usage *flags.Error
+		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+			return 0
+		}
+		return exitSettings
+	}
+	s, err := platform.ReadSettings()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "bluebellplatformd:", err)
+		return exitSettings
+	}
+	if opts.Check {
+		return 0
+	}
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(s.Memory)
+	}
+	sink := logger.New(os.Stdout)
+	defer sink.Close()
+	log := newLogger(sink)
+	a, err := platform.New(s, log)
+	if err != nil {
+		log.Error("start failed", zap.Error(err))
+		return exitFailure
+	}
+	return watch(a, log)
+}
+
+func newLogger(sink *logger.Logger) *zap.Logger {
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.ISO8601TimeEncoder
+	config.EncodeDuration = zapcore.MillisDurationEncoder
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), sink, zapcore.InfoLevel))
+}
+
+// watch waits for the end of the process and for changes of its settings.
+func watch(a *platform.Adapter, log *zap.Logger) int {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	last, _ := os.ReadFile(platform.SettingsPath()) // a failure shows at the next look
+	for {
+		select {
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				last = reload(a, last, log)
+				continue
+			}
+			a.Stop()
+			return 0
+		case <-ticker.C:
+			last = reload(a, last, log)
+		case err := <-a.Failed():
+			log.Error("process fails", zap.Error(err))
+			return exitFailure
+		case err := <-a.DaemonFailed():
+			log.Error("daemon fails", zap.Error(err))
+			return exitFailure
+		}
+	}
+}
+
+// reload puts the settings file in force if it has changed, and returns its text.
+func reload(a *platform.Adapter, last []byte, log *zap.Logger) []byte {
+	text, err := os.ReadFile(platform.SettingsPath())
+	if err != nil {
+		log.Warn("settings can't be read", zap.Error(err))
+		return last
+	}
+	if bytes.Equal(text, last) {
+		return last
+	}
+	s, err := platform.ReadSettings()
+	if err != nil {
+		log.Warn("settings refused", zap.Error(err))
+		return last
+	}
+	a.Reload(s)
+	return text
+}
--- a/internal/config/parser/settings.go
+++ b/internal/config/parser/settings.go
@@ -15,6 +15,7 @@
 	Peering  string   `json:"peering"` // other daemons
 	Keepers  []Peer   `json:"keepers"` // all first keepers, the same list everywhere
 	Data     string   `json:"data,omitempty"`
+	Late     bool     `json:"late,omitempty"`   // the fleet has started before; an empty data folder must be taken in by a leader
 	Operator string   `json:"operator"`         // file with the operators' token
 	Secret   string   `json:"secret"`           // file with the secret shared by the daemons
 	Drain    Duration `json:"drain,omitempty"`  // bound on a graceful shutdown
--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -14,6 +15,8 @@
 
 	"github.com/bluebellgauge/bluebellgauge/internal/entry/forwarder"
 	"github.com/bluebellgauge/bluebellgauge/internal/job/decider"
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/bookkeeper"
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/conductor"
 	"github.com/bluebellgauge/bluebellgauge/internal/report/burner"
 	"github.com/bluebellgauge/bluebellgauge/internal/report/recorder"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/applier"
@@ -37,6 +40,7 @@
 	history    *recorder.Recorder
 	burn       *burner.Burner
 	repair     *repairer
+	queues     *conductor.Conductor
 	log        *zap.Logger
 	delivered  tally.Counter
 }
@@ -45,6 +49,9 @@
 	s := r.opts.Settings
 	bootstrap := &messages.Members{}
 	for _, k := range s.Keepers {
+		if s.Late {
+			break // only a leader may take this daemon in
+		}
 		bootstrap.Voters = append(bootstrap.Voters, &messages.Member{Name: k.Name, Place: k.Place, Address: k.Address})
 	}
 	rep := &replica{log: r.log, burn: burner.New(), delivered: metrics.Counter("answers")}
@@ -73,10 +80,22 @@
 	rep.applier = a
 	identity := a.Identity()
 	r.peers.identity.Store(&identity)
-	rep.repair = newRepairer(len(s.Keepers), r.opts.RepairAfter)
+	rep.repair = newRepairer(cmp.Or(r.opts.Voters, len(s.Keepers)), r.opts.RepairAfter)
 	rep.server = forwarder.NewServer(forwarder.ServerOptions{
 		Replica: a, Timing: r.opts.Timing, Now: time.Now, Address: r.peers.keeperAddress, History: history, Burn: rep.burn,
 	})
+	rep.queues = conductor.New(conductor.Options{
+		Timing: r.opts.Queues.Timing, Address: r.opts.Queues.Address, FarFactor: r.opts.Queues.FarFactor,
+		Read: func(ctx context.Context, read func(term uint64, book *bookkeeper.Book)) error {
+			return a.Read(ctx, func(term uint64, state *decider.State) { read(term, state.Queues()) })
+		},
+		Commit: func(ctx context.Context, change *messages.QueueChange) error {
+			_, err := a.Propose(ctx, decider.ChangeQueues{Change: change})
+			return err
+		},
+		Explain: rep.server.Explain, Now: time.Now, Wall: time.Now, Log: r.log,
+	})
+	r.forward.SetLocal(s.PeeringAddr(), rep.queues)
 	r.replica = rep
 	r.wait.Go(func() { rep.lead(r.ctx) })
 	r.wait.Go(func() {
@@ -196,6 +215,7 @@
 }
 
 func (p *replica) stop() {
+	p.queues.Stop()
 	p.applier.Stop()
 	p.dispatcher.Stop()
 	if err := p.history.Close(); err != nil {
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"github.com/gorilla/mux"
 	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
@@ -24,6 +25,7 @@
 	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
 	"github.com/bluebellgauge/bluebellgauge/internal/entry/forwarder"
 	"github.com/bluebellgauge/bluebellgauge/internal/entry/router"
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/conductor"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 	"github.com/bluebellgauge/bluebellgauge/internal/worker/registrar"
 )
@@ -46,7 +48,28 @@
 	// RepairAfter is how long a keeper may be gone until another one takes its place.
 	RepairAfter time.Duration
 	Dial        Dial // to other daemons, nil for the network
-	Log         *zap.Logger
+	Queues      QueueOptions
+	// Voters is the number of keepers that vote, 0 for that of the settings.
+	Voters int
+	Log    *zap.Logger
+}
+
+// QueueOptions are the parameters of queues.
+type QueueOptions struct {
+	Timing    conductor.Timing
+	Address   string  // where workers of queues reach this daemon, "" for anywhere
+	FarFactor float64 // how much longer a task takes away from its data or its gang
+}
+
+// DefaultQueues returns the parameters of queues of a real fleet.
+func DefaultQueues() QueueOptions {
+	return QueueOptions{
+		Timing: conductor.Timing{
+			Lease: 8 * time.Second, Longest: 8 * time.Second, Report: time.Second, Silent: 3 * time.Second,
+			Retention: 24 * time.Hour, Early: 0,
+		},
+		FarFactor: 1,
+	}
 }
 
 // Dial opens a connection to another daemon.
@@ -110,6 +133,9 @@
 	}
 	r.peers = peers
 	r.forward = forwarder.New(peers.scheme, peers.client, peers)
+	if r.opts.Queues.Timing.Lease == 0 {
+		r.opts.Queues = DefaultQueues()
+	}
 	if s.Data != "" {
 		if err := r.buildReplica(metrics); err != nil {
 			return err
@@ -165,7 +191,10 @@
 	if r.replica == nil {
 		return http.NotFoundHandler()
 	}
-	return messages.NewPeerServer(r.replica.server)
+	m := mux.NewRouter()
+	m.PathPrefix(messages.PeerPathPrefix).Handler(messages.NewPeerServer(r.replica.server))
+	m.PathPrefix(messages.QueuesPathPrefix).Handler(messages.NewQueuesServer(r.replica.queues))
+	return m
 }
 
 func (r *Runner) serve(server *http.Server, listener net.Listener) {
@@ -189,6 +218,28 @@
 // Address returns where callers, operators and workers reach the daemon.
 func (r *Runner) Address() netip.AddrPort { return r.opts.Settings.ListenAddr() }
 
+// Queues returns the way to the leader for calls on queues.
+func (r *Runner) Queues() *forwarder.Forwarder { return r.forward }
+
+// Fresh reports whether a leader answered this daemon within a bound.
+func (r *Runner) Fresh(bound time.Duration) bool { return r.home.Fresh(bound) }
+
+// HandOver passes the leadership on, when this daemon has it.
+func (r *Runner) HandOver() {
+	if r.replica != nil {
+		r.replica.handOver(r.ctx)
+	}
+}
+
+// AddKeepers tells the daemon of further keepers that it may ask.
+func (r *Runner) AddKeepers(list []parser.Peer) {
+	var daemons []*messages.Daemon
+	for _, k := range list {
+		daemons = append(daemons, &messages.Daemon{Name: k.Name, Place: k.Place, Address: k.Address, Keeper: true})
+	}
+	r.peers.learn(daemons)
+}
+
 // IsLeader reports whether the daemon leads now.
 func (r *Runner) IsLeader() bool { return r.replica != nil && r.replica.isLeader(r.ctx) }
 
@@ -257,9 +308,7 @@
 // and ends it.
 func (r *Runner) Stop() {
 	r.Drain()
-	if r.replica != nil {
-		r.replica.handOver(r.ctx)
-	}
+	r.HandOver()
 	deadline := time.Now().Add(r.opts.Settings.Drain.Std())
 	least := time.Now().Add(min(minDrain, r.opts.Settings.Drain.Std()))
 	for time.Now().Before(deadline) && (r.router.InFlight() > 0 || time.Now().Before(least)) {
--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -44,6 +44,8 @@
 	mu     sync.Mutex
 	leader netip.AddrPort // last known, zero for none
 	next   int            // keeper to ask when no leader is known
+	own    netip.AddrPort // of this daemon, when it is a keeper
+	local  messages.Queues
 }
 
 // New returns a forwarder that knows no leader yet. client must carry the daemons' credentials.
@@ -85,7 +87,7 @@
 
 // call asks the leader until it answers or the context ends. Every request that is passed on
 // has the same effect when it arrives twice.
-func call[T any](ctx context.Context, f *Forwarder, timeout time.Duration, ask func(context.Context, messages.Peer) (T, error)) (T, error) {
+func call[T any](ctx context.Context, f *Forwarder, timeout time.Duration, ask func(context.Context, netip.AddrPort) (T, error)) (T, error) {
 	wait := &backoff.ExponentialBackOff{
 		InitialInterval: firstRetry, MaxInterval: longestRetry, Multiplier: 1.5, RandomizationFactor: 0.5,
 	}
@@ -107,7 +109,7 @@
 	}
 }
 
-func attempt[T any](ctx context.Context, f *Forwarder, timeout time.Duration, ask func(context.Context, messages.Peer) (T, error)) (T, error) {
+func attempt[T any](ctx context.Context, f *Forwarder, timeout time.Duration, ask func(context.Context, netip.AddrPort) (T, error)) (T, error) {
 	var zero T
 	address, ok := f.target()
 	if !ok {
@@ -115,12 +117,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	peer := messages.NewPeerProtobufClient(f.scheme+"://"+address.String(), f.client)
-	reply, err := ask(ctx, peer)
+	reply, err := ask(ctx, address)
 	f.learn(address, err)
 	return reply, err
 }
 
+func (f *Forwarder) peer(address netip.AddrPort) messages.Peer {
+	return messages.NewPeerProtobufClient(f.scheme+"://"+address.String(), f.client)
+}
+
 // final reports whether asking again can't help.
 func final(err error) bool {
 	var te twirp.Error
@@ -142,8 +147,8 @@
 	if err != nil {
 		return reply, err
 	}
-	d, err := call(ctx, f, callTimeout, func(ctx context.Context, p messages.Peer) (*messages.Decision, error) {
-		return p.Propose(ctx, &messages.Proposal{Event: event})
+	d, err := call(ctx, f, callTimeout, func(ctx context.Context, a netip.AddrPort) (*messages.Decision, error) {
+		return f.peer(a).Propose(ctx, &messages.Proposal{Event: event})
 	})
 	if err != nil {
 		return reply, err
@@ -154,9 +159,9 @@
 // Await returns a job once it has its answer, or as it stands after the wait.
 func (f *Forwarder) Await(ctx context.Context, org, key string, wait time.Duration) (view decider.View, known bool, err error) {
 	deadline := time.Now().Add(wait)
-	d, err := call(ctx, f, wait+callTimeout, func(ctx context.Context, p messages.Peer) (*messages.Decision, error) {
+	d, err := call(ctx, f, wait+callTimeout, func(ctx context.Context, a netip.AddrPort) (*messages.Decision, error) {
 		left := max(time.Until(deadline), 0)
-		return p.Await(ctx, &messages.Wait{Organisation: org, Key: key, Milliseconds: left.Milliseconds()})
+		return f.peer(a).Await(ctx, &messages.Wait{Organisation: org, Key: key, Milliseconds: left.Milliseconds()})
 	})
 	if err != nil {
 		return view, false, err
@@ -169,16 +174,16 @@
 
 // Query asks the leader for a view of the state, as JSON.
 func (f *Forwarder) Query(ctx context.Context, q *messages.Question) (json.RawMessage, error) {
-	d, err := call(ctx, f, callTimeout, func(ctx context.Context, p messages.Peer) (*messages.Decision, error) {
-		return p.Query(ctx, q)
+	d, err := call(ctx, f, callTimeout, func(ctx context.Context, a netip.AddrPort) (*messages.Decision, error) {
+		return f.peer(a).Query(ctx, q)
 	})
 	return json.RawMessage(d.GetBody()), err
 }
 
 // Sync sends a beat once and returns the leader's reply.
 func (f *Forwarder) Sync(ctx context.Context, b *messages.Beat) (*messages.Orders, error) {
-	return attempt(ctx, f, callTimeout, func(ctx context.Context, p messages.Peer) (*messages.Orders, error) {
-		return p.Sync(ctx, b)
+	return attempt(ctx, f, callTimeout, func(ctx context.Context, a netip.AddrPort) (*messages.Orders, error) {
+		return f.peer(a).Sync(ctx, b)
 	})
 }
 
--- a/internal/entry/forwarder/server.go
+++ b/internal/entry/forwarder/server.go
@@ -60,7 +60,7 @@
 	}
 	orders, err := s.Replica.Propose(ctx, event)
 	if err != nil {
-		return nil, s.explain(ctx, err)
+		return nil, s.Explain(ctx, err)
 	}
 	reply := decider.Reply{Status: decider.StatusOK}
 	for _, o := range orders {
@@ -77,7 +77,7 @@
 	defer cancel()
 	view, known, err := s.Replica.Await(ctx, w.GetOrganisation(), w.GetKey())
 	if err != nil {
-		return nil, s.explain(context.WithoutCancel(ctx), err)
+		return nil, s.Explain(context.WithoutCancel(ctx), err)
 	}
 	if !known {
 		return &messages.Decision{Status: string(decider.StatusUnknown)}, nil
@@ -107,7 +107,7 @@
 	var body any
 	err := s.Replica.Read(ctx, func(_ uint64, state *decider.State) { body = s.look(state, q) })
 	if err != nil {
-		return nil, s.explain(ctx, err)
+		return nil, s.Explain(ctx, err)
 	}
 	if q.GetKind() == AskHistory {
 		lines, err := s.History.Find(recorder.Filter{Subject: q.GetKey(), Org: q.GetOrganisation(), Limit: maxHistory})
@@ -119,7 +119,7 @@
 	if q.GetKind() == AskMembers {
 		status, err := s.Replica.Status(ctx)
 		if err != nil {
-			return nil, s.explain(ctx, err)
+			return nil, s.Explain(ctx, err)
 		}
 		body = membersView(status)
 	}
@@ -241,7 +241,7 @@
 		}
 	})
 	if err != nil {
-		return nil, s.explain(ctx, err)
+		return nil, s.Explain(ctx, err)
 	}
 	return reply, nil
 }
@@ -269,8 +269,8 @@
 	return s.watchOf(term).Lost(s.Now(), state)
 }
 
-// explain turns an error of the replica into one that points to the leader.
-func (s *Server) explain(ctx context.Context, err error) error {
+// Explain turns an error of the replica into one that points to the leader.
+func (s *Server) Explain(ctx context.Context, err error) error {
 	if !errors.Is(err, applier.ErrNotLeader) {
 		return twirp.NewError(twirp.Unavailable, err.Error())
 	}
--- a/internal/job/decider/event.go
+++ b/internal/job/decider/event.go
@@ -1,12 +1,16 @@
 package decider
 
 import (
+	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"net/netip"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
 
 // Event is something that happened. Events reach the decisions through the replicated log.
@@ -46,6 +50,10 @@
 	Acks []Ack `json:"acks"`
 }
 
+// ChangeQueues carries what a leader decided on queues. It is encoded apart from the other events,
+// as it is by far the most frequent one.
+type ChangeQueues struct{ Change *messages.QueueChange }
+
 // Tick lets due deadlines act.
 type Tick struct{}
 
@@ -55,6 +63,7 @@
 func (Submit) event()        {}
 func (Cancel) event()        {}
 func (Report) event()        {}
+func (ChangeQueues) event()  {}
 func (Tick) event()          {}
 
 // WorkerInfo is what a worker announces.
@@ -112,6 +121,9 @@
 
 // Encode writes an event with its time as a log entry.
 func Encode(now time.Time, e Event) ([]byte, error) {
+	if q, ok := e.(ChangeQueues); ok {
+		return encodeQueues(now, q)
+	}
 	body, err := json.Marshal(e)
 	if err != nil {
 		return nil, fmt.Errorf("encode %T: %w", e, err)
@@ -133,6 +145,8 @@
 		return "cancel"
 	case Report:
 		return "report"
+	case ChangeQueues:
+		return "queues"
 	case Tick:
 		return "tick"
 	}
@@ -141,6 +155,9 @@
 
 // Decode reads a log entry.
 func Decode(data []byte) (time.Time, Event, error) {
+	if len(data) > 0 && data[0] == queuesTag {
+		return decodeQueues(data)
+	}
 	var env envelope
 	if err := json.Unmarshal(data, &env); err != nil {
 		return time.Time{}, nil, fmt.Errorf("decode entry: %w", err)
@@ -175,6 +192,33 @@
 	return nil, fmt.Errorf("unknown kind")
 }
 
+// queuesTag starts the entry of a ChangeQueues; no JSON text starts with it.
+const queuesTag = 1
+
+// queuesHead is the tag and the time in Unix nanoseconds.
+const queuesHead = 1 + 8 // bytes
+
+func encodeQueues(now time.Time, e ChangeQueues) ([]byte, error) {
+	data := binary.LittleEndian.AppendUint64([]byte{queuesTag}, uint64(now.UnixNano()))
+	data, err := proto.MarshalOptions{}.MarshalAppend(data, e.Change)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T: %w", e, err)
+	}
+	return data, nil
+}
+
+func decodeQueues(data []byte) (time.Time, Event, error) {
+	if len(data) < queuesHead {
+		return time.Time{}, nil, fmt.Errorf("decode entry: %d bytes, want %d at the least", len(data), queuesHead)
+	}
+	now := time.Unix(0, int64(binary.LittleEndian.Uint64(data[1:]))).UTC()
+	change := &messages.QueueChange{}
+	if err := proto.Unmarshal(data[queuesHead:], change); err != nil {
+		return time.Time{}, nil, fmt.Errorf("decode entry of queues: %w", err)
+	}
+	return now, ChangeQueues{Change: change}, nil
+}
+
 func decodeAs[E Event](body []byte) (Event, error) {
 	var e E
 	err := json.Unmarshal(body, &e)
--- a/internal/job/decider/snapshot.go
+++ b/internal/job/decider/snapshot.go
@@ -10,6 +10,7 @@
 	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
 	"github.com/bluebellgauge/bluebellgauge/internal/job/estimator"
 	"github.com/bluebellgauge/bluebellgauge/internal/job/planner"
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/bookkeeper"
 	"github.com/bluebellgauge/bluebellgauge/internal/worker/doctor"
 )
 
@@ -32,6 +33,7 @@
 	Freed     bool                 `json:"freed"`
 	Estimates *estimator.Estimator `json:"estimates"`
 	Health    *doctor.Doctor       `json:"health"`
+	Queues    []byte               `json:"queues,omitempty"`
 }
 
 // Save writes the state between two events.
@@ -44,6 +46,11 @@
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		snap.Jobs = append(snap.Jobs, s.jobs[id])
 	}
+	queues, err := s.queues.Save()
+	if err != nil {
+		return nil, err
+	}
+	snap.Queues = queues
 	data, err := json.Marshal(snap)
 	if err != nil {
 		return nil, fmt.Errorf("save decisions: %w", err)
@@ -84,7 +91,8 @@
 	maps.Copy(s.workers, snap.Workers)
 	maps.Copy(s.answered, snap.Answered)
 	s.restoreJobs(snap.Jobs)
-	return s, nil
+	s.queues, err = bookkeeper.Restore(snap.Queues)
+	return s, err
 }
 
 func (s *State) restoreManifest(text []byte) error {
--- a/internal/job/decider/state.go
+++ b/internal/job/decider/state.go
@@ -12,6 +12,7 @@
 	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
 	"github.com/bluebellgauge/bluebellgauge/internal/job/estimator"
 	"github.com/bluebellgauge/bluebellgauge/internal/job/planner"
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/bookkeeper"
 	"github.com/bluebellgauge/bluebellgauge/internal/worker/doctor"
 )
 
@@ -68,6 +69,7 @@
 	fresh       []*job
 	estimates   *estimator.Estimator
 	health      *doctor.Doctor
+	queues      *bookkeeper.Book
 	orders      []Order
 }
 
@@ -85,6 +87,7 @@
 		answered:    map[string][]string{},
 		estimates:   estimator.New(),
 		health:      doctor.New(),
+		queues:      bookkeeper.New(),
 	}
 	s.fleet = planner.New(planner.Shape{Slots: 8, Workers: 8}, s.lostWork)
 	return s
@@ -110,6 +113,10 @@
 		s.cancel(e)
 	case Report:
 		s.report(e)
+	case ChangeQueues:
+		// Queues have workers and rules of their own; nothing of the cells follows from them.
+		s.queues.Apply(e.Change)
+		return nil
 	case Tick:
 	default:
 		panic(fmt.Sprintf("unknown event %T", e))
@@ -269,6 +276,9 @@
 // Manifest returns the manifest in force with its text, or nil.
 func (s *State) Manifest() (*parser.Manifest, []byte) { return s.manifest, s.text }
 
+// Queues returns the account of queues.
+func (s *State) Queues() *bookkeeper.Book { return s.queues }
+
 // Version returns the version of the manifest in force, 0 for none.
 func (s *State) Version() uint64 {
 	if s.manifest == nil {
--- /dev/null
+++ b/internal/queue/conductor/conductor.go
@@ -0,0 +1,159 @@
+// Package conductor is the leader's part of queues: it takes callers' jobs and workers' reports,
+// has them committed, and carries out what the placer decides. What it knows of workers lives for
+// one term only; all else stands in the replicated account.
+package conductor
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/job/estimator"
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/bookkeeper"
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+)
+
+const (
+	passInterval = 100 * time.Millisecond // between passes while nothing happens
+	passGap      = 10 * time.Millisecond  // between passes while much happens, so that one serves many events
+	readTimeout  = time.Second            // for the replica to answer the pass
+)
+
+// Timing is how fast workers report and leases run out.
+type Timing struct {
+	Lease     time.Duration // of a worker's runs, from the sending of its report
+	Longest   time.Duration // longest lease that any leader grants
+	Report    time.Duration // between the reports of a worker
+	Silent    time.Duration // without a report until nothing is started on a worker
+	Retention time.Duration // for which the phase of an ended job is known
+	Early     time.Duration // by which an occurrence may start before its time
+}
+
+// driftPercent bounds how much slower a worker's clock may run, with a margin.
+const driftPercent = 3
+
+// leaseMargin covers the time between the receipt of a report and the start of its lease.
+const leaseMargin = 100 * time.Millisecond
+
+// over returns when a lease that was granted at a time has surely run out.
+func (t Timing) over(granted time.Time, lease time.Duration) time.Time {
+	return granted.Add(lease + lease*driftPercent/100 + leaseMargin)
+}
+
+// Options are the dependencies of a conductor.
+type Options struct {
+	Timing  Timing
+	Address string // where workers reach this leader best, "" for anywhere
+	// FarFactor is how much longer a task takes away from its data or its gang.
+	FarFactor float64
+	// Read runs a function on the account of a leader that holds its lease. Calls do not overlap.
+	Read func(ctx context.Context, read func(term uint64, book *bookkeeper.Book)) error
+	// Commit returns once a change is committed and applied.
+	Commit func(ctx context.Context, change *messages.QueueChange) error
+	// Explain turns an error of Read or Commit into one that points to the leader.
+	Explain func(ctx context.Context, err error) error
+	// Now is the steady clock, Wall the time of day.
+	Now  func() time.Time
+	Wall func() time.Time
+	Log  *zap.Logger
+}
+
+// Conductor is the leader's part on one keeper. It rests while another keeper leads.
+type Conductor struct {
+	opts Options
+
+	wake   chan struct{}
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+
+	// What follows is used inside of Read only.
+	term      uint64
+	began     time.Time // of the term, as seen here
+	workers   map[string]*worker
+	tracks    map[bookkeeper.RunKey]*track
+	stopping  map[bookkeeper.RunKey]bool
+	ages      map[string]time.Time // when a job was first seen here
+	ended     map[string]time.Time // when a job was first seen to have ended
+	estimates *estimator.Estimator
+}
+
+var _ messages.Queues = (*Conductor)(nil)
+
+// New starts the conductor of one keeper.
+func New(opts Options) *Conductor {
+	c := &Conductor{opts: opts, wake: make(chan struct{}, 1)}
+	c.enter(0)
+	var ctx context.Context
+	ctx, c.cancel = context.WithCancel(context.Background())
+	c.wait.Go(func() {
+		ticker := time.NewTicker(passInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-c.wake:
+			case <-ticker.C:
+			}
+			c.runPass(ctx)
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(passGap):
+			}
+		}
+	})
+	return c
+}
+
+// Stop ends the conductor and waits for it.
+func (c *Conductor) Stop() {
+	c.cancel()
+	c.wait.Wait()
+}
+
+// enter forgets what was known in an earlier term.
+func (c *Conductor) enter(term uint64) {
+	c.term = term
+	c.began = c.opts.Now()
+	c.workers = map[string]*worker{}
+	c.tracks = map[bookkeeper.RunKey]*track{}
+	c.stopping = map[bookkeeper.RunKey]bool{}
+	c.ages = map[string]time.Time{}
+	c.ended = map[string]time.Time{}
+	c.estimates = estimator.New()
+}
+
+// read runs a function on the account of a leader, with what is known in its term.
+func (c *Conductor) read(ctx context.Context, f func(book *bookkeeper.Book)) error {
+	return c.opts.Read(ctx, func(term uint64, book *bookkeeper.Book) {
+		if term != c.term {
+			c.enter(term)
+			c.opts.Log.Info("leads queues", zap.Uint64("term", term), zap.Int("jobs", len(book.Open())))
+		}
+		f(book)
+	})
+}
+
+func (c *Conductor) stir() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// runPass commits what time and the placer ask for.
+func (c *Conductor) runPass(ctx context.Context) {
+	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	var change *messages.QueueChange
+	if err := c.read(readCtx, func(book *bookkeeper.Book) { change = c.decide(book) }); err != nil || change == nil {
+		return // another keeper leads, or there is nothing to do
+	}
+	if err := c.opts.Commit(ctx, change); err != nil {
+		c.opts.Log.Warn("decisions not committed", zap.Uint64("term", c.term), zap.Int("starts", len(change.GetStarts())),
+			zap.Int("ends", len(change.GetEnds())), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/queue/conductor/decide.go
@@ -0,0 +1,174 @@
+package conductor
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/bookkeeper"
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/placer"
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+)
+
+// decide returns what must be committed now, nil for nothing.
+func (c *Conductor) decide(book *bookkeeper.Book) *messages.QueueChange {
+	change := &messages.QueueChange{Time: c.opts.Wall().UnixMilli()}
+	change.Ends = c.lapses(book)
+	change.Forgets = c.forgets(book)
+	if len(change.Ends) == 0 {
+		// Ends change what is free; the next pass sees them.
+		change.Starts = c.starts(book)
+	}
+	if len(change.Ends)+len(change.Forgets)+len(change.Starts) == 0 {
+		return nil
+	}
+	return change
+}
+
+// lapses returns the lives whose leases have surely run out.
+func (c *Conductor) lapses(book *bookkeeper.Book) []*messages.WorkerEnds {
+	now := c.opts.Now()
+	var list []*messages.WorkerEnds
+	book.EachWorker(func(id string, runs map[bookkeeper.RunKey]*messages.Run) {
+		w := c.workers[id]
+		born := int64(0)
+		for _, r := range runs {
+			born = max(born, r.GetBorn())
+		}
+		end := c.opts.Timing.over(c.began, c.opts.Timing.Longest)
+		if w != nil && w.born >= born && w.leaseEnd.After(end) {
+			end = w.leaseEnd
+		}
+		if now.Before(end) {
+			return
+		}
+		c.opts.Log.Info("worker lost", zap.String("worker", id), zap.Int64("born", born), zap.Int("runs", len(runs)), zap.Time("lease", end))
+		list = append(list, &messages.WorkerEnds{Worker: id, Born: born, Over: true})
+	})
+	return list
+}
+
+// forgets returns ended jobs whose phase need not be known any more.
+func (c *Conductor) forgets(book *bookkeeper.Book) []string {
+	now := c.opts.Now()
+	var list []string
+	book.EachJob(func(j *bookkeeper.Job) {
+		id := j.Work.GetId()
+		if !j.Ended() {
+			return
+		}
+		at, seen := c.ended[id]
+		if !seen {
+			c.ended[id] = now
+			return
+		}
+		if j.Active() == 0 && now.Sub(at) > c.opts.Timing.Retention {
+			list = append(list, id)
+			delete(c.ended, id)
+			delete(c.ages, id)
+		}
+	})
+	return list
+}
+
+// starts asks the placer what to start, and takes note of what it stops.
+func (c *Conductor) starts(book *bookkeeper.Book) []*messages.Run {
+	plan := placer.New(c.input(book))
+	for _, a := range plan.Stops {
+		c.stopping[a.Key] = true
+		c.opts.Log.Info("run is stopped for urgent work", zap.String("request", a.Key.Job), zap.Int32("step", a.Key.Step),
+			zap.Int32("task", a.Key.Task), zap.Uint32("run", a.Key.Number), zap.Duration("unsaved", a.Unsaved), zap.Duration("remaining", a.Remaining))
+	}
+	for _, r := range plan.Starts {
+		w := c.workers[r.GetWorker()]
+		c.opts.Log.Info("run starts", zap.String("request", r.GetJob()), zap.Int32("step", r.GetStep()), zap.Int32("task", r.GetTask()),
+			zap.Uint32("run", r.GetNumber()), zap.String("worker", r.GetWorker()), zap.Uint64("report", w.sequence),
+			zap.Duration("age", c.opts.Now().Sub(w.heard)))
+	}
+	return plan.Starts
+}
+
+// input gathers what the placer decides by.
+func (c *Conductor) input(book *bookkeeper.Book) *placer.Input {
+	now, wall := c.opts.Now(), c.opts.Wall()
+	in := &placer.Input{
+		Jobs: book.Open(), FarFactor: c.opts.FarFactor,
+		Age: func(j *bookkeeper.Job) time.Duration { return now.Sub(c.firstSeen(j)) },
+		Guarantee: func(name string) int64 {
+			return book.OrganisationByName(name).GetAccelerators()
+		},
+		Estimate: func(j *bookkeeper.Job, s *bookkeeper.Step) time.Duration { return c.estimate(j, s) },
+		Due: func(j *bookkeeper.Job, occurrence int32) bool {
+			return j.Work.GetOccurrences() == 0 ||
+				wall.UnixMilli() >= j.Work.GetFirst()+int64(occurrence)*j.Work.GetInterval()
+		},
+		Pool: func(j *bookkeeper.Job) string { return c.poolOf(book, j) },
+	}
+	for _, w := range c.workers {
+		if w.left {
+			continue
+		}
+		in.Workers = append(in.Workers, c.viewOf(book, w, now))
+	}
+	sortWorkers(in.Workers)
+	return in
+}
+
+// poolOf returns the pool that the catalog in force sends a job's queue to. A queue that was
+// removed keeps the pool that its jobs were accepted for.
+func (c *Conductor) poolOf(book *bookkeeper.Book, j *bookkeeper.Job) string {
+	if q := book.QueueByName(j.Work.GetQueue()); q != nil {
+		return q.GetPool()
+	}
+	return j.Work.GetPool()
+}
+
+func (c *Conductor) firstSeen(j *bookkeeper.Job) time.Time {
+	at, ok := c.ages[j.Work.GetId()]
+	if !ok {
+		at = c.opts.Now()
+		c.ages[j.Work.GetId()] = at
+	}
+	return at
+}
+
+func (c *Conductor) estimate(j *bookkeeper.Job, s *bookkeeper.Step) time.Duration {
+	return c.estimates.Estimate(j.Work.GetQueue(), "", time.Duration(s.Spec.GetEstimate())*time.Millisecond)
+}
+
+// viewOf returns a worker as the placer sees it.
+func (c *Conductor) viewOf(book *bookkeeper.Book, w *worker, now time.Time) *placer.Worker {
+	v := &placer.Worker{
+		ID: w.id, Born: w.born, Pool: w.pool, Rack: w.rack, Labels: w.labels, Capacity: w.capacity, Free: w.capacity,
+		Usable:  !w.leaving && now.Sub(w.heard) < c.opts.Timing.Silent,
+		Suspect: w.health.isSuspect(now),
+	}
+	runs := book.RunsOn(w.id)
+	for key, r := range runs {
+		if r.GetBorn() != w.born {
+			continue
+		}
+		j := book.Job(key.Job)
+		s := j.Step(key.Occurrence, key.Step)
+		need := placer.Need(s.Spec)
+		v.Free = v.Free.Sub(need)
+		t := c.tracks[key]
+		v.Runs = append(v.Runs, &placer.Active{
+			Key: key, Job: j, Step: s, Need: need, Stopping: c.mustStop(j, key),
+			Unsaved: t.unsaved(now, s.Spec.GetCheckpoints()), Remaining: t.remaining(now, c.estimate(j, s)),
+		})
+	}
+	for key := range w.listed {
+		if r := runs[key]; r != nil && r.GetBorn() == w.born {
+			continue
+		}
+		j := book.Job(key.Job)
+		if j == nil || j.Step(key.Occurrence, key.Step) == nil {
+			v.Usable = false // what it runs is not known, and so is what is free
+			continue
+		}
+		v.Free = v.Free.Sub(placer.Need(j.Step(key.Occurrence, key.Step).Spec))
+	}
+	sortRuns(v.Runs)
+	return v
+}
--- /dev/null
+++ b/internal/queue/conductor/sort.go
@@ -0,0 +1,21 @@
+package conductor
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/placer"
+)
+
+func sortWorkers(list []*placer.Worker) {
+	slices.SortFunc(list, func(a, b *placer.Worker) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+func sortRuns(list []*placer.Active) {
+	slices.SortFunc(list, func(a, b *placer.Active) int {
+		return cmp.Or(
+			cmp.Compare(a.Job.Sequence, b.Job.Sequence), cmp.Compare(a.Key.Occurrence, b.Key.Occurrence),
+			cmp.Compare(a.Key.Step, b.Key.Step), cmp.Compare(a.Key.Task, b.Key.Task), cmp.Compare(a.Key.Number, b.Key.Number),
+		)
+	})
+}
--- /dev/null
+++ b/internal/queue/conductor/worker.go
@@ -0,0 +1,199 @@
+package conductor
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/bookkeeper"
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/placer"
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+)
+
+// worker is one life of a worker, as it reports itself.
+type worker struct {
+	id       string
+	born     int64
+	sequence uint64
+	pool     string
+	place    string
+	rack     string
+	labels   []string
+	capacity placer.Vector
+	leaving  bool
+	left     bool
+	leavesAt time.Time // at the earliest, while leaving
+	heard    time.Time
+	leaseEnd time.Time // when all leases that were granted here have surely run out
+	listed   map[bookkeeper.RunKey]bool
+	health   health
+}
+
+// Report takes a worker's report, commits the ends in it and returns the worker's orders.
+func (c *Conductor) Report(ctx context.Context, r *messages.FleetReport) (*messages.FleetOrders, error) {
+	var change *messages.QueueChange
+	var stale bool
+	err := c.read(ctx, func(book *bookkeeper.Book) { change, stale = c.hear(book, r) })
+	if err != nil {
+		return nil, c.opts.Explain(ctx, err)
+	}
+	if stale {
+		return &messages.FleetOrders{Address: c.opts.Address}, nil
+	}
+	if change != nil {
+		if err := c.opts.Commit(ctx, change); err != nil {
+			return nil, c.opts.Explain(ctx, err)
+		}
+		c.stir()
+	}
+	orders := &messages.FleetOrders{}
+	err = c.read(ctx, func(book *bookkeeper.Book) { orders = c.ordersFor(book, r) })
+	if err != nil {
+		return nil, c.opts.Explain(ctx, err)
+	}
+	return orders, nil
+}
+
+// hear takes note of a report and returns what must be committed before it is answered. stale
+// tells that a later report is known, and that this one means nothing any more.
+func (c *Conductor) hear(book *bookkeeper.Book, r *messages.FleetReport) (change *messages.QueueChange, stale bool) {
+	now := c.opts.Now()
+	w := c.workers[r.GetWorker()]
+	if r.GetLeft() {
+		return c.hearGoodbye(book, r, w), false
+	}
+	switch life, known := book.Life(r.GetWorker()); {
+	case known && r.GetBorn() < life.Born:
+		return nil, true
+	case w != nil && (r.GetBorn() < w.born || r.GetBorn() == w.born && r.GetSequence() <= w.sequence):
+		return nil, true
+	}
+	if w == nil || r.GetBorn() > w.born {
+		if w == nil {
+			c.stir()
+		}
+		w = &worker{id: r.GetWorker(), born: r.GetBorn()}
+		c.workers[r.GetWorker()] = w
+		c.opts.Log.Info("worker reports", zap.String("worker", w.id), zap.Int64("born", w.born),
+			zap.String("pool", r.GetPool()), zap.Strings("labels", r.GetLabels()))
+	}
+	if r.GetLeaving() && !w.leaving {
+		c.opts.Log.Info("worker leaves", zap.String("worker", w.id), zap.Int64("remaining", r.GetRemaining()))
+	}
+	w.sequence, w.heard = r.GetSequence(), now
+	w.pool, w.place, w.labels = r.GetPool(), r.GetPlace(), r.GetLabels()
+	w.rack = r.GetRack()
+	w.capacity = placer.Vector{Processors: r.GetProcessors(), Memory: r.GetMemory(), Accelerators: r.GetAccelerators()}
+	w.leaving = r.GetLeaving()
+	w.leavesAt = now.Add(time.Duration(r.GetRemaining()) * time.Millisecond)
+	c.followRuns(book, w, r)
+	return c.freshEnds(book, w, r), false
+}
+
+// hearGoodbye commits that a worker that has left runs nothing any more.
+func (c *Conductor) hearGoodbye(book *bookkeeper.Book, r *messages.FleetReport, w *worker) *messages.QueueChange {
+	if w == nil {
+		// Its life is not known in this term; its leases run out instead.
+		return nil
+	}
+	w.left = true
+	c.opts.Log.Info("worker has left", zap.String("worker", w.id), zap.Int("runs", len(book.RunsOn(w.id))))
+	return &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Ends: []*messages.WorkerEnds{{Worker: r.GetWorker(), Born: w.born, Over: true}}}
+}
+
+// freshEnds returns the change that takes note of ends that are not committed yet, nil for none.
+func (c *Conductor) freshEnds(book *bookkeeper.Book, w *worker, r *messages.FleetReport) *messages.QueueChange {
+	life, known := book.Life(w.id)
+	if !known || life.Born != w.born {
+		life = bookkeeper.Life{Born: w.born}
+	}
+	ends := &messages.WorkerEnds{Worker: w.id, Born: w.born, Sequence: life.Sequence}
+	runs := book.RunsOn(w.id)
+	for _, e := range r.GetEnds() {
+		if e.GetSequence() <= life.Sequence {
+			continue
+		}
+		ends.Sequence = max(ends.Sequence, e.GetSequence())
+		key := endKey(e.GetEnd())
+		if run := runs[key]; run != nil && run.GetBorn() == w.born {
+			ends.Ends = append(ends.Ends, e.GetEnd())
+			c.observeEnd(book, w, key, e.GetEnd())
+		}
+	}
+	earlier := false
+	for _, run := range runs {
+		earlier = earlier || run.GetBorn() < w.born
+	}
+	if ends.Sequence == life.Sequence && !earlier {
+		return nil
+	}
+	return &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Ends: []*messages.WorkerEnds{ends}}
+}
+
+func endKey(e *messages.End) bookkeeper.RunKey {
+	return bookkeeper.RunKey{
+		TaskKey: bookkeeper.TaskKey{Job: e.GetJob(), Occurrence: e.GetOccurrence(), Step: e.GetStep(), Task: e.GetTask()},
+		Number:  e.GetNumber(),
+	}
+}
+
+// ordersFor returns what a worker must do, by the committed account.
+func (c *Conductor) ordersFor(book *bookkeeper.Book, r *messages.FleetReport) *messages.FleetOrders {
+	w := c.workers[r.GetWorker()]
+	o := &messages.FleetOrders{Term: c.term, Address: c.opts.Address, Again: c.opts.Timing.Report.Milliseconds()}
+	if w == nil || w.born != r.GetBorn() || w.left {
+		return o
+	}
+	if life, ok := book.Life(w.id); ok && life.Born == w.born {
+		o.Acknowledged = life.Sequence
+	}
+	o.Lease = c.opts.Timing.Lease.Milliseconds()
+	w.leaseEnd = c.opts.Timing.over(c.opts.Now(), c.opts.Timing.Lease)
+	runs := book.RunsOn(w.id)
+	for key, run := range runs {
+		if run.GetBorn() != w.born {
+			continue
+		}
+		j := book.Job(key.Job)
+		switch {
+		case c.mustStop(j, key):
+			o.Stops = append(o.Stops, run)
+		case !w.listed[key]:
+			o.Starts = append(o.Starts, &messages.StartOrder{Run: run, Body: j.Work.GetBody()})
+		}
+	}
+	for key := range w.listed {
+		if run := runs[key]; run == nil || run.GetBorn() != w.born {
+			// It was committed as ended, or never committed.
+			o.Stops = append(o.Stops, &messages.Run{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number})
+		}
+	}
+	slices.SortFunc(o.Starts, func(a, b *messages.StartOrder) int { return strings.Compare(a.GetRun().GetJob(), b.GetRun().GetJob()) })
+	return o
+}
+
+// mustStop reports whether a run that has not ended is of no use any more.
+func (c *Conductor) mustStop(j *bookkeeper.Job, key bookkeeper.RunKey) bool {
+	switch j.Phase {
+	case bookkeeper.Cancelled, bookkeeper.Failed:
+		return true
+	case bookkeeper.Pending, bookkeeper.Running, bookkeeper.Completed:
+	}
+	if c.stopping[key] {
+		return true
+	}
+	s := j.Step(key.Occurrence, key.Step)
+	if !s.Spec.GetGang() || s.Done {
+		return false
+	}
+	for i := range s.Tasks {
+		// A gang in which one member has ended makes no progress.
+		if s.Tasks[i].Active == 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/queue/placer/vector.go
@@ -0,0 +1,57 @@
+package placer
+
+import "github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+
+// Vector is an amount of each resource.
+type Vector struct {
+	Processors   int64 // thousandths
+	Memory       int64 // MB
+	Accelerators int64
+}
+
+// Need returns what one task of a step takes.
+func Need(s *messages.Step) Vector {
+	v := Vector{Processors: s.GetProcessors(), Memory: s.GetMemory(), Accelerators: s.GetAccelerators()}
+	if s.GetFiller() {
+		v.Processors = 0
+	}
+	return v
+}
+
+// Add returns the sum of two amounts.
+func (v Vector) Add(w Vector) Vector {
+	return Vector{v.Processors + w.Processors, v.Memory + w.Memory, v.Accelerators + w.Accelerators}
+}
+
+// Sub returns the difference of two amounts.
+func (v Vector) Sub(w Vector) Vector {
+	return Vector{v.Processors - w.Processors, v.Memory - w.Memory, v.Accelerators - w.Accelerators}
+}
+
+// Times returns a multiple of an amount.
+func (v Vector) Times(n int) Vector {
+	return Vector{v.Processors * int64(n), v.Memory * int64(n), v.Accelerators * int64(n)}
+}
+
+// Fits returns how many tasks of a need have room, at most limit.
+func (v Vector) Fits(need Vector, limit int) int {
+	n := int64(limit)
+	for _, d := range [...][2]int64{
+		{v.Processors, need.Processors}, {v.Memory, need.Memory}, {v.Accelerators, need.Accelerators},
+	} {
+		if d[0] < 0 {
+			return 0
+		}
+		if d[1] > 0 {
+			n = min(n, d[0]/d[1])
+		}
+	}
+	return int(max(n, 0))
+}
+
+// processorsPerAccelerator weighs an accelerator against thousandths of processors, as the users
+// price lost work.
+const processorsPerAccelerator = 8000
+
+// Weight returns the size of an amount in thousandths of processors.
+func (v Vector) Weight() int64 { return v.Processors + v.Accelerators*processorsPerAccelerator }
--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -14,6 +14,7 @@
 	"github.com/bluebellgauge/bluebellgauge/internal/job/decider"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/keeper"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/replicator"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/timekeeper"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
 
@@ -42,7 +43,7 @@
 type Options struct {
 	Name          string
 	Folder        string
-	Bootstrap     *messages.Members // used when the folder is new
+	Bootstrap     *messages.Members // the first group, used when the folder is new
 	Tick          time.Duration     // of the consensus; an election starts after 8 to 16
 	SnapshotEvery int               // entries between snapshots
 	Seed          uint64
@@ -66,7 +67,9 @@
 	ticking  bool // a Tick has been proposed and not applied
 	leading  bool // at the end of the last step
 
-	inbox     chan input
+	inbox  chan input
+	ticked time.Duration // of the clock that counts suspension, up to the last tick
+
 	proposals map[uint64]*proposal
 	waiters   map[string][]chan decider.View
 	done      chan struct{}
@@ -103,16 +106,15 @@
 
 // New opens the storage and starts the replica.
 func New(opts Options) (*Applier, error) {
+	if keeper.IsRebuilt(opts.Folder) {
+		opts.Bootstrap = &messages.Members{}
+	}
 	k, initial, err := open(opts)
 	if err != nil {
 		return nil, err
 	}
-	if keeper.IsRebuilt(opts.Folder) {
-		opts.Bootstrap = &messages.Members{}
-	}
-	initial.Members = opts.Bootstrap
 	a := &Applier{
-		opts: opts, keeper: k, state: decider.New(), members: opts.Bootstrap,
+		opts: opts, keeper: k, state: decider.New(), members: initial.Members,
 		inbox:     make(chan input, inboxSize),
 		proposals: map[uint64]*proposal{},
 		waiters:   map[string][]chan decider.View{},
@@ -143,7 +145,7 @@
 
 // open opens the storage. A corrupt one is put aside when there are others to rebuild it from.
 func open(opts Options) (*keeper.Keeper, replicator.Initial, error) {
-	k, initial, err := keeper.Open(opts.Folder, opts.Name)
+	k, initial, err := keeper.Open(opts.Folder, opts.Name, opts.Bootstrap)
 	if !errors.Is(err, keeper.ErrCorrupt) || len(opts.Bootstrap.GetVoters()) == 1 {
 		return k, initial, err
 	}
@@ -151,22 +153,24 @@
 	if err := keeper.Reset(opts.Folder); err != nil {
 		return nil, initial, fmt.Errorf("put corrupt data aside: %w", err)
 	}
-	return keeper.Open(opts.Folder, opts.Name)
+	return keeper.Open(opts.Folder, opts.Name, &messages.Members{})
 }
 
 // run is the loop of the goroutine that owns the replica.
 func (a *Applier) run() error {
 	ticker := time.NewTicker(a.opts.Tick)
 	defer ticker.Stop()
+	a.ticked = timekeeper.Elapsed()
 	for {
 		select {
 		case <-a.stop:
 			return nil
 		case in := <-a.inbox:
+			a.catchUp()
 			a.take(in)
 			a.drainInbox()
 		case <-ticker.C:
-			a.node.Tick()
+			a.catchUp()
 			a.proposeTick()
 		}
 		if err := a.settle(); err != nil {
@@ -176,6 +180,19 @@
 	}
 }
 
+// mostTicks bounds the ticks that are caught up at one time. It is above any lease.
+const mostTicks = 4 * electionTicks
+
+// catchUp gives the consensus the ticks that are due, those of a suspension included: a leader that
+// wakes up must find its lease expired before it reads or answers anything.
+func (a *Applier) catchUp() {
+	due := (timekeeper.Elapsed() - a.ticked) / a.opts.Tick
+	a.ticked += due * a.opts.Tick
+	for range min(due, mostTicks) {
+		a.node.Tick()
+	}
+}
+
 // drainInbox takes what else has come in, so that one sync serves all of it.
 func (a *Applier) drainInbox() {
 	for range maxDrain {
--- a/internal/state/keeper/keeper.go
+++ b/internal/state/keeper/keeper.go
@@ -52,22 +52,23 @@
 	failed   error
 }
 
-// Open opens or creates the storage in a folder and returns what it holds. A write that was
-// cut off at the end of the log is dropped; any other damage is ErrCorrupt.
-func Open(folder, name string) (*Keeper, replicator.Initial, error) {
+// Open opens or creates the storage in a folder and returns what it holds. A new folder begins
+// with the members of the first group, which may be none. A write that was cut off or torn at the
+// end of the log is dropped; any other damage is ErrCorrupt.
+func Open(folder, name string, first *messages.Members) (*Keeper, replicator.Initial, error) {
 	var none replicator.Initial
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, none, fmt.Errorf("open data folder: %w", err)
 	}
 	k := &Keeper{folder: folder, name: name}
-	initial, err := k.load()
+	initial, err := k.load(first)
 	if err != nil {
 		return nil, none, err
 	}
 	return k, initial, nil
 }
 
-func (k *Keeper) load() (replicator.Initial, error) {
+func (k *Keeper) load(first *messages.Members) (replicator.Initial, error) {
 	var initial replicator.Initial
 	snapshot, err := readSnapshot(k.path(snapshotName))
 	if err != nil {
@@ -79,7 +80,8 @@
 		if snapshot != nil {
 			return initial, fmt.Errorf("%w: a snapshot without a log", ErrCorrupt)
 		}
-		return initial, k.create()
+		initial.Members = first
+		return initial, k.create(first)
 	}
 	if err != nil {
 		return initial, err
@@ -89,6 +91,10 @@
 	}
 	k.identity = contents.hello.GetIdentity()
 	initial.Hard = contents.hard
+	initial.Members = contents.hello.GetMembers()
+	if initial.Members == nil {
+		initial.Members = first // the folder is older than the field
+	}
 	initial.Entries, err = contents.after(snapshot)
 	if err != nil {
 		return initial, err
@@ -97,12 +103,12 @@
 }
 
 // create starts the log of a daemon that has stored nothing yet.
-func (k *Keeper) create() error {
+func (k *Keeper) create(first *messages.Members) error {
 	raw := make([]byte, 16)
 	// The reader of crypto/rand never fails.
 	_, _ = rand.Read(raw)
 	k.identity = hex.EncodeToString(raw)
-	return k.rewrite(1, nil, nil)
+	return k.rewrite(&messages.Hello{First: 1, Members: first}, nil, nil)
 }
 
 func (k *Keeper) openAt(size int64) error {
@@ -143,20 +149,42 @@
 	for _, e := range entries {
 		records = append(records, &messages.Record{Body: &messages.Record_Entry{Entry: e}})
 	}
-	buffer, err := encodeFrames(records)
-	if err != nil {
-		return err
-	}
-	if _, err := k.file.Write(buffer); err != nil {
-		return k.fail("write log", err)
-	}
-	if err := k.file.Sync(); err != nil {
-		return k.fail("sync log", err)
+	for _, group := range grouped(records) {
+		buffer, err := encodeFrames([]*messages.Record{group})
+		if err != nil {
+			return err
+		}
+		if _, err := k.file.Write(buffer); err != nil {
+			return k.fail("write log", err)
+		}
+		if err := k.file.Sync(); err != nil {
+			return k.fail("sync log", err)
+		}
+		k.size += int64(len(buffer))
 	}
-	k.size += int64(len(buffer))
 	return nil
 }
 
+// maxGroup bounds what is synced together, so that it fits into a frame.
+const maxGroup = maxFrame / 4 // bytes
+
+// grouped packs records into groups that are each synced as one.
+func grouped(records []*messages.Record) []*messages.Record {
+	var list []*messages.Record
+	var group *messages.Group
+	size := 0
+	for _, r := range records {
+		n := proto.Size(r)
+		if group == nil || size+n > maxGroup {
+			group, size = &messages.Group{}, 0
+			list = append(list, &messages.Record{Body: &messages.Record_Group{Group: group}})
+		}
+		group.Records = append(group.Records, r)
+		size += n
+	}
+	return list
+}
+
 func (k *Keeper) fail(what string, err error) error {
 	k.failed = fmt.Errorf("%s: %w", what, err)
 	return k.failed
@@ -170,17 +198,16 @@
 	if err := k.writeAside(snapshotName, func(w io.Writer) error { return writeSnapshot(w, s) }); err != nil {
 		return k.fail("save snapshot", err)
 	}
-	if err := k.rewrite(s.Index+1, hard, rest); err != nil {
+	if err := k.rewrite(&messages.Hello{First: s.Index + 1, Members: &messages.Members{}}, hard, rest); err != nil {
 		return k.fail("rewrite log", err)
 	}
 	return nil
 }
 
-// rewrite replaces the log file by one with the given contents.
-func (k *Keeper) rewrite(first uint64, hard *messages.HardState, entries []*messages.Entry) error {
-	records := []*messages.Record{{Body: &messages.Record_Hello{Hello: &messages.Hello{
-		Format: fileFormat, Name: k.name, Identity: k.identity, First: first,
-	}}}}
+// rewrite replaces the log file by one with the given contents. It fills in the rest of hello.
+func (k *Keeper) rewrite(hello *messages.Hello, hard *messages.HardState, entries []*messages.Entry) error {
+	hello.Format, hello.Name, hello.Identity = fileFormat, k.name, k.identity
+	records := []*messages.Record{{Body: &messages.Record_Hello{Hello: hello}}}
 	if hard != nil {
 		records = append(records, &messages.Record{Body: &messages.Record_Hard{Hard: hard}})
 	}
@@ -269,8 +296,8 @@
 	return buffer, nil
 }
 
-// appendFrame appends data with its header. The length has a checksum of its own, so that a
-// damaged one is not taken for a write that was cut off.
+// appendFrame appends data with its header. The length has a checksum of its own, so that the
+// start of a frame can be told from other bytes.
 func appendFrame(buffer, data []byte) []byte {
 	length := binary.LittleEndian.AppendUint32(nil, uint32(len(data)))
 	buffer = append(buffer, length...)
