conductor: a run that was told to stop before it was listed is settled

A worker lists no end for a run that it refuses to start. Ruled out by the log: no lost end, no lost start; the last word on the run was its choice as a victim before its first listing. A later report of the same life that does not list the run proves that the order never took effect, so its end is committed.

The log sink flushed only full batches under steady load; mended.

--- a/internal/queue/conductor/sort.go
+++ b/internal/queue/conductor/sort.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/bookkeeper"
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/placer"
 )
 
@@ -13,9 +14,13 @@
 
 func sortRuns(list []*placer.Active) {
 	slices.SortFunc(list, func(a, b *placer.Active) int {
-		return cmp.Or(
-			cmp.Compare(a.Job.Sequence, b.Job.Sequence), cmp.Compare(a.Key.Occurrence, b.Key.Occurrence),
-			cmp.Compare(a.Key.Step, b.Key.Step), cmp.Compare(a.Key.Task, b.Key.Task), cmp.Compare(a.Key.Number, b.Key.Number),
-		)
+		return cmp.Or(cmp.Compare(a.Job.Sequence, b.Job.Sequence), compareKeys(a.Key, b.Key))
 	})
 }
+
+func compareKeys(a, b bookkeeper.RunKey) int {
+	return cmp.Or(
+		cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence),
+		cmp.Compare(a.Step, b.Step), cmp.Compare(a.Task, b.Task), cmp.Compare(a.Number, b.Number),
+	)
+}
--- a/internal/queue/conductor/track.go
+++ b/internal/queue/conductor/track.go
@@ -20,12 +20,13 @@
 }
 
 // followRuns takes note of the runs that a worker lists.
-func (c *Conductor) followRuns(book *bookkeeper.Book, w *worker, r *messages.FleetReport) {
+func (c *Conductor) followRuns(w *worker, r *messages.FleetReport) {
 	now := c.opts.Now()
 	w.listed = make(map[bookkeeper.RunKey]bool, len(r.GetRunning()))
 	for _, l := range r.GetRunning() {
 		key := bookkeeper.KeyOf(l.GetRun())
 		w.listed[key] = true
+		delete(w.ordered, key)
 		t := c.tracks[key]
 		if t == nil {
 			t = &track{worker: w.id, first: now, moved: now, savedAt: now}
@@ -38,7 +39,6 @@
 			t.saved, t.savedAt = s, now
 		}
 	}
-	_ = book
 }
 
 // elapsed returns how long a run has been listed.
@@ -81,6 +81,7 @@
 	t := c.tracks[key]
 	delete(c.tracks, key)
 	delete(c.stopping, key)
+	delete(w.ordered, key)
 	j := book.Job(key.Job)
 	s := j.Step(key.Occurrence, key.Step)
 	c.opts.Log.Info("run ended", zap.String("request", key.Job), zap.Int32("step", key.Step), zap.Int32("task", key.Task),
--- a/internal/queue/conductor/worker.go
+++ b/internal/queue/conductor/worker.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,7 +28,10 @@
 	heard    time.Time
 	leaseEnd time.Time // when all leases that were granted here have surely run out
 	listed   map[bookkeeper.RunKey]bool
-	health   health
+	// ordered holds, for runs that are not listed yet, the report whose answer last ordered their
+	// start.
+	ordered map[bookkeeper.RunKey]uint64
+	health  health
 }
 
 // Report takes a worker's report, commits the ends in it and returns the worker's orders.
@@ -75,7 +77,7 @@
 		if w == nil {
 			c.stir()
 		}
-		w = &worker{id: r.GetWorker(), born: r.GetBorn()}
+		w = &worker{id: r.GetWorker(), born: r.GetBorn(), ordered: map[bookkeeper.RunKey]uint64{}}
 		c.workers[r.GetWorker()] = w
 		c.opts.Log.Info("worker reports", zap.String("worker", w.id), zap.Int64("born", w.born),
 			zap.String("pool", r.GetPool()), zap.Strings("labels", r.GetLabels()))
@@ -89,7 +91,7 @@
 	w.capacity = placer.Vector{Processors: r.GetProcessors(), Memory: r.GetMemory(), Accelerators: r.GetAccelerators()}
 	w.leaving = r.GetLeaving()
 	w.leavesAt = now.Add(time.Duration(r.GetRemaining()) * time.Millisecond)
-	c.followRuns(book, w, r)
+	c.followRuns(w, r)
 	return c.freshEnds(book, w, r), false
 }
 
@@ -127,12 +129,40 @@
 	for _, run := range runs {
 		earlier = earlier || run.GetBorn() < w.born
 	}
-	if ends.Sequence == life.Sequence && !earlier {
+	ends.Ends = append(ends.Ends, c.neverStarted(book, w, ends.Ends)...)
+	if ends.Sequence == life.Sequence && !earlier && len(ends.Ends) == 0 {
 		return nil
 	}
 	return &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Ends: []*messages.WorkerEnds{ends}}
 }
 
+// neverStarted returns the ends of runs that must not start any more and did not start. A worker
+// sends a report only after the answer to the one before has arrived or is void, so a run that a
+// later report does not list has not started, and without a further order it never will. A worker
+// lists no end for a run that it was told to stop before it came.
+func (c *Conductor) neverStarted(book *bookkeeper.Book, w *worker, listed []*messages.End) []*messages.End {
+	ended := make(map[bookkeeper.RunKey]bool, len(listed))
+	for _, e := range listed {
+		ended[endKey(e)] = true
+	}
+	var ends []*messages.End
+	for key, run := range book.RunsOn(w.id) {
+		switch {
+		case run.GetBorn() != w.born, w.listed[key], ended[key], w.ordered[key] >= w.sequence:
+			continue
+		case !c.mustStop(book.Job(key.Job), key):
+			continue
+		}
+		ends = append(ends, &messages.End{
+			Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number, How: bookkeeper.EndRefused,
+		})
+		delete(w.ordered, key)
+		delete(c.stopping, key)
+	}
+	slices.SortFunc(ends, func(a, b *messages.End) int { return compareKeys(endKey(a), endKey(b)) })
+	return ends
+}
+
 func endKey(e *messages.End) bookkeeper.RunKey {
 	return bookkeeper.RunKey{
 		TaskKey: bookkeeper.TaskKey{Job: e.GetJob(), Occurrence: e.GetOccurrence(), Step: e.GetStep(), Task: e.GetTask()},
@@ -163,6 +193,7 @@
 			o.Stops = append(o.Stops, run)
 		case !w.listed[key]:
 			o.Starts = append(o.Starts, &messages.StartOrder{Run: run, Body: j.Work.GetBody()})
+			w.ordered[key] = r.GetSequence()
 		}
 	}
 	for key := range w.listed {
@@ -171,7 +202,9 @@
 			o.Stops = append(o.Stops, &messages.Run{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number})
 		}
 	}
-	slices.SortFunc(o.Starts, func(a, b *messages.StartOrder) int { return strings.Compare(a.GetRun().GetJob(), b.GetRun().GetJob()) })
+	slices.SortFunc(o.Starts, func(a, b *messages.StartOrder) int {
+		return compareKeys(bookkeeper.KeyOf(a.GetRun()), bookkeeper.KeyOf(b.GetRun()))
+	})
 	return o
 }
 
--- a/internal/report/logger/logger.go
+++ b/internal/report/logger/logger.go
@@ -38,6 +38,7 @@
 	l.wait.Go(func() {
 		var batch []byte
 		reported := uint64(0)
+		var due <-chan time.Time // set while the batch has lines
 		flush := func() {
 			if n := l.dropped.Load(); n != reported {
 				batch = fmt.Appendf(batch, "{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", n-reported)
@@ -48,10 +49,10 @@
 				_, _ = out.Write(batch)
 				batch = batch[:0]
 			}
+			due = nil
 		}
 		for {
-			var due <-chan time.Time
-			if len(batch) > 0 {
+			if len(batch) > 0 && due == nil {
 				due = time.After(flushEvery)
 			}
 			select {
