simulator: a model of callers, workers and links that drives the real conductor in virtual time

It checks that no task runs twice, starts after it was done, before its turn, over a worker's room, or for a refused job; that completed is true; and that no job is left without runs. Orders and lapses are sorted, so a seed repeats.

--- a/internal/queue/conductor/conductor.go
+++ b/internal/queue/conductor/conductor.go
@@ -81,10 +81,16 @@
 
 var _ messages.Queues = (*Conductor)(nil)
 
+// NewStepped returns a conductor whose owner calls Pass, for virtual time.
+func NewStepped(opts Options) *Conductor {
+	c := &Conductor{opts: opts, wake: make(chan struct{}, 1), cancel: func() {}}
+	c.enter(0)
+	return c
+}
+
 // New starts the conductor of one keeper.
 func New(opts Options) *Conductor {
-	c := &Conductor{opts: opts, wake: make(chan struct{}, 1)}
-	c.enter(0)
+	c := NewStepped(opts)
 	var ctx context.Context
 	ctx, c.cancel = context.WithCancel(context.Background())
 	c.wait.Go(func() {
@@ -97,7 +103,7 @@
 			case <-c.wake:
 			case <-ticker.C:
 			}
-			c.runPass(ctx)
+			c.Pass(ctx)
 			select {
 			case <-ctx.Done():
 				return
@@ -144,8 +150,8 @@
 	}
 }
 
-// runPass commits what time and the placer ask for.
-func (c *Conductor) runPass(ctx context.Context) {
+// Pass commits what time and the placer ask for.
+func (c *Conductor) Pass(ctx context.Context) {
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	var change *messages.QueueChange
--- a/internal/queue/conductor/decide.go
+++ b/internal/queue/conductor/decide.go
@@ -1,6 +1,8 @@
 package conductor
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -45,6 +47,7 @@
 		c.opts.Log.Info("worker lost", zap.String("worker", id), zap.Int64("born", born), zap.Int("runs", len(runs)), zap.Time("lease", end))
 		list = append(list, &messages.WorkerEnds{Worker: id, Born: born, Over: true})
 	})
+	slices.SortFunc(list, func(a, b *messages.WorkerEnds) int { return strings.Compare(a.GetWorker(), b.GetWorker()) })
 	return list
 }
 
--- a/internal/queue/conductor/worker.go
+++ b/internal/queue/conductor/worker.go
@@ -202,6 +202,7 @@
 			o.Stops = append(o.Stops, &messages.Run{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number})
 		}
 	}
+	slices.SortFunc(o.Stops, func(a, b *messages.Run) int { return compareKeys(bookkeeper.KeyOf(a), bookkeeper.KeyOf(b)) })
 	slices.SortFunc(o.Starts, func(a, b *messages.StartOrder) int {
 		return compareKeys(bookkeeper.KeyOf(a.GetRun()), bookkeeper.KeyOf(b.GetRun()))
 	})
--- /dev/null
+++ b/internal/queue/simulator/simulator.go
@@ -0,0 +1,325 @@
+// Package simulator is a model of the served systems: callers that submit jobs, workers that run
+// tasks under leases, and the links between them, all in virtual time. It drives the real conductor
+// over the real account, checks the promises while it runs and adds up what callers got. It is
+// deterministic for a seed and needs no network.
+package simulator
+
+import (
+	"cmp"
+	"container/heap"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/bookkeeper"
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/conductor"
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+)
+
+// Times of the model that the users' sites have in common.
+const (
+	linkDelay   = 7 * time.Millisecond  // one way, the mean over data centres
+	commitDelay = 40 * time.Millisecond // two hops between regions and two syncs
+	afterEnd    = 50 * time.Millisecond // until a worker reports an end
+	answerLimit = time.Second           // after which a worker drops an answer
+	passEvery   = 50 * time.Millisecond
+	gangWait    = 3 * time.Second
+	pollEvery   = 500 * time.Millisecond // of a caller that waits for its job
+	farFactor   = 3
+)
+
+// Fleet is the workers of a simulation.
+type Fleet struct {
+	Workers      int
+	PerRack      int
+	Processors   int64 // thousandths, of one worker
+	Memory       int64 // MB
+	Accelerators int64
+	Speeds       []float64     // drawn for each worker
+	Lease        time.Duration // longest that a worker grants
+	Stop         time.Duration // longest that a stop takes
+	Checkpoint   time.Duration // of work between two checkpoints
+	Restore      time.Duration
+}
+
+// Load is what callers ask for.
+type Load struct {
+	Queues        []Queue
+	Organisations int
+	Guaranteed    int64 // accelerators of each organisation
+	Length        time.Duration
+	Bursts        []Burst
+}
+
+// Burst multiplies the arrivals of one queue for a time.
+type Burst struct {
+	Queue     int
+	From, For time.Duration
+	Times     float64
+}
+
+// Queue is one kind of job.
+type Queue struct {
+	Name         string
+	PerSecond    float64
+	Priority     int32
+	Attempts     int32
+	Stretch      float64
+	Target       time.Duration
+	Worth, Late  float64
+	Work         time.Duration // mean of one task
+	WorkSpread   float64       // coefficient of variation
+	WorkMost     time.Duration
+	Steps        float64 // mean
+	Width        float64 // mean number of tasks
+	WidthSpread  float64
+	WidthMost    int
+	Processors   int64
+	Memory       int64
+	Accelerators []int64 // drawn for each job
+	Gang         bool
+	Compact      float64 // share of jobs
+	Checkpoints  float64 // share of jobs
+	EstimateOff  float64 // spread of the declared run time
+	Uneven       float64 // spread of the work of the tasks of a step
+	Failing      float64 // share of runs that fail through the job's own fault
+	Hopeless     float64 // share of jobs whose tasks always fail
+	Cancelled    float64 // share of jobs
+}
+
+// Trouble is what befalls some workers for a time.
+type Trouble struct {
+	Kind    Kind
+	From    time.Duration
+	For     time.Duration
+	Share   float64 // of the workers
+	Factor  float64 // how much slower
+	Workers []int   // chosen ones in place of a share
+}
+
+// Kind is a kind of trouble.
+type Kind string
+
+// The kinds of trouble.
+const (
+	Crash   Kind = "crash"   // the worker is gone and comes back in a new life
+	Cut     Kind = "cut"     // nothing passes between the worker and the leader
+	Deaf    Kind = "deaf"    // reports arrive, answers don't
+	Slow    Kind = "slow"    // work takes longer
+	Failing Kind = "failing" // everything that starts fails at once
+	Stuck   Kind = "stuck"   // work stands still
+	Depose  Kind = "depose"  // the leader is replaced after the time
+	Unsure  Kind = "unsure"  // commits fail without a word on their outcome
+)
+
+// Options are what one simulation is made of.
+type Options struct {
+	Seed     uint64
+	Fleet    Fleet
+	Load     Load
+	Troubles []Trouble
+	Log      *zap.Logger
+}
+
+// Simulator is one run of the model.
+type Simulator struct {
+	opts      Options
+	random    *rand.Rand
+	start     time.Time
+	now       time.Time
+	events    eventHeap
+	order     uint64
+	book      *bookkeeper.Book
+	leader    *conductor.Conductor // nil while there is none
+	term      uint64
+	unsure    bool
+	workers   []*worker
+	jobs      []*job
+	byID      map[string]*job
+	gangs     map[gangKey]*gang
+	running   map[bookkeeper.TaskKey]int
+	endedDone map[bookkeeper.TaskKey]bool // on a worker
+	doneTasks map[bookkeeper.TaskKey]bool // and confirmed by the leader
+	catalog   *messages.Catalog
+	result    Result
+}
+
+// New runs one simulation to its end and returns what came out of it.
+func New(opts Options) *Result {
+	s := &Simulator{
+		opts: opts, random: rand.New(rand.NewPCG(opts.Seed, opts.Seed^0x5bd1e995)), start: time.Unix(1_700_000_000, 0),
+		book: bookkeeper.New(), byID: map[string]*job{}, gangs: map[gangKey]*gang{}, running: map[bookkeeper.TaskKey]int{},
+		endedDone: map[bookkeeper.TaskKey]bool{}, doneTasks: map[bookkeeper.TaskKey]bool{},
+	}
+	s.now = s.start
+	s.elect()
+	s.install()
+	s.addWorkers()
+	s.arrivals()
+	s.plan()
+	s.every(passEvery, func() {
+		if s.leader != nil {
+			s.leader.Pass(context.Background())
+		}
+	})
+	end := s.start.Add(opts.Load.Length + finishTime)
+	for len(s.events) > 0 {
+		e := heap.Pop(&s.events).(*event)
+		if e.at.After(end) {
+			break
+		}
+		s.now = e.at
+		e.run()
+	}
+	s.settle()
+	return &s.result
+}
+
+// finishTime is how long the model goes on after the last arrival.
+const finishTime = 120 * time.Second
+
+// event is something that happens at a time.
+type event struct {
+	at    time.Time
+	order uint64
+	run   func()
+}
+
+type eventHeap []*event
+
+// Len returns the number of events.
+func (h eventHeap) Len() int { return len(h) }
+
+// Less orders by time, then by the order of planning.
+func (h eventHeap) Less(i, j int) bool {
+	return cmp.Or(h[i].at.Compare(h[j].at), cmp.Compare(h[i].order, h[j].order)) < 0
+}
+
+// Swap exchanges two events.
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push adds an event.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(*event)) }
+
+// Pop removes the last event.
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+func (s *Simulator) after(d time.Duration, run func()) {
+	s.order++
+	heap.Push(&s.events, &event{at: s.now.Add(d), order: s.order, run: run})
+}
+
+func (s *Simulator) every(d time.Duration, run func()) {
+	s.after(d, func() {
+		run()
+		s.every(d, run)
+	})
+}
+
+// errUnsure is what a commit returns whose outcome is not known.
+var errUnsure = errors.New("the outcome is not known")
+
+// elect puts a new leader in place, which knows nothing but the account.
+func (s *Simulator) elect() {
+	s.term++
+	term := s.term
+	s.leader = conductor.NewStepped(conductor.Options{
+		Timing: conductor.Timing{
+			Lease: s.opts.Fleet.Lease, Longest: s.opts.Fleet.Lease, Report: 250 * time.Millisecond,
+			Silent: 2200 * time.Millisecond, Retention: 3 * time.Minute,
+		},
+		FarFactor: farFactor,
+		Read: func(_ context.Context, read func(uint64, *bookkeeper.Book)) error {
+			read(term, s.book)
+			return nil
+		},
+		Commit: func(_ context.Context, change *messages.QueueChange) error {
+			if s.unsure {
+				if s.random.IntN(2) == 0 {
+					s.book.Apply(change)
+				}
+				return errUnsure
+			}
+			s.book.Apply(change)
+			return nil
+		},
+		Explain: func(_ context.Context, err error) error { return err },
+		Now:     func() time.Time { return s.now },
+		Wall:    func() time.Time { return s.now },
+		Log:     s.opts.Log,
+	})
+}
+
+// install puts the catalog in force.
+func (s *Simulator) install() {
+	c := &messages.Catalog{Version: 1, Pools: []*messages.Pool{{Name: poolName}}}
+	for _, q := range s.opts.Load.Queues {
+		c.Queues = append(c.Queues, &messages.Queue{
+			Name: q.Name, Host: hostName, Prefix: "/" + q.Name + "/", Pool: poolName, Priority: q.Priority, Attempts: q.Attempts,
+			Stretch: q.Stretch, Target: q.Target.Milliseconds(),
+		})
+	}
+	for i := range max(s.opts.Load.Organisations, 1) {
+		name := fmt.Sprintf("org%d", i)
+		c.Organisations = append(c.Organisations, &messages.Organisation{Name: name, Keys: []string{name}, Accelerators: s.opts.Load.Guaranteed})
+	}
+	s.catalog = c
+	s.book.Apply(&messages.QueueChange{Catalog: c})
+}
+
+const (
+	poolName = "pool"
+	hostName = "host"
+)
+
+// plan schedules the troubles.
+func (s *Simulator) plan() {
+	for _, t := range s.opts.Troubles {
+		s.after(t.From, func() { s.strike(t) })
+	}
+}
+
+func (s *Simulator) strike(t Trouble) {
+	switch t.Kind {
+	case Depose:
+		s.leader = nil
+		s.after(t.For, s.elect)
+		return
+	case Unsure:
+		s.unsure = true
+		s.after(t.For, func() { s.unsure = false })
+		return
+	case Crash, Cut, Deaf, Slow, Failing, Stuck:
+	}
+	chosen := t.Workers
+	if chosen == nil {
+		n := int(t.Share*float64(len(s.workers)) + 0.5)
+		chosen = s.random.Perm(len(s.workers))[:n]
+	}
+	slices.Sort(chosen)
+	for _, i := range chosen {
+		w := s.workers[i]
+		w.strike(t)
+		s.after(t.For, func() { w.recover(t) })
+	}
+}
+
+// violate takes note of a broken promise.
+func (s *Simulator) violate(format string, args ...any) {
+	if len(s.result.Broken) < mostBroken {
+		s.result.Broken = append(s.result.Broken, fmt.Sprintf("%v: %s", s.now.Sub(s.start), fmt.Sprintf(format, args...)))
+	}
+}
+
+// mostBroken bounds the broken promises that are kept.
+const mostBroken = 20
