runner, applier: keepers that are no seeds are found after all were down; the consensus goes before requests

A goodbye no longer ends a worker's runs; its lease does, as an unanswered goodbye leaves the worker running.

--- a/internal/daemon/runner/peering.go
+++ b/internal/daemon/runner/peering.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/replicator"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
 
@@ -47,7 +48,10 @@
 	wait     sync.WaitGroup
 	mu       sync.Mutex
 	keepers  []*messages.Member // known by settings or from the leader
-	senders  map[string]chan *messages.Message
+	// stored returns the membership that this daemon's replica holds. After a restart of all keepers
+	// it alone names those that are not in the settings.
+	stored  atomic.Pointer[func() *messages.Members]
+	senders map[string]chan *messages.Message
 }
 
 func peerProtocols() *http.Protocols {
@@ -128,6 +132,13 @@
 			list = append(list, address)
 		}
 	}
+	if stored := p.stored.Load(); stored != nil {
+		for _, k := range (*stored)().GetVoters() {
+			if address, err := netip.ParseAddrPort(k.GetAddress()); err == nil && !slices.Contains(list, address) {
+				list = append(list, address)
+			}
+		}
+	}
 	return list
 }
 
@@ -149,6 +160,16 @@
 }
 
 func (p *peering) keeperAddress(name string) string {
+	if address := p.learnedAddress(name); address != "" {
+		return address
+	}
+	if stored := p.stored.Load(); stored != nil {
+		return replicator.FindMember((*stored)(), name).GetAddress()
+	}
+	return ""
+}
+
+func (p *peering) learnedAddress(name string) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, k := range p.keepers {
--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -80,6 +80,8 @@
 	rep.applier = a
 	identity := a.Identity()
 	r.peers.identity.Store(&identity)
+	members := a.Members
+	r.peers.stored.Store(&members)
 	rep.repair = newRepairer(cmp.Or(r.opts.Voters, len(s.Keepers)), r.opts.RepairAfter)
 	rep.server = forwarder.NewServer(forwarder.ServerOptions{
 		Replica: a, Timing: r.opts.Timing, Now: time.Now, Address: r.peers.keeperAddress, History: history, Burn: rep.burn,
@@ -95,7 +97,20 @@
 		},
 		Explain: rep.server.Explain, Now: time.Now, Wall: time.Now, Log: r.log,
 	})
-	r.forward.SetLocal(s.PeeringAddr(), rep.queues)
+	r.forward.SetLocal(forwarder.Local{
+		Address: s.PeeringAddr(), Queues: rep.queues,
+		Leader: func() netip.AddrPort {
+			name := a.Leader()
+			if name == s.Name {
+				return s.PeeringAddr()
+			}
+			address, err := netip.ParseAddrPort(r.peers.keeperAddress(name))
+			if err != nil {
+				return netip.AddrPort{} // no leader is known, or not its address
+			}
+			return address
+		},
+	})
 	r.replica = rep
 	r.wait.Go(func() { rep.lead(r.ctx) })
 	r.wait.Go(func() {
--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -44,8 +44,7 @@
 	mu     sync.Mutex
 	leader netip.AddrPort // last known, zero for none
 	next   int            // keeper to ask when no leader is known
-	own    netip.AddrPort // of this daemon, when it is a keeper
-	local  messages.Queues
+	local  *Local         // nil on a daemon that is no keeper
 }
 
 // New returns a forwarder that knows no leader yet. client must carry the daemons' credentials.
@@ -57,6 +56,12 @@
 func (f *Forwarder) target() (netip.AddrPort, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.local != nil {
+		// A keeper that is a member knows the leader itself.
+		if address := f.local.Leader(); address.IsValid() {
+			return address, true
+		}
+	}
 	if f.leader.IsValid() {
 		return f.leader, true
 	}
--- a/internal/entry/forwarder/queues.go
+++ b/internal/entry/forwarder/queues.go
@@ -7,19 +7,26 @@
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
 
-// SetLocal names the part of this very daemon that answers on queues, and the address under which
-// other daemons reach it. Calls to that address stay in the process.
-func (f *Forwarder) SetLocal(address netip.AddrPort, local messages.Queues) {
+// Local is the part of a keeper that answers on queues.
+type Local struct {
+	Address netip.AddrPort        // under which other daemons reach this one
+	Leader  func() netip.AddrPort // that this keeper knows, zero for none
+	Queues  messages.Queues
+}
+
+// SetLocal tells the forwarder that it works in a keeper. Calls to the keeper itself stay in the
+// process.
+func (f *Forwarder) SetLocal(l Local) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.own, f.local = address, local
+	f.local = &l
 }
 
 func (f *Forwarder) queues(address netip.AddrPort) messages.Queues {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.local != nil && f.own == address {
-		return f.local
+	if f.local != nil && f.local.Address == address {
+		return f.local.Queues
 	}
 	return messages.NewQueuesProtobufClient(f.scheme+"://"+address.String(), f.client)
 }
@@ -60,9 +67,19 @@
 	})
 }
 
-// Report passes a worker's report to the leader.
+// Report passes a worker's report to the leader, once: the worker itself tries again elsewhere. A
+// keeper that knows no leader asks nobody, as all workers come at once while there is none.
 func (f *Forwarder) Report(ctx context.Context, r *messages.FleetReport) (*messages.FleetOrders, error) {
-	return call(ctx, f, callTimeout, func(ctx context.Context, a netip.AddrPort) (*messages.FleetOrders, error) {
+	if !f.knowsLeader() {
+		return nil, ErrNoLeader
+	}
+	return attempt(ctx, f, callTimeout, func(ctx context.Context, a netip.AddrPort) (*messages.FleetOrders, error) {
 		return f.queues(a).Report(ctx, r)
 	})
 }
+
+func (f *Forwarder) knowsLeader() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.local == nil || f.local.Leader().IsValid()
+}
--- a/internal/entry/forwarder/server.go
+++ b/internal/entry/forwarder/server.go
@@ -270,15 +270,11 @@
 }
 
 // Explain turns an error of the replica into one that points to the leader.
-func (s *Server) Explain(ctx context.Context, err error) error {
+func (s *Server) Explain(_ context.Context, err error) error {
 	if !errors.Is(err, applier.ErrNotLeader) {
 		return twirp.NewError(twirp.Unavailable, err.Error())
 	}
-	status, statusErr := s.Replica.Status(ctx)
-	if statusErr != nil || status.Role.String() == "leader" {
-		return NotLeader("")
-	}
-	return NotLeader(s.Address(status.Leader))
+	return NotLeader(s.Address(s.Replica.Leader()))
 }
 
 func decision(status string, body any) (*messages.Decision, error) {
--- a/internal/queue/conductor/conductor.go
+++ b/internal/queue/conductor/conductor.go
@@ -25,7 +25,8 @@
 type Timing struct {
 	Lease     time.Duration // of a worker's runs, from the sending of its report
 	Longest   time.Duration // longest lease that any leader grants
-	Report    time.Duration // between the reports of a worker
+	Report    time.Duration // least time between the reports of a worker
+	Share     time.Duration // of the time between two reports that each known worker adds, to bound the leader's load
 	Silent    time.Duration // without a report until nothing is started on a worker
 	Retention time.Duration // for which the phase of an ended job is known
 	Early     time.Duration // by which an occurrence may start before its time
@@ -37,6 +38,11 @@
 // leaseMargin covers the time between the receipt of a report and the start of its lease.
 const leaseMargin = 100 * time.Millisecond
 
+// reportEvery returns the time between the reports of one of n workers.
+func (t Timing) reportEvery(n int) time.Duration {
+	return max(t.Report, min(time.Duration(n)*t.Share, t.Silent/3))
+}
+
 // over returns when a lease that was granted at a time has surely run out.
 func (t Timing) over(granted time.Time, lease time.Duration) time.Time {
 	return granted.Add(lease + lease*driftPercent/100 + leaseMargin)
--- a/internal/queue/conductor/worker.go
+++ b/internal/queue/conductor/worker.go
@@ -65,7 +65,12 @@
 	now := c.opts.Now()
 	w := c.workers[r.GetWorker()]
 	if r.GetLeft() {
-		return c.hearGoodbye(book, r, w), false
+		c.hearGoodbye(book, r, w)
+		return nil, false
+	}
+	if book.Catalog() != nil && book.Pools()[r.GetPool()] == nil {
+		c.opts.Log.Warn("report of an unknown pool", zap.String("worker", r.GetWorker()), zap.String("pool", r.GetPool()))
+		return nil, true
 	}
 	switch life, known := book.Life(r.GetWorker()); {
 	case known && r.GetBorn() < life.Born:
@@ -90,20 +95,21 @@
 	w.rack = r.GetRack()
 	w.capacity = placer.Vector{Processors: r.GetProcessors(), Memory: r.GetMemory(), Accelerators: r.GetAccelerators()}
 	w.leaving = r.GetLeaving()
+	w.left = w.left && w.leaving // a worker that is ready has not left: the goodbye was an earlier life's
 	w.leavesAt = now.Add(time.Duration(r.GetRemaining()) * time.Millisecond)
 	c.followRuns(w, r)
 	return c.freshEnds(book, w, r), false
 }
 
-// hearGoodbye commits that a worker that has left runs nothing any more.
-func (c *Conductor) hearGoodbye(book *bookkeeper.Book, r *messages.FleetReport, w *worker) *messages.QueueChange {
-	if w == nil {
-		// Its life is not known in this term; its leases run out instead.
-		return nil
+// hearGoodbye takes note that a worker is about to exit. Nothing starts on it any more and its lease
+// is not extended; what runs on it counts until the lease has run out, as a worker whose goodbye is
+// not answered goes on for a while, and a late goodbye of an earlier life says nothing of this one.
+func (c *Conductor) hearGoodbye(book *bookkeeper.Book, r *messages.FleetReport, w *worker) {
+	if w == nil || r.GetBorn() != 0 && r.GetBorn() != w.born {
+		return
 	}
 	w.left = true
-	c.opts.Log.Info("worker has left", zap.String("worker", w.id), zap.Int("runs", len(book.RunsOn(w.id))))
-	return &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Ends: []*messages.WorkerEnds{{Worker: r.GetWorker(), Born: w.born, Over: true}}}
+	c.opts.Log.Info("worker says goodbye", zap.String("worker", w.id), zap.Int("runs", len(book.RunsOn(w.id))))
 }
 
 // freshEnds returns the change that takes note of ends that are not committed yet, nil for none.
@@ -173,7 +179,7 @@
 // ordersFor returns what a worker must do, by the committed account.
 func (c *Conductor) ordersFor(book *bookkeeper.Book, r *messages.FleetReport) *messages.FleetOrders {
 	w := c.workers[r.GetWorker()]
-	o := &messages.FleetOrders{Term: c.term, Address: c.opts.Address, Again: c.opts.Timing.Report.Milliseconds()}
+	o := &messages.FleetOrders{Term: c.term, Address: c.opts.Address, Again: c.opts.Timing.reportEvery(len(c.workers)).Milliseconds()}
 	if w == nil || w.born != r.GetBorn() || w.left {
 		return o
 	}
--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -67,8 +67,9 @@
 	ticking  bool // a Tick has been proposed and not applied
 	leading  bool // at the end of the last step
 
-	inbox  chan input
-	ticked time.Duration // of the clock that counts suspension, up to the last tick
+	inbox    chan input
+	exchange chan input    // messages of the consensus, which go before all else
+	ticked   time.Duration // of the clock that counts suspension, up to the last tick
 
 	proposals map[uint64]*proposal
 	waiters   map[string][]chan decider.View
@@ -78,6 +79,8 @@
 
 	// current is the membership at the end of the log, for readers outside of the goroutine.
 	current atomic.Pointer[messages.Members]
+	// leader is the name of the leader that is known, for readers outside of the goroutine.
+	leader atomic.Pointer[string]
 }
 
 // input is something for the goroutine that owns the replica.
@@ -116,6 +119,7 @@
 	a := &Applier{
 		opts: opts, keeper: k, state: decider.New(), members: initial.Members,
 		inbox:     make(chan input, inboxSize),
+		exchange:  make(chan input, inboxSize),
 		proposals: map[uint64]*proposal{},
 		waiters:   map[string][]chan decider.View{},
 		done:      make(chan struct{}),
@@ -132,6 +136,8 @@
 		DriftTicks: driftTicks, MaxBatch: maxBatch, ChunkSize: chunkSize, Seed: opts.Seed,
 	}, initial)
 	a.current.Store(a.node.Members())
+	none := ""
+	a.leader.Store(&none)
 	go func() {
 		defer close(a.done)
 		a.failure = a.run()
@@ -165,10 +171,15 @@
 		select {
 		case <-a.stop:
 			return nil
+		case in := <-a.exchange:
+			a.catchUp()
+			a.take(in)
+			a.drain()
 		case in := <-a.inbox:
 			a.catchUp()
+			a.drainExchange()
 			a.take(in)
-			a.drainInbox()
+			a.drain()
 		case <-ticker.C:
 			a.catchUp()
 			a.proposeTick()
@@ -193,8 +204,9 @@
 	}
 }
 
-// drainInbox takes what else has come in, so that one sync serves all of it.
-func (a *Applier) drainInbox() {
+// drain takes what else has come in, so that one sync serves all of it.
+func (a *Applier) drain() {
+	a.drainExchange()
 	for range maxDrain {
 		select {
 		case in := <-a.inbox:
@@ -205,6 +217,19 @@
 	}
 }
 
+// drainExchange takes the messages of the consensus that have come in. Under load they must not
+// wait behind requests, or the load alone would bring a leader down.
+func (a *Applier) drainExchange() {
+	for range maxDrain {
+		select {
+		case in := <-a.exchange:
+			a.take(in)
+		default:
+			return
+		}
+	}
+}
+
 func (a *Applier) take(in input) {
 	switch in := in.(type) {
 	case inputMessages:
@@ -273,6 +298,9 @@
 		}
 	}
 	a.current.Store(a.node.Members())
+	if leader := a.node.Leader(); leader != *a.leader.Load() {
+		a.leader.Store(&leader)
+	}
 	leading := a.node.Role() == replicator.Leader
 	if a.leading && !leading {
 		a.failPending(ErrUnsure)
--- a/internal/state/applier/requests.go
+++ b/internal/state/applier/requests.go
@@ -11,12 +11,14 @@
 
 // Step takes in messages from other replicas.
 func (a *Applier) Step(ctx context.Context, list []*messages.Message) error {
-	return a.put(ctx, inputMessages{list})
+	return a.putInto(ctx, a.exchange, inputMessages{list})
 }
 
-func (a *Applier) put(ctx context.Context, in input) error {
+func (a *Applier) put(ctx context.Context, in input) error { return a.putInto(ctx, a.inbox, in) }
+
+func (a *Applier) putInto(ctx context.Context, box chan<- input, in input) error {
 	select {
-	case a.inbox <- in:
+	case box <- in:
 		return nil
 	case <-a.done:
 		return ErrStopped
@@ -44,8 +46,14 @@
 	}
 }
 
+// Leader returns the name of the leader that this replica knows, "" for none. It may be behind.
+func (a *Applier) Leader() string { return *a.leader.Load() }
+
 // Read runs a function on the state of a leader that holds its lease, and on its term.
 func (a *Applier) Read(ctx context.Context, read func(term uint64, state *decider.State)) error {
+	if a.Leader() != a.opts.Name {
+		return ErrNotLeader // without a place in the queue of the one that could do nothing else
+	}
 	return a.call(ctx, func() error {
 		if !a.node.HasLease() {
 			return ErrNotLeader
@@ -173,6 +181,9 @@
 // Identity returns the name that the data folder was given when it was made.
 func (a *Applier) Identity() string { return a.keeper.Identity() }
 
+// Members returns the membership at the end of this replica's log. The caller must not change it.
+func (a *Applier) Members() *messages.Members { return a.current.Load() }
+
 // Knows reports whether a data folder may speak for a member. A folder that was wiped or brought
 // back under a used name may not: it has forgotten what it voted for and confirmed.
 func (a *Applier) Knows(name, identity string) bool {
