conductor: no orders to a worker whose loss is being committed; nothing starts without a lease in force

The pass had decided on its loss; before the commit a report of the worker was answered with a lease and a start; then the loss was applied and the task started elsewhere. A second way: a report that was heard but whose answer was abandoned made the worker usable with its old lease, so a start on it was declared lost at once. What is known of a run now stays until its end is committed.

--- a/internal/queue/bookkeeper/bookkeeper.go
+++ b/internal/queue/bookkeeper/bookkeeper.go
@@ -96,6 +96,19 @@
 	}
 }
 
+// IsActive reports whether a run was committed and its end was not.
+func (b *Book) IsActive(key RunKey) bool {
+	j := b.jobs[key.Job]
+	if j == nil {
+		return false
+	}
+	s := j.Step(key.Occurrence, key.Step)
+	if s == nil || key.Task < 0 || int(key.Task) >= len(s.Tasks) {
+		return false
+	}
+	return s.Tasks[key.Task].Number == key.Number && s.Tasks[key.Task].Active > 0
+}
+
 // Life returns what is committed of a worker. ok is false for unknown workers.
 func (b *Book) Life(worker string) (life Life, ok bool) {
 	life, ok = b.lives[worker]
--- a/internal/queue/conductor/conductor.go
+++ b/internal/queue/conductor/conductor.go
@@ -165,7 +165,22 @@
 		return // another keeper leads, or there is nothing to do
 	}
 	if err := c.opts.Commit(ctx, change); err != nil {
-		c.opts.Log.Warn("decisions not committed", zap.Uint64("term", c.term), zap.Int("starts", len(change.GetStarts())),
-			zap.Int("ends", len(change.GetEnds())), zap.Error(err))
+		c.opts.Log.Warn("decisions not committed", zap.Int("starts", len(change.GetStarts())), zap.Int("ends", len(change.GetEnds())), zap.Error(err))
+		return
+	}
+	if len(change.GetEnds()) == 0 {
+		return
+	}
+	if err := c.read(ctx, func(*bookkeeper.Book) { c.endLapsing(change.GetEnds()) }); err != nil {
+		return // the term is over, and with it what was known of the workers
+	}
+}
+
+// endLapsing lets workers get orders again once the end of what ran on them is committed.
+func (c *Conductor) endLapsing(ends []*messages.WorkerEnds) {
+	for _, e := range ends {
+		if w := c.workers[e.GetWorker()]; w != nil {
+			w.lapsing = false
+		}
 	}
 }
--- a/internal/queue/conductor/decide.go
+++ b/internal/queue/conductor/decide.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -15,6 +16,7 @@
 // decide returns what must be committed now, nil for nothing.
 func (c *Conductor) decide(book *bookkeeper.Book) *messages.QueueChange {
 	change := &messages.QueueChange{Time: c.opts.Wall().UnixMilli()}
+	c.clean(book)
 	change.Ends = c.lapses(book)
 	change.Forgets = c.forgets(book)
 	if len(change.Ends) == 0 {
@@ -45,12 +47,26 @@
 			return
 		}
 		c.opts.Log.Info("worker lost", zap.String("worker", id), zap.Int64("born", born), zap.Int("runs", len(runs)), zap.Time("lease", end))
+		if w != nil && w.born == born {
+			w.lapsing = true
+		}
 		list = append(list, &messages.WorkerEnds{Worker: id, Born: born, Over: true})
 	})
 	slices.SortFunc(list, func(a, b *messages.WorkerEnds) int { return strings.Compare(a.GetWorker(), b.GetWorker()) })
 	return list
 }
 
+// clean drops what was known of runs whose ends are committed. It must stay until then: a run whose
+// end is on its way must not be ordered again.
+func (c *Conductor) clean(book *bookkeeper.Book) {
+	over := func(key bookkeeper.RunKey) bool { return !book.IsActive(key) }
+	maps.DeleteFunc(c.tracks, func(key bookkeeper.RunKey, _ *track) bool { return over(key) })
+	maps.DeleteFunc(c.stopping, func(key bookkeeper.RunKey, _ bool) bool { return over(key) })
+	for _, w := range c.workers {
+		maps.DeleteFunc(w.ordered, func(key bookkeeper.RunKey, _ uint64) bool { return over(key) })
+	}
+}
+
 // forgets returns ended jobs whose phase need not be known any more.
 func (c *Conductor) forgets(book *bookkeeper.Book) []string {
 	now := c.opts.Now()
@@ -143,7 +159,7 @@
 func (c *Conductor) viewOf(book *bookkeeper.Book, w *worker, now time.Time) *placer.Worker {
 	v := &placer.Worker{
 		ID: w.id, Born: w.born, Pool: w.pool, Rack: w.rack, Labels: w.labels, Capacity: w.capacity, Free: w.capacity,
-		Usable:  !w.leaving && now.Sub(w.heard) < c.opts.Timing.Silent,
+		Usable:  !w.leaving && now.Sub(w.heard) < c.opts.Timing.Silent && now.Before(w.leaseEnd),
 		Suspect: w.health.isSuspect(now),
 	}
 	runs := book.RunsOn(w.id)
--- a/internal/queue/conductor/track.go
+++ b/internal/queue/conductor/track.go
@@ -79,9 +79,6 @@
 func (c *Conductor) observeEnd(book *bookkeeper.Book, w *worker, key bookkeeper.RunKey, e *messages.End) {
 	now := c.opts.Now()
 	t := c.tracks[key]
-	delete(c.tracks, key)
-	delete(c.stopping, key)
-	delete(w.ordered, key)
 	j := book.Job(key.Job)
 	s := j.Step(key.Occurrence, key.Step)
 	c.opts.Log.Info("run ended", zap.String("request", key.Job), zap.Int32("step", key.Step), zap.Int32("task", key.Task),
--- a/internal/queue/conductor/worker.go
+++ b/internal/queue/conductor/worker.go
@@ -24,6 +24,7 @@
 	capacity placer.Vector
 	leaving  bool
 	left     bool
+	lapsing  bool // the end of its life is being committed; it gets no orders until that is known
 	leavesAt time.Time // at the earliest, while leaving
 	heard    time.Time
 	leaseEnd time.Time // when all leases that were granted here have surely run out
@@ -162,8 +163,6 @@
 		ends = append(ends, &messages.End{
 			Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number, How: bookkeeper.EndRefused,
 		})
-		delete(w.ordered, key)
-		delete(c.stopping, key)
 	}
 	slices.SortFunc(ends, func(a, b *messages.End) int { return compareKeys(endKey(a), endKey(b)) })
 	return ends
@@ -180,7 +179,7 @@
 func (c *Conductor) ordersFor(book *bookkeeper.Book, r *messages.FleetReport) *messages.FleetOrders {
 	w := c.workers[r.GetWorker()]
 	o := &messages.FleetOrders{Term: c.term, Address: c.opts.Address, Again: c.opts.Timing.reportEvery(len(c.workers)).Milliseconds()}
-	if w == nil || w.born != r.GetBorn() || w.left {
+	if w == nil || w.born != r.GetBorn() || w.left || w.lapsing {
 		return o
 	}
 	if life, ok := book.Life(w.id); ok && life.Born == w.born {
--- a/internal/queue/simulator/job.go
+++ b/internal/queue/simulator/job.go
@@ -132,16 +132,24 @@
 		again(callerDeadline / 4)
 		return
 	}
-	v, err := s.leader.Submit(context.Background(), &messages.Submission{
-		Host: hostName, Path: "/" + j.queue.Name + "/" + j.id, Key: j.org, Work: j.work,
+	leader := s.leader
+	s.spawn(func() {
+		v, err := leader.Submit(context.Background(), &messages.Submission{
+			Host: hostName, Path: "/" + j.queue.Name + "/" + j.id, Key: j.org, Work: j.work,
+		})
+		s.answered(j, v, err, again)
 	})
+}
+
+// answered acts on the answer to a submission.
+func (s *Simulator) answered(j *job, v *messages.Verdict, err error, again func(time.Duration)) {
 	switch {
 	case err != nil:
 		again(callerDeadline / 4)
 	case v.GetStatus() == conductor.StatusOK:
-		j.accepted = s.now.Add(commitDelay)
+		j.accepted = s.now
 		j.refused = false
-		s.after(commitDelay, func() { s.poll(j) })
+		s.after(pollEvery, func() { s.poll(j) })
 		if j.cancel {
 			s.after(time.Duration(s.random.Int64N(int64(4*time.Second))), func() { s.cancelJob(j) })
 		}
@@ -159,7 +167,12 @@
 	}
 	// Without an answer the job may or may not be cancelled.
 	j.cancelled = true
-	v, err := s.leader.Cancel(context.Background(), &messages.Lookup{Host: hostName, Path: "/" + j.queue.Name + "/" + j.id, Key: j.org})
+	leader := s.leader
+	s.spawn(func() { s.askCancel(leader, j) })
+}
+
+func (s *Simulator) askCancel(leader *conductor.Conductor, j *job) {
+	v, err := leader.Cancel(context.Background(), &messages.Lookup{Host: hostName, Path: "/" + j.queue.Name + "/" + j.id, Key: j.org})
 	if err == nil && v.GetStatus() != conductor.StatusOK {
 		s.violate("the cancelling of job %s is answered with %s", j.id, v.GetStatus())
 	}
--- a/internal/queue/simulator/simulator.go
+++ b/internal/queue/simulator/simulator.go
@@ -54,6 +54,7 @@
 	Guaranteed    int64 // accelerators of each organisation
 	Length        time.Duration
 	Bursts        []Burst
+	Abandoned     float64 // share of looks at the account that a call does not live to see
 }
 
 // Burst multiplies the arrivals of one queue for a time.
@@ -138,6 +139,9 @@
 	leader    *conductor.Conductor // nil while there is none
 	term      uint64
 	unsure    bool
+	passing   bool // a pass of the leader waits for its commit
+	current   *process
+	commits   []*commit // under way, in the order of the log
 	workers   []*worker
 	jobs      []*job
 	byID      map[string]*job
@@ -163,8 +167,12 @@
 	s.arrivals()
 	s.plan()
 	s.every(passEvery, func() {
-		if s.leader != nil {
-			s.leader.Pass(context.Background())
+		if leader := s.leader; leader != nil && !s.passing {
+			s.passing = true
+			s.spawn(func() {
+				leader.Pass(context.Background())
+				s.passing = false
+			})
 		}
 	})
 	end := s.start.Add(opts.Load.Length + finishTime)
@@ -226,6 +234,107 @@
 	})
 }
 
+// process is a call to the leader, which waits while something is committed. One runs at a time.
+type process struct {
+	parked  chan struct{} // the process waits or has ended
+	resumed chan struct{}
+}
+
+// spawn runs a call until it waits for a commit or ends.
+func (s *Simulator) spawn(run func()) {
+	p := &process{parked: make(chan struct{}), resumed: make(chan struct{})}
+	outer := s.current
+	s.current = p
+	go func() {
+		run()
+		p.parked <- struct{}{}
+	}()
+	<-p.parked
+	s.current = outer
+}
+
+// commit is a change on its way through the log.
+type commit struct {
+	process *process
+	change  *messages.QueueChange
+	ended   bool
+	err     error
+}
+
+// commit puts a change into the log and waits until it is applied.
+func (s *Simulator) commit(term uint64, change *messages.QueueChange) error {
+	if term != s.term || s.leader == nil {
+		return errDeposed
+	}
+	c := &commit{process: s.current, change: change}
+	s.commits = append(s.commits, c)
+	if s.current == nil {
+		s.settleCommit(c, true, nil) // a call outside of any process can't wait
+		return nil
+	}
+	s.after(commitDelay, func() {
+		if !c.ended {
+			s.settleCommit(c, !s.unsure || s.random.IntN(2) == 0, nil)
+			if s.unsure {
+				c.err = errUnsure
+			}
+		}
+		s.resume(c.process)
+	})
+	p := s.current
+	p.parked <- struct{}{}
+	<-p.resumed
+	return c.err
+}
+
+// mostQueued bounds how long a call waits until the replica turns to it.
+const mostQueued = 8 * time.Millisecond
+
+// queueForReplica lets other calls go first.
+func (s *Simulator) queueForReplica() {
+	p := s.current
+	if p == nil {
+		return
+	}
+	s.after(time.Duration(s.random.Int64N(int64(mostQueued))), func() { s.resume(p) })
+	p.parked <- struct{}{}
+	<-p.resumed
+}
+
+func (s *Simulator) resume(p *process) {
+	outer := s.current
+	s.current = p
+	p.resumed <- struct{}{}
+	<-p.parked
+	s.current = outer
+}
+
+// settleCommit decides on a change: it is applied, or it never will be.
+func (s *Simulator) settleCommit(c *commit, applied bool, err error) {
+	c.ended, c.err = true, err
+	if applied {
+		s.book.Apply(c.change)
+	}
+	s.commits = slices.DeleteFunc(s.commits, func(other *commit) bool { return other == c })
+}
+
+// depose ends the leadership. What is under way survives up to a point in the log that a successor
+// happens to hold.
+func (s *Simulator) depose() {
+	s.leader = nil
+	s.passing = false
+	keep := s.random.IntN(len(s.commits) + 1)
+	for i, c := range slices.Clone(s.commits) {
+		s.settleCommit(c, i < keep, errUnsure)
+	}
+}
+
+// errDeposed is what a leader answers that leads no more.
+var errDeposed = errors.New("not the leader")
+
+// errAbandoned is what a call meets whose sender has gone.
+var errAbandoned = errors.New("the call was abandoned")
+
 // errUnsure is what a commit returns whose outcome is not known.
 var errUnsure = errors.New("the outcome is not known")
 
@@ -240,19 +349,17 @@
 		},
 		FarFactor: farFactor,
 		Read: func(_ context.Context, read func(uint64, *bookkeeper.Book)) error {
-			read(term, s.book)
-			return nil
-		},
-		Commit: func(_ context.Context, change *messages.QueueChange) error {
-			if s.unsure {
-				if s.random.IntN(2) == 0 {
-					s.book.Apply(change)
-				}
-				return errUnsure
+			s.queueForReplica()
+			switch {
+			case term != s.term || s.leader == nil:
+				return errDeposed
+			case s.current != nil && s.random.Float64() < s.opts.Load.Abandoned:
+				return errAbandoned
 			}
-			s.book.Apply(change)
+			read(term, s.book)
 			return nil
 		},
+		Commit:  func(_ context.Context, change *messages.QueueChange) error { return s.commit(term, change) },
 		Explain: func(_ context.Context, err error) error { return err },
 		Now:     func() time.Time { return s.now },
 		Wall:    func() time.Time { return s.now },
@@ -292,7 +399,7 @@
 func (s *Simulator) strike(t Trouble) {
 	switch t.Kind {
 	case Depose:
-		s.leader = nil
+		s.depose()
 		s.after(t.For, s.elect)
 		return
 	case Unsure:
--- a/internal/queue/simulator/simulator_test.go
+++ b/internal/queue/simulator/simulator_test.go
@@ -67,3 +67,23 @@
 		t.Logf("seed %d: earned %.3f, unserved %d, ends %v", seed, r.Share(), unfinished, r.Ends)
 	}
 }
+
+// TestReturnAtLeaseEnd lets workers come back from a cut at about the time at which their leases end,
+// over and over, so that reports arrive while the loss of the worker is being committed.
+func TestReturnAtLeaseEnd(t *testing.T) {
+	for seed := range uint64(6) {
+		fleet, load := Reports(1.1)
+		load.Abandoned = 0.1
+		var list []Trouble
+		for i := range 60 {
+			list = append(list, Trouble{
+				Kind: []Kind{Cut, Deaf}[i%2], From: time.Duration(2000+i*450) * time.Millisecond,
+				For: fleet.Lease + time.Duration(100+i*17)*time.Millisecond, Workers: []int{i * 7 % 48, i * 11 % 48},
+			})
+		}
+		r := New(Options{Seed: seed, Fleet: fleet, Load: load, Troubles: list, Log: zap.NewNop()})
+		for _, b := range r.Broken {
+			t.Errorf("seed %d: %s", seed, b)
+		}
+	}
+}
--- a/internal/queue/simulator/worker.go
+++ b/internal/queue/simulator/worker.go
@@ -138,19 +138,18 @@
 		if w.s.leader == nil {
 			return
 		}
-		o, err := w.s.leader.Report(context.Background(), r)
-		if err != nil {
-			return
-		}
-		delay := linkDelay
-		if len(r.GetEnds()) > 0 {
-			delay += commitDelay
-		}
-		w.s.after(delay, func() {
-			if w.cut > 0 || w.deaf > 0 || w.life != life || !w.up || w.sequence != sequence || !w.calling {
+		leader := w.s.leader
+		w.s.spawn(func() {
+			o, err := leader.Report(context.Background(), r)
+			if err != nil {
 				return
 			}
-			w.obey(o, sent)
+			w.s.after(linkDelay, func() {
+				if w.cut > 0 || w.deaf > 0 || w.life != life || !w.up || w.sequence != sequence || !w.calling {
+					return
+				}
+				w.obey(o, sent)
+			})
 		})
 	})
 }
