--- a/internal/queue/conductor/conductor.go
+++ b/internal/queue/conductor/conductor.go
@@ -43,6 +43,17 @@
 	return max(t.Report, min(time.Duration(n)*t.Share, t.Silent/3))
 }
 
+// silentReports is how many reports of a worker may be missing until nothing is started on it.
+const silentReports = 4
+
+// leastSilence is longer than a report takes over a slow link, with the commit of its ends.
+const leastSilence = 900 * time.Millisecond
+
+// silentAfter returns for how long one of n workers may be silent until nothing is started on it.
+func (t Timing) silentAfter(n int) time.Duration {
+	return min(t.Silent, max(leastSilence, silentReports*t.reportEvery(n)))
+}
+
 // over returns when a lease that was granted at a time has surely run out.
 func (t Timing) over(granted time.Time, lease time.Duration) time.Time {
 	return granted.Add(lease + lease*driftPercent/100 + leaseMargin)
@@ -79,6 +90,8 @@
 	began     time.Time // of the term, as seen here
 	workers   map[string]*worker
 	tracks    map[bookkeeper.RunKey]*track
+	placed    map[bookkeeper.RunKey]bool // starts that were committed in this term
+	suspects  suspects
 	stopping  map[bookkeeper.RunKey]bool
 	ages      map[string]time.Time // when a job was first seen here
 	ended     map[string]time.Time // when a job was first seen to have ended
@@ -132,6 +145,8 @@
 	c.began = c.opts.Now()
 	c.workers = map[string]*worker{}
 	c.tracks = map[bookkeeper.RunKey]*track{}
+	c.placed = map[bookkeeper.RunKey]bool{}
+	c.suspects = suspects{}
 	c.stopping = map[bookkeeper.RunKey]bool{}
 	c.ages = map[string]time.Time{}
 	c.ended = map[string]time.Time{}
@@ -168,10 +183,13 @@
 		c.opts.Log.Warn("decisions not committed", zap.Int("starts", len(change.GetStarts())), zap.Int("ends", len(change.GetEnds())), zap.Error(err))
 		return
 	}
-	if len(change.GetEnds()) == 0 {
-		return
-	}
-	if err := c.read(ctx, func(*bookkeeper.Book) { c.endLapsing(change.GetEnds()) }); err != nil {
+	err := c.read(ctx, func(*bookkeeper.Book) {
+		c.endLapsing(change.GetEnds())
+		for _, r := range change.GetStarts() {
+			c.placed[bookkeeper.KeyOf(r)] = true
+		}
+	})
+	if err != nil {
 		return // the term is over, and with it what was known of the workers
 	}
 }
--- a/internal/queue/conductor/decide.go
+++ b/internal/queue/conductor/decide.go
@@ -17,7 +17,7 @@
 func (c *Conductor) decide(book *bookkeeper.Book) *messages.QueueChange {
 	change := &messages.QueueChange{Time: c.opts.Wall().UnixMilli()}
 	c.clean(book)
-	change.Ends = c.lapses(book)
+	change.Ends = append(c.lapses(book), c.neverSent(book)...)
 	change.Forgets = c.forgets(book)
 	if len(change.Ends) == 0 {
 		// Ends change what is free; the next pass sees them.
@@ -56,11 +56,42 @@
 	return list
 }
 
+// neverSent returns the ends of starts whose orders never left because the worker fell silent. Only
+// this leader could have sent them, so they may go elsewhere at once.
+func (c *Conductor) neverSent(book *bookkeeper.Book) []*messages.WorkerEnds {
+	now := c.opts.Now()
+	var list []*messages.WorkerEnds
+	for id, w := range c.workers {
+		if w.lapsing || now.Sub(w.heard) < c.opts.Timing.silentAfter(len(c.workers)) {
+			continue
+		}
+		ends := &messages.WorkerEnds{Worker: id, Born: w.born}
+		for key, run := range book.RunsOn(id) {
+			if _, sent := w.ordered[key]; run.GetBorn() != w.born || sent || w.listed[key] || !c.placed[key] {
+				continue
+			}
+			c.stopping[key] = true // a report that arrives now must not be answered with the start
+			ends.Ends = append(ends.Ends, &messages.End{
+				Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number, How: bookkeeper.EndRefused,
+			})
+		}
+		if len(ends.Ends) == 0 {
+			continue
+		}
+		c.opts.Log.Info("starts not sent", zap.String("worker", id), zap.Int("starts", len(ends.Ends)), zap.Duration("silent", now.Sub(w.heard)))
+		slices.SortFunc(ends.Ends, func(a, b *messages.End) int { return compareKeys(endKey(a), endKey(b)) })
+		list = append(list, ends)
+	}
+	slices.SortFunc(list, func(a, b *messages.WorkerEnds) int { return strings.Compare(a.GetWorker(), b.GetWorker()) })
+	return list
+}
+
 // clean drops what was known of runs whose ends are committed. It must stay until then: a run whose
 // end is on its way must not be ordered again.
 func (c *Conductor) clean(book *bookkeeper.Book) {
 	over := func(key bookkeeper.RunKey) bool { return !book.IsActive(key) }
 	maps.DeleteFunc(c.tracks, func(key bookkeeper.RunKey, _ *track) bool { return over(key) })
+	maps.DeleteFunc(c.placed, func(key bookkeeper.RunKey, _ bool) bool { return over(key) })
 	maps.DeleteFunc(c.stopping, func(key bookkeeper.RunKey, _ bool) bool { return over(key) })
 	for _, w := range c.workers {
 		maps.DeleteFunc(w.ordered, func(key bookkeeper.RunKey, _ uint64) bool { return over(key) })
@@ -85,6 +116,7 @@
 			list = append(list, id)
 			delete(c.ended, id)
 			delete(c.ages, id)
+			delete(c.suspects, id)
 		}
 	})
 	return list
@@ -159,7 +191,7 @@
 func (c *Conductor) viewOf(book *bookkeeper.Book, w *worker, now time.Time) *placer.Worker {
 	v := &placer.Worker{
 		ID: w.id, Born: w.born, Pool: w.pool, Rack: w.rack, Labels: w.labels, Capacity: w.capacity, Free: w.capacity,
-		Usable:  !w.leaving && now.Sub(w.heard) < c.opts.Timing.Silent && now.Before(w.leaseEnd),
+		Usable:  !w.leaving && now.Sub(w.heard) < c.opts.Timing.silentAfter(len(c.workers)) && now.Before(w.leaseEnd),
 		Suspect: w.health.isSuspect(now),
 	}
 	runs := book.RunsOn(w.id)
--- a/internal/queue/conductor/track.go
+++ b/internal/queue/conductor/track.go
@@ -26,7 +26,6 @@
 	for _, l := range r.GetRunning() {
 		key := bookkeeper.KeyOf(l.GetRun())
 		w.listed[key] = true
-		delete(w.ordered, key)
 		t := c.tracks[key]
 		if t == nil {
 			t = &track{worker: w.id, first: now, moved: now, savedAt: now}
@@ -86,12 +85,14 @@
 		zap.Duration("elapsed", t.elapsed(now)), zap.Uint64("report", w.sequence))
 	switch e.GetHow() {
 	case bookkeeper.EndDone:
-		w.health.succeeded(now)
+		w.health.succeeded()
 		if t != nil && t.saved == "" {
 			declared := time.Duration(s.Spec.GetEstimate()) * time.Millisecond
 			c.estimates.Observe(j.Work.GetQueue(), "", declared, t.elapsed(now))
 		}
 	case bookkeeper.EndFailed:
-		w.health.failed(now, key.Job)
+		if c.suspects.blame(key.Job, w.id) {
+			w.health.failed(now)
+		}
 	}
 }
--- a/internal/queue/conductor/worker.go
+++ b/internal/queue/conductor/worker.go
@@ -24,13 +24,12 @@
 	capacity placer.Vector
 	leaving  bool
 	left     bool
-	lapsing  bool // the end of its life is being committed; it gets no orders until that is known
+	lapsing  bool      // the end of its life is being committed; it gets no orders until that is known
 	leavesAt time.Time // at the earliest, while leaving
 	heard    time.Time
 	leaseEnd time.Time // when all leases that were granted here have surely run out
 	listed   map[bookkeeper.RunKey]bool
-	// ordered holds, for runs that are not listed yet, the report whose answer last ordered their
-	// start.
+	// ordered holds the report whose answer last ordered the start of a run.
 	ordered map[bookkeeper.RunKey]uint64
 	health  health
 }
@@ -136,13 +135,19 @@
 	for _, run := range runs {
 		earlier = earlier || run.GetBorn() < w.born
 	}
-	ends.Ends = append(ends.Ends, c.neverStarted(book, w, ends.Ends)...)
+	if len(r.GetEnds()) < mostEnds {
+		ends.Ends = append(ends.Ends, c.neverStarted(book, w, ends.Ends)...)
+	}
 	if ends.Sequence == life.Sequence && !earlier && len(ends.Ends) == 0 {
 		return nil
 	}
 	return &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Ends: []*messages.WorkerEnds{ends}}
 }
 
+// mostEnds is the least number of ends that a worker may split over several reports. From it on, a
+// run that a report does not list may have ended all the same.
+const mostEnds = 500
+
 // neverStarted returns the ends of runs that must not start any more and did not start. A worker
 // sends a report only after the answer to the one before has arrived or is void, so a run that a
 // later report does not list has not started, and without a further order it never will. A worker
