--- a/internal/queue/simulator/load_test.go
+++ b/internal/queue/simulator/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -38,10 +39,17 @@
 			continue
 		}
 		asked, ended := 0, 0
-		for seed := range uint64(seeds) {
-			fleet, load := l.preset(l.scale)
-			load.Bursts = l.bursts
-			r := New(Options{Seed: 100 + seed, Fleet: fleet, Load: load, Troubles: l.troubles, Log: zap.NewNop()})
+		results := make([]*Result, seeds)
+		var wait sync.WaitGroup
+		for seed := range results {
+			wait.Go(func() {
+				fleet, load := l.preset(l.scale)
+				load.Bursts = l.bursts
+				results[seed] = New(Options{Seed: 100 + uint64(seed), Fleet: fleet, Load: load, Troubles: l.troubles, Log: zap.NewNop()})
+			})
+		}
+		wait.Wait()
+		for _, r := range results {
 			sum.Owed += r.Owed
 			sum.Earned += r.Earned
 			sum.Waste += r.Waste
--- a/internal/queue/simulator/simulator.go
+++ b/internal/queue/simulator/simulator.go
@@ -154,7 +154,9 @@
 }
 
 // New runs one simulation to its end and returns what came out of it.
-func New(opts Options) *Result {
+func New(opts Options) *Result { return &simulate(opts).result }
+
+func simulate(opts Options) *Simulator {
 	s := &Simulator{
 		opts: opts, random: rand.New(rand.NewPCG(opts.Seed, opts.Seed^0x5bd1e995)), start: time.Unix(1_700_000_000, 0),
 		book: bookkeeper.New(), byID: map[string]*job{}, gangs: map[gangKey]*gang{}, running: map[bookkeeper.TaskKey]int{},
@@ -185,7 +187,7 @@
 		e.run()
 	}
 	s.settle()
-	return &s.result
+	return s
 }
 
 // finishTime is how long the model goes on after the last arrival.
