conductor: a worker that gets no answers is found by what its next report lacks

A start that the next report does not list never took effect: it is taken back at once and the worker gets no work until its reports come at the pace that it was told. Ruled out: longer silence bounds, as these workers are not silent.

--- a/internal/queue/conductor/conductor.go
+++ b/internal/queue/conductor/conductor.go
@@ -54,6 +54,16 @@
 	return min(t.Silent, max(leastSilence, silentReports*t.reportEvery(n)))
 }
 
+// unanswered returns the time between two reports of one of n workers from which on the answer to
+// the first has most likely got lost.
+func (t Timing) unanswered(n int) time.Duration {
+	return t.reportEvery(n) + answerMargin
+}
+
+// answerMargin is longer than an answer takes with the commit of ends, and shorter than the second
+// that a worker waits for one.
+const answerMargin = 600 * time.Millisecond
+
 // over returns when a lease that was granted at a time has surely run out.
 func (t Timing) over(granted time.Time, lease time.Duration) time.Time {
 	return granted.Add(lease + lease*driftPercent/100 + leaseMargin)
--- a/internal/queue/conductor/decide.go
+++ b/internal/queue/conductor/decide.go
@@ -191,7 +191,7 @@
 func (c *Conductor) viewOf(book *bookkeeper.Book, w *worker, now time.Time) *placer.Worker {
 	v := &placer.Worker{
 		ID: w.id, Born: w.born, Pool: w.pool, Rack: w.rack, Labels: w.labels, Capacity: w.capacity, Free: w.capacity,
-		Usable:  !w.leaving && now.Sub(w.heard) < c.opts.Timing.silentAfter(len(c.workers)) && now.Before(w.leaseEnd),
+		Usable:  !w.leaving && !w.deaf && now.Sub(w.heard) < c.opts.Timing.silentAfter(len(c.workers)) && now.Before(w.leaseEnd),
 		Suspect: w.health.isSuspect(now),
 	}
 	runs := book.RunsOn(w.id)
--- a/internal/queue/conductor/worker.go
+++ b/internal/queue/conductor/worker.go
@@ -27,6 +27,7 @@
 	lapsing  bool      // the end of its life is being committed; it gets no orders until that is known
 	leavesAt time.Time // at the earliest, while leaving
 	heard    time.Time
+	deaf     bool // answers to it seem to get lost
 	leaseEnd time.Time // when all leases that were granted here have surely run out
 	listed   map[bookkeeper.RunKey]bool
 	// ordered holds the report whose answer last ordered the start of a run.
@@ -90,6 +91,8 @@
 	if r.GetLeaving() && !w.leaving {
 		c.opts.Log.Info("worker leaves", zap.String("worker", w.id), zap.Int64("remaining", r.GetRemaining()))
 	}
+	// A worker that got no answer reports again only after its time for an answer.
+	w.deaf = !w.heard.IsZero() && now.Sub(w.heard) > c.opts.Timing.unanswered(len(c.workers))
 	w.sequence, w.heard = r.GetSequence(), now
 	w.pool, w.place, w.labels = r.GetPool(), r.GetPlace(), r.GetLabels()
 	w.rack = r.GetRack()
@@ -148,10 +151,11 @@
 // run that a report does not list may have ended all the same.
 const mostEnds = 500
 
-// neverStarted returns the ends of runs that must not start any more and did not start. A worker
-// sends a report only after the answer to the one before has arrived or is void, so a run that a
-// later report does not list has not started, and without a further order it never will. A worker
-// lists no end for a run that it was told to stop before it came.
+// neverStarted returns the ends of runs whose orders did not reach the worker, and of runs that must
+// not start any more and did not start. A worker sends a report only after the answer to the one
+// before has arrived or is void, so a run that a later report does not list has not started, and
+// without a further order it never will. A worker lists no end for a run that it was told to stop
+// before it came.
 func (c *Conductor) neverStarted(book *bookkeeper.Book, w *worker, listed []*messages.End) []*messages.End {
 	ended := make(map[bookkeeper.RunKey]bool, len(listed))
 	for _, e := range listed {
@@ -162,9 +166,11 @@
 		switch {
 		case run.GetBorn() != w.born, w.listed[key], ended[key], w.ordered[key] >= w.sequence:
 			continue
-		case !c.mustStop(book.Job(key.Job), key):
+		case !c.mustStop(book.Job(key.Job), key) && w.ordered[key] == 0:
 			continue
 		}
+		w.deaf = w.deaf || w.ordered[key] > 0
+		c.stopping[key] = true // until the end is committed, the start must not be ordered again
 		ends = append(ends, &messages.End{
 			Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number, How: bookkeeper.EndRefused,
 		})
