--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -24,6 +24,7 @@
 	longestRetry = 300 * time.Millisecond
 	leaderMeta   = "leader" // metadata key of the leader's address in an error
 	callTimeout  = 2 * time.Second
+	beatTimeout  = 700 * time.Millisecond // a beat only reads the state; another keeper is asked soon
 )
 
 // ErrNoLeader tells that no leader was found in time.
@@ -43,6 +44,7 @@
 
 	mu     sync.Mutex
 	leader netip.AddrPort // last known, zero for none
+	spoke  time.Time      // when a keeper last answered anything
 	next   int            // keeper to ask when no leader is known
 	local  *Local         // nil on a daemon that is no keeper
 }
@@ -76,6 +78,9 @@
 func (f *Forwarder) learn(asked netip.AddrPort, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err == nil || isAnswer(err) {
+		f.spoke = time.Now()
+	}
 	if err == nil {
 		f.leader = asked
 		return
@@ -90,6 +95,20 @@
 	}
 }
 
+// isAnswer reports whether an error was sent by a keeper. Errors of the way to it are internal ones.
+func isAnswer(err error) bool {
+	var te twirp.Error
+	return errors.As(err, &te) && te.Code() == twirp.Unavailable
+}
+
+// Reached reports whether any keeper has answered anything within a bound, if only that it does not
+// lead.
+func (f *Forwarder) Reached(bound time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.spoke) < bound
+}
+
 // call asks the leader until it answers or the context ends. Every request that is passed on
 // has the same effect when it arrives twice.
 func call[T any](ctx context.Context, f *Forwarder, timeout time.Duration, ask func(context.Context, netip.AddrPort) (T, error)) (T, error) {
@@ -187,7 +206,7 @@
 
 // Sync sends a beat once and returns the leader's reply.
 func (f *Forwarder) Sync(ctx context.Context, b *messages.Beat) (*messages.Orders, error) {
-	return attempt(ctx, f, callTimeout, func(ctx context.Context, a netip.AddrPort) (*messages.Orders, error) {
+	return attempt(ctx, f, beatTimeout, func(ctx context.Context, a netip.AddrPort) (*messages.Orders, error) {
 		return f.peer(a).Sync(ctx, b)
 	})
 }
