--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -86,7 +86,22 @@
 	rep.server = forwarder.NewServer(forwarder.ServerOptions{
 		Replica: a, Timing: r.opts.Timing, Now: time.Now, Address: r.peers.keeperAddress, History: history, Burn: rep.burn,
 	})
-	rep.queues = conductor.New(conductor.Options{
+	rep.queues = r.conduct(rep)
+	r.replica = rep
+	r.wait.Go(func() { rep.lead(r.ctx) })
+	r.wait.Go(func() {
+		<-a.Done()
+		if err := a.Failure(); err != nil {
+			r.fail(err)
+		}
+	})
+	return nil
+}
+
+// conduct starts the keeper's part of queues.
+func (r *Runner) conduct(rep *replica) *conductor.Conductor {
+	a, s := rep.applier, r.opts.Settings
+	queues := conductor.New(conductor.Options{
 		Timing: r.opts.Queues.Timing, Address: r.opts.Queues.Address, FarFactor: r.opts.Queues.FarFactor,
 		Read: func(ctx context.Context, read func(term uint64, book *bookkeeper.Book)) error {
 			return a.Read(ctx, func(term uint64, state *decider.State) { read(term, state.Queues()) })
@@ -98,7 +113,7 @@
 		Explain: rep.server.Explain, Now: time.Now, Wall: time.Now, Log: r.log,
 	})
 	r.forward.SetLocal(forwarder.Local{
-		Address: s.PeeringAddr(), Queues: rep.queues,
+		Address: s.PeeringAddr(), Queues: queues,
 		Leader: func() netip.AddrPort {
 			name := a.Leader()
 			if name == s.Name {
@@ -111,15 +126,7 @@
 			return address
 		},
 	})
-	r.replica = rep
-	r.wait.Go(func() { rep.lead(r.ctx) })
-	r.wait.Go(func() {
-		<-a.Done()
-		if err := a.Failure(); err != nil {
-			r.fail(err)
-		}
-	})
-	return nil
+	return queues
 }
 
 // seedOf spreads the election times of daemons, the same ones at each start.
--- a/internal/queue/bookkeeper/job.go
+++ b/internal/queue/bookkeeper/job.go
@@ -162,33 +162,16 @@
 	if s.Done || t.Done {
 		return
 	}
-	gang := s.Spec.GetGang()
-	if saved != "" {
-		if gang {
-			s.saved = saved
-		} else {
-			t.saved = saved
-		}
-	}
-	switch {
-	case s.Spec.GetLasting():
-	case how == EndDone && gang:
-		s.left = 0
-	case how == EndDone:
-		t.Done = true
-		s.left--
-	case how == EndFailed && gang && s.failed != r.GetNumber():
-		s.failed = r.GetNumber()
-		s.failures++
-	case how == EndFailed && !gang:
-		t.failures++
+	if s.Spec.GetGang() {
+		s.endMember(r.GetNumber(), how, saved)
+	} else {
+		s.endTask(t, how, saved)
 	}
 	if s.left == 0 {
 		s.Done = true
 		j.left--
 	}
 	switch {
-	case j.Ended():
 	case j.left == 0:
 		j.finish(Completed, time)
 	case s.Failures(r.GetTask()) >= uint32(max(j.Work.GetAttempts(), 1)):
@@ -196,6 +179,37 @@
 	}
 }
 
+// endMember takes note of the end of one member of a gang. One that is done speaks for all, and
+// several that fail in one run count once.
+func (s *Step) endMember(number uint32, how, saved string) {
+	if saved != "" {
+		s.saved = saved
+	}
+	switch {
+	case s.Spec.GetLasting():
+	case how == EndDone:
+		s.left = 0
+	case how == EndFailed && s.failed != number:
+		s.failed = number
+		s.failures++
+	}
+}
+
+// endTask takes note of the end of a run of a task that stands alone.
+func (s *Step) endTask(t *Task, how, saved string) {
+	if saved != "" {
+		t.saved = saved
+	}
+	switch {
+	case s.Spec.GetLasting():
+	case how == EndDone:
+		t.Done = true
+		s.left--
+	case how == EndFailed:
+		t.failures++
+	}
+}
+
 func (j *Job) finish(p Phase, time int64) {
 	if !j.Ended() {
 		j.Phase = p
--- a/internal/queue/bookkeeper/snapshot.go
+++ b/internal/queue/bookkeeper/snapshot.go
@@ -22,9 +22,7 @@
 		s.Lives = append(s.Lives, &messages.LifeState{Worker: name, Born: l.Born, Sequence: l.Sequence})
 	}
 	for _, name := range slices.Sorted(maps.Keys(b.runs)) {
-		for _, r := range slices.SortedFunc(maps.Values(b.runs[name]), compareRuns) {
-			s.Runs = append(s.Runs, r)
-		}
+		s.Runs = append(s.Runs, slices.SortedFunc(maps.Values(b.runs[name]), compareRuns)...)
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
 	if err != nil {
--- a/internal/queue/conductor/worker.go
+++ b/internal/queue/conductor/worker.go
@@ -24,10 +24,9 @@
 	capacity placer.Vector
 	leaving  bool
 	left     bool
-	lapsing  bool      // the end of its life is being committed; it gets no orders until that is known
-	leavesAt time.Time // at the earliest, while leaving
+	lapsing  bool // the end of its life is being committed; it gets no orders until that is known
 	heard    time.Time
-	deaf     bool // answers to it seem to get lost
+	deaf     bool      // answers to it seem to get lost
 	leaseEnd time.Time // when all leases that were granted here have surely run out
 	listed   map[bookkeeper.RunKey]bool
 	// ordered holds the report whose answer last ordered the start of a run.
@@ -73,21 +72,37 @@
 		c.opts.Log.Warn("report of an unknown pool", zap.String("worker", r.GetWorker()), zap.String("pool", r.GetPool()))
 		return nil, true
 	}
-	switch life, known := book.Life(r.GetWorker()); {
-	case known && r.GetBorn() < life.Born:
-		return nil, true
-	case w != nil && (r.GetBorn() < w.born || r.GetBorn() == w.born && r.GetSequence() <= w.sequence):
+	if isStale(book, w, r) {
 		return nil, true
 	}
 	if w == nil || r.GetBorn() > w.born {
-		if w == nil {
-			c.stir()
-		}
-		w = &worker{id: r.GetWorker(), born: r.GetBorn(), ordered: map[bookkeeper.RunKey]uint64{}}
-		c.workers[r.GetWorker()] = w
-		c.opts.Log.Info("worker reports", zap.String("worker", w.id), zap.Int64("born", w.born),
-			zap.String("pool", r.GetPool()), zap.Strings("labels", r.GetLabels()))
+		w = c.newLife(r)
+	}
+	c.update(w, r, now)
+	c.followRuns(w, r)
+	return c.freshEnds(book, w, r), false
+}
+
+// isStale reports whether a report of a later life, or a later report of the same life, is known.
+func isStale(book *bookkeeper.Book, w *worker, r *messages.FleetReport) bool {
+	if life, known := book.Life(r.GetWorker()); known && r.GetBorn() < life.Born {
+		return true
 	}
+	return w != nil && (r.GetBorn() < w.born || r.GetBorn() == w.born && r.GetSequence() <= w.sequence)
+}
+
+// newLife takes in a worker that is not known, or that has started again.
+func (c *Conductor) newLife(r *messages.FleetReport) *worker {
+	w := &worker{id: r.GetWorker(), born: r.GetBorn(), ordered: map[bookkeeper.RunKey]uint64{}}
+	c.workers[r.GetWorker()] = w
+	c.opts.Log.Info("worker reports", zap.String("worker", w.id), zap.Int64("born", w.born),
+		zap.String("pool", r.GetPool()), zap.Strings("labels", r.GetLabels()))
+	c.stir()
+	return w
+}
+
+// update takes note of what a worker says of itself.
+func (c *Conductor) update(w *worker, r *messages.FleetReport, now time.Time) {
 	if r.GetLeaving() && !w.leaving {
 		c.opts.Log.Info("worker leaves", zap.String("worker", w.id), zap.Int64("remaining", r.GetRemaining()))
 	}
@@ -99,9 +114,6 @@
 	w.capacity = placer.Vector{Processors: r.GetProcessors(), Memory: r.GetMemory(), Accelerators: r.GetAccelerators()}
 	w.leaving = r.GetLeaving()
 	w.left = w.left && w.leaving // a worker that is ready has not left: the goodbye was an earlier life's
-	w.leavesAt = now.Add(time.Duration(r.GetRemaining()) * time.Millisecond)
-	c.followRuns(w, r)
-	return c.freshEnds(book, w, r), false
 }
 
 // hearGoodbye takes note that a worker is about to exit. Nothing starts on it any more and its lease
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -93,7 +93,6 @@
 	soon Vector
 	// held is promised to an earlier unit that waits: later units may use it only if they end in time.
 	heldUntil time.Duration // 0 for not held
-	evicted   map[*Active]bool
 }
 
 // New runs one pass and returns what it decided.
--- a/internal/queue/simulator/result.go
+++ b/internal/queue/simulator/result.go
@@ -1,9 +1,13 @@
 package simulator
 
 import (
+	"bytes"
+	"cmp"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -27,11 +31,11 @@
 
 // QueueResult is what one kind of job got.
 type QueueResult struct {
-	Name                                    string
-	Asked, InTime, Late, Refused, Unserved  int
-	Owed, Earned                            float64
-	LargeAsked, LargeServed                 int // of the largest tenth
-	FirstStart50, FirstStart95, Reclaimed99 time.Duration
+	Name                                   string
+	Asked, InTime, Late, Refused, Unserved int
+	Owed, Earned                           float64
+	LargeAsked, LargeServed                int // of the largest tenth
+	FirstStart50, FirstStart95             time.Duration
 }
 
 // Share returns what was earned of what was owed.
@@ -75,40 +79,15 @@
 
 func (s *Simulator) settleQueue(q *Queue) {
 	r := QueueResult{Name: q.Name}
-	var jobs []*job
-	mean := 0.0
-	for _, j := range s.jobs {
-		if j.queue == q && !j.cancel {
-			jobs = append(jobs, j)
-			mean += j.size
-		}
-	}
+	jobs, mean := s.jobsOf(q)
 	if len(jobs) == 0 {
 		return
 	}
-	mean /= float64(len(jobs))
-	slices.SortFunc(jobs, func(a, b *job) int { return int(1000 * (b.size - a.size)) })
 	var starts []time.Duration
 	for i, j := range jobs {
-		worth := q.Worth * min(4, 0.3+0.7*j.size/mean)
-		late := q.Late * min(4, 0.3+0.7*j.size/mean)
-		r.Asked++
-		r.Owed += worth
+		scale := min(mostWorth, fixedWorth+(1-fixedWorth)*j.size/mean)
 		s.result.Work += j.size
-		served := !j.shown.IsZero() && (j.phase == bookkeeper.Completed || j.hopeless && j.phase == bookkeeper.Failed)
-		took := j.shown.Sub(j.sent)
-		switch objective := s.objective(j); {
-		case !served && j.refused:
-			r.Refused++
-		case !served, took > 3*objective:
-			r.Unserved++
-		case took <= objective:
-			r.InTime++
-			r.Earned += worth
-		default:
-			r.Late++
-			r.Earned += late
-		}
+		served := r.settle(j, s.objective(j), q.Worth*scale, q.Late*scale)
 		if i < max(len(jobs)/10, 1) {
 			r.LargeAsked++
 			if served {
@@ -118,19 +97,64 @@
 		if !j.begunAt.IsZero() {
 			starts = append(starts, j.begunAt.Sub(j.sent))
 		}
-		if q.Priority == 0 && !j.accepted.IsZero() && !j.refused && (j.begunAt.IsZero() || j.begunAt.Sub(j.accepted) > reclaimBound) {
+		if q.Priority == 0 && j.isLateReclaim() {
 			s.result.Reclaims++
 		}
 	}
 	slices.Sort(starts)
 	if n := len(starts); n > 0 {
-		r.FirstStart50, r.FirstStart95, r.Reclaimed99 = starts[n/2], starts[n*95/100], starts[n*99/100]
+		r.FirstStart50, r.FirstStart95 = starts[n/2], starts[n*95/100]
 	}
 	s.result.Owed += r.Owed
 	s.result.Earned += r.Earned
 	s.result.Queues = append(s.result.Queues, r)
 }
 
+// A job is worth a fixed share of its queue's worth and the rest by its size, up to a bound.
+const (
+	fixedWorth = 0.3
+	mostWorth  = 4
+)
+
+// jobsOf returns the jobs of a queue that were not cancelled, the largest first, and their mean size.
+func (s *Simulator) jobsOf(q *Queue) ([]*job, float64) {
+	var jobs []*job
+	sum := 0.0
+	for _, j := range s.jobs {
+		if j.queue == q && !j.cancel {
+			jobs = append(jobs, j)
+			sum += j.size
+		}
+	}
+	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Compare(b.size, a.size) })
+	return jobs, sum / float64(max(len(jobs), 1))
+}
+
+// settle adds up what the caller of one job got. It reports whether the job was served at all.
+func (r *QueueResult) settle(j *job, objective time.Duration, worth, late float64) bool {
+	r.Asked++
+	r.Owed += worth
+	served := !j.shown.IsZero() && (j.phase == bookkeeper.Completed || j.hopeless && j.phase == bookkeeper.Failed)
+	switch took := j.shown.Sub(j.sent); {
+	case !served && j.refused:
+		r.Refused++
+	case !served, took > 3*objective:
+		r.Unserved++
+	case took <= objective:
+		r.InTime++
+		r.Earned += worth
+	default:
+		r.Late++
+		r.Earned += late
+	}
+	return served
+}
+
+// isLateReclaim reports whether an accepted urgent job began later than it must.
+func (j *job) isLateReclaim() bool {
+	return !j.accepted.IsZero() && !j.refused && (j.begunAt.IsZero() || j.begunAt.Sub(j.accepted) > reclaimBound)
+}
+
 // objective returns the time within which a job earns its whole worth.
 func (s *Simulator) objective(j *job) time.Duration {
 	chain := time.Duration(0)
@@ -142,17 +166,19 @@
 
 // Print writes the result as a table.
 func (r *Result) Print(out io.Writer) error {
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "queue\tasked\tin time\tlate\trefused\tunserved\tearned\tlargest served\tstart p50\tstart p95\t")
+	var text bytes.Buffer
+	w := tabwriter.NewWriter(&text, 0, 0, 2, ' ', tabwriter.AlignRight)
+	rows := []string{"queue\tasked\tin time\tlate\trefused\tunserved\tearned\tlargest served\tstart p50\tstart p95\t"}
 	for _, q := range r.Queues {
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%.3f\t%d/%d\t%v\t%v\t\n", q.Name, q.Asked, q.InTime, q.Late, q.Refused, q.Unserved,
-			q.Earned/max(q.Owed, 1e-9), q.LargeServed, q.LargeAsked, q.FirstStart50.Round(time.Millisecond), q.FirstStart95.Round(time.Millisecond))
+		rows = append(rows, fmt.Sprintf("%s\t%d\t%d\t%d\t%d\t%d\t%.3f\t%d/%d\t%v\t%v\t", q.Name, q.Asked, q.InTime, q.Late, q.Refused, q.Unserved,
+			q.Earned/max(q.Owed, 1e-9), q.LargeServed, q.LargeAsked, q.FirstStart50.Round(time.Millisecond), q.FirstStart95.Round(time.Millisecond)))
 	}
-	fmt.Fprintf(w, "all\t\t\t\t\t\t%.3f\t\t\t\t\n", r.Share())
-	if err := w.Flush(); err != nil {
+	rows = append(rows, fmt.Sprintf("all\t\t\t\t\t\t%.3f\t\t\t\t", r.Share()))
+	_, err := io.WriteString(w, strings.Join(rows, "\n")+"\n")
+	if err := errors.Join(err, w.Flush()); err != nil {
 		return fmt.Errorf("print result: %w", err)
 	}
-	_, err := fmt.Fprintf(out, "lost work %.3f of all, %d runs, ends %v, late reclaims %d, broken promises %d\n",
-		r.Waste/max(r.Work, 1e-9), r.Runs, r.Ends, r.Reclaims, len(r.Broken))
+	_, err = fmt.Fprintf(out, "%slost work %.3f of all, %d runs, ends %v, late reclaims %d, broken promises %d\n",
+		text.String(), r.Waste/max(r.Work, 1e-9), r.Runs, r.Ends, r.Reclaims, len(r.Broken))
 	return err
 }
