--- a/internal/config/parser/settings.go
+++ b/internal/config/parser/settings.go
@@ -15,14 +15,15 @@
 	Peering  string   `json:"peering"` // other daemons
 	Keepers  []Peer   `json:"keepers"` // all first keepers, the same list everywhere
 	Data     string   `json:"data,omitempty"`
-	Late     bool     `json:"late,omitempty"`   // the fleet has started before; an empty data folder must be taken in by a leader
-	Operator string   `json:"operator"`         // file with the operators' token
-	Secret   string   `json:"secret"`           // file with the secret shared by the daemons
-	Drain    Duration `json:"drain,omitempty"`  // bound on a graceful shutdown
-	Level    string   `json:"level,omitempty"`  // debug, info, warn or error
-	Format   string   `json:"format,omitempty"` // json or console
-	TLS      *TLS     `json:"tls,omitempty"`    // for callers, operators and workers
-	Mutual   *TLS     `json:"mutual,omitempty"` // between daemons, with client certificates
+	Late     bool     `json:"late,omitempty"`    // the fleet has started before; an empty data folder must be taken in by a leader
+	Operator string   `json:"operator"`          // file with the operators' token
+	Secret   string   `json:"secret"`            // file with the secret shared by the daemons
+	Metrics  string   `json:"metrics,omitempty"` // address that serves the metrics page alone
+	Drain    Duration `json:"drain,omitempty"`   // bound on a graceful shutdown
+	Level    string   `json:"level,omitempty"`   // debug, info, warn or error
+	Format   string   `json:"format,omitempty"`  // json or console
+	TLS      *TLS     `json:"tls,omitempty"`     // for callers, operators and workers
+	Mutual   *TLS     `json:"mutual,omitempty"`  // between daemons, with client certificates
 }
 
 // Peer is a keeper as others reach it.
@@ -61,6 +62,9 @@
 	c.require(ValidName(s.Place), "place", "is %q, want letters, digits, dots and dashes", s.Place)
 	requireAddress(c, "listen", s.Listen)
 	requireAddress(c, "peering", s.Peering)
+	if s.Metrics != "" {
+		requireAddress(c, "metrics", s.Metrics)
+	}
 	c.require(s.Operator != "", "operator", "is missing, want a file with the operators' token")
 	c.require(s.Secret != "", "secret", "is missing, want a file with the daemons' secret")
 	c.require(s.Drain > 0 && s.Drain <= maxDrain, "drain", "is %s, want up to %s", s.Drain.Std(), maxDrain.Std())
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -49,6 +49,8 @@
 	RepairAfter time.Duration
 	Dial        Dial // to other daemons, nil for the network
 	Queues      QueueOptions
+	// Metrics is filled in by the runner.
+	Metrics tally.Scope
 	// Voters is the number of keepers that vote, 0 for that of the settings.
 	Voters int
 	Log    *zap.Logger
@@ -96,6 +98,7 @@
 	replica  *replica // nil without a data folder
 	entry    *http.Server
 	peer     *http.Server
+	page     *http.Server // of metrics, nil without an address
 	closers  []func()
 
 	ctx       context.Context
@@ -127,6 +130,10 @@
 	metrics, report := r.metrics()
 	r.home = registrar.NewHome(r.opts.Timing, time.Now)
 	r.manifest = distributor.New(r.home.Fresh)
+	if err := r.serveMetrics(report); err != nil {
+		return err
+	}
+	r.opts.Metrics = metrics
 	peers, err := newPeering(r.opts, r.log)
 	if err != nil {
 		return err
@@ -163,6 +170,25 @@
 	return scope, reporter.HTTPHandler()
 }
 
+// Metrics returns where the parts of the daemon count.
+func (r *Runner) Metrics() tally.Scope { return r.opts.Metrics }
+
+// serveMetrics opens the address that serves the metrics page alone.
+func (r *Runner) serveMetrics(page http.Handler) error {
+	if r.opts.Settings.Metrics == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", r.opts.Settings.Metrics)
+	if err != nil {
+		return fmt.Errorf("listen for metrics: %w", err)
+	}
+	m := mux.NewRouter()
+	m.Handle("/metrics", page).Methods(http.MethodGet)
+	r.page = &http.Server{Handler: m, ReadHeaderTimeout: headerTimeout}
+	r.serve(r.page, l)
+	return nil
+}
+
 func (r *Runner) ready() error {
 	if !r.home.Fresh(distributor.FreshFor) {
 		return errors.New("no word from a leader")
@@ -326,7 +352,7 @@
 func (r *Runner) Kill() {
 	r.stopOnce.Do(func() {
 		r.cancel()
-		for _, server := range []*http.Server{r.entry, r.peer} {
+		for _, server := range []*http.Server{r.entry, r.peer, r.page} {
 			if server != nil {
 				_ = server.Close()
 			}
--- a/internal/queue/conductor/call.go
+++ b/internal/queue/conductor/call.go
@@ -58,7 +58,7 @@
 		c.logSubmit(s.GetWork(), version, verdict)
 		return verdict, nil
 	}
-	err = c.opts.Commit(ctx, &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Submits: []*messages.Work{work}})
+	err = c.commit(ctx, &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Submits: []*messages.Work{work}})
 	if err != nil {
 		c.opts.Log.Warn("job may or may not be accepted", zap.String("request", work.GetId()), zap.Error(err))
 		return nil, c.opts.Explain(ctx, err)
@@ -69,6 +69,7 @@
 }
 
 func (c *Conductor) logSubmit(w *messages.Work, version uint64, v *messages.Verdict) {
+	count(c.metrics.submits, v.GetStatus())
 	c.opts.Log.Info("job submitted", zap.String("request", w.GetId()), zap.String("queue", w.GetQueue()),
 		zap.String("organisation", w.GetOrganisation()), zap.Uint64("catalog", version),
 		zap.String("outcome", v.GetStatus()), zap.String("reason", v.GetReason()))
@@ -124,7 +125,7 @@
 	if id == "" {
 		return verdict, nil
 	}
-	if err := c.opts.Commit(ctx, &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Cancels: []string{id}}); err != nil {
+	if err := c.commit(ctx, &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Cancels: []string{id}}); err != nil {
 		return nil, c.opts.Explain(ctx, err)
 	}
 	c.opts.Log.Info("job cancelled", zap.String("request", id))
@@ -174,7 +175,7 @@
 		return nil, c.opts.Explain(ctx, err)
 	}
 	if catalog.GetVersion() > held {
-		if err := c.opts.Commit(ctx, &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Catalog: catalog}); err != nil {
+		if err := c.commit(ctx, &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Catalog: catalog}); err != nil {
 			return nil, c.opts.Explain(ctx, err)
 		}
 		c.stir()
--- a/internal/queue/conductor/conductor.go
+++ b/internal/queue/conductor/conductor.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/job/estimator"
@@ -84,12 +85,15 @@
 	// Now is the steady clock, Wall the time of day.
 	Now  func() time.Time
 	Wall func() time.Time
-	Log  *zap.Logger
+	// Metrics counts decisions and measures how long they take.
+	Metrics tally.Scope
+	Log     *zap.Logger
 }
 
 // Conductor is the leader's part on one keeper. It rests while another keeper leads.
 type Conductor struct {
-	opts Options
+	opts    Options
+	metrics metrics
 
 	wake   chan struct{}
 	cancel context.CancelFunc
@@ -112,7 +116,7 @@
 
 // NewStepped returns a conductor whose owner calls Pass, for virtual time.
 func NewStepped(opts Options) *Conductor {
-	c := &Conductor{opts: opts, wake: make(chan struct{}, 1), cancel: func() {}}
+	c := &Conductor{opts: opts, metrics: newMetrics(opts.Metrics), wake: make(chan struct{}, 1), cancel: func() {}}
 	c.enter(0)
 	return c
 }
@@ -186,14 +190,19 @@
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	var change *messages.QueueChange
-	if err := c.read(readCtx, func(book *bookkeeper.Book) { change = c.decide(book) }); err != nil || change == nil {
+	err := c.read(readCtx, func(book *bookkeeper.Book) {
+		began := time.Now()
+		change = c.decide(book)
+		c.metrics.pass.RecordDuration(time.Since(began))
+	})
+	if err != nil || change == nil {
 		return // another keeper leads, or there is nothing to do
 	}
-	if err := c.opts.Commit(ctx, change); err != nil {
+	if err := c.commit(ctx, change); err != nil {
 		c.opts.Log.Warn("decisions not committed", zap.Int("starts", len(change.GetStarts())), zap.Int("ends", len(change.GetEnds())), zap.Error(err))
 		return
 	}
-	err := c.read(ctx, func(*bookkeeper.Book) {
+	err = c.read(ctx, func(*bookkeeper.Book) {
 		c.endLapsing(change.GetEnds())
 		for _, r := range change.GetStarts() {
 			c.placed[bookkeeper.KeyOf(r)] = true
@@ -204,6 +213,14 @@
 	}
 }
 
+// commit has a change committed and measures how long that takes.
+func (c *Conductor) commit(ctx context.Context, change *messages.QueueChange) error {
+	began := time.Now()
+	err := c.opts.Commit(ctx, change)
+	c.metrics.commit.RecordDuration(time.Since(began))
+	return err
+}
+
 // endLapsing lets workers get orders again once the end of what ran on them is committed.
 func (c *Conductor) endLapsing(ends []*messages.WorkerEnds) {
 	for _, e := range ends {
--- a/internal/queue/conductor/decide.go
+++ b/internal/queue/conductor/decide.go
@@ -46,6 +46,7 @@
 		if now.Before(end) {
 			return
 		}
+		c.metrics.lost.Inc(1)
 		c.opts.Log.Info("worker lost", zap.String("worker", id), zap.Int64("born", born), zap.Int("runs", len(runs)), zap.Time("lease", end))
 		if w != nil && w.born == born {
 			w.lapsing = true
@@ -136,6 +137,8 @@
 			zap.Uint32("run", r.GetNumber()), zap.String("worker", r.GetWorker()), zap.Uint64("report", w.sequence),
 			zap.Duration("age", c.opts.Now().Sub(w.heard)))
 	}
+	c.metrics.starts.Inc(int64(len(plan.Starts)))
+	c.metrics.evicted.Inc(int64(len(plan.Stops)))
 	return plan.Starts
 }
 
--- /dev/null
+++ b/internal/queue/conductor/metrics.go
@@ -0,0 +1,50 @@
+package conductor
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/bookkeeper"
+)
+
+// metrics are the counters and histograms of the leader's part of queues.
+type metrics struct {
+	submits map[string]tally.Counter // by the status of the verdict
+	ends    map[string]tally.Counter // by how a run ended
+	starts  tally.Counter
+	evicted tally.Counter // runs stopped for urgent work
+	lost    tally.Counter // lives of workers whose leases ran out
+	reports tally.Counter
+	pass    tally.Histogram
+	commit  tally.Histogram
+}
+
+// buckets reach from a pass over an idle fleet to the longest bound on an acknowledgement.
+func buckets() tally.DurationBuckets {
+	return tally.MustMakeExponentialDurationBuckets(100*time.Microsecond, 2, 16)
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	m := metrics{
+		submits: map[string]tally.Counter{}, ends: map[string]tally.Counter{},
+		starts: scope.Counter("starts"), evicted: scope.Counter("evicted"), lost: scope.Counter("lost_workers"),
+		reports: scope.Counter("reports"), pass: scope.Histogram("pass_seconds", buckets()), commit: scope.Histogram("commit_seconds", buckets()),
+	}
+	for _, status := range []string{StatusOK, StatusRefused, StatusNoQueue, StatusNoKey, StatusUnknown, StatusEmpty, StatusMismatch} {
+		m.submits[status] = scope.Tagged(map[string]string{"status": status}).Counter("submits")
+	}
+	for _, how := range []string{
+		bookkeeper.EndDone, bookkeeper.EndFailed, bookkeeper.EndStopped, bookkeeper.EndLapsed, bookkeeper.EndBroken, bookkeeper.EndAlone, bookkeeper.EndRefused,
+	} {
+		m.ends[how] = scope.Tagged(map[string]string{"how": how}).Counter("ends")
+	}
+	return m
+}
+
+// count adds to a counter that may not exist, as what a worker says of an end is not ours to choose.
+func count(counters map[string]tally.Counter, name string) {
+	if c := counters[name]; c != nil {
+		c.Inc(1)
+	}
+}
--- a/internal/queue/conductor/track.go
+++ b/internal/queue/conductor/track.go
@@ -83,6 +83,7 @@
 	c.opts.Log.Info("run ended", zap.String("request", key.Job), zap.Int32("step", key.Step), zap.Int32("task", key.Task),
 		zap.Uint32("run", key.Number), zap.String("worker", w.id), zap.String("how", e.GetHow()),
 		zap.Duration("elapsed", t.elapsed(now)), zap.Uint64("report", w.sequence))
+	count(c.metrics.ends, e.GetHow())
 	switch e.GetHow() {
 	case bookkeeper.EndDone:
 		w.health.succeeded()
--- a/internal/queue/conductor/worker.go
+++ b/internal/queue/conductor/worker.go
@@ -46,7 +46,7 @@
 		return &messages.FleetOrders{Address: c.opts.Address}, nil
 	}
 	if change != nil {
-		if err := c.opts.Commit(ctx, change); err != nil {
+		if err := c.commit(ctx, change); err != nil {
 			return nil, c.opts.Explain(ctx, err)
 		}
 		c.stir()
@@ -63,6 +63,7 @@
 // tells that a later report is known, and that this one means nothing any more.
 func (c *Conductor) hear(book *bookkeeper.Book, r *messages.FleetReport) (change *messages.QueueChange, stale bool) {
 	now := c.opts.Now()
+	c.metrics.reports.Inc(1)
 	w := c.workers[r.GetWorker()]
 	if r.GetLeft() {
 		c.hearGoodbye(book, r, w)
--- a/internal/queue/simulator/simulator.go
+++ b/internal/queue/simulator/simulator.go
@@ -14,6 +14,7 @@
 	"slices"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/bookkeeper"
@@ -365,6 +366,7 @@
 		Explain: func(_ context.Context, err error) error { return err },
 		Now:     func() time.Time { return s.now },
 		Wall:    func() time.Time { return s.now },
+		Metrics: tally.NoopScope,
 		Log:     s.opts.Log,
 	})
 }
