--- a/internal/job/decider/codec_test.go
+++ b/internal/job/decider/codec_test.go
@@ -5,12 +5,14 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
 
 // FuzzDecode feeds any bytes to the decoder of log entries. What it takes must come out the same
 // after another round.
 func FuzzDecode(f *testing.F) {
-	for _, e := range []Event{ApplyManifest{Text: []byte("{}")}, Announce{}, Lost{Worker: "w"}, Submit{Org: "o"}, Cancel{Keys: []string{"k"}}, Report{Acks: []Ack{{}}}, Tick{}} {
+	for _, e := range []Event{ApplyManifest{Text: []byte("{}")}, Announce{}, Lost{Worker: "w"}, Submit{Org: "o"}, Cancel{Keys: []string{"k"}}, Report{Acks: []Ack{{}}}, ChangeQueues{Change: &messages.QueueChange{Cancels: []string{"j"}}}, Tick{}} {
 		data, err := Encode(time.Unix(1, 0).UTC(), e)
 		if err != nil {
 			f.Fatal(err)
