--- a/cmd/bluebellplatformd/main.go
+++ b/cmd/bluebellplatformd/main.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/report/logger"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/keeper"
 	"github.com/bluebellgauge/bluebellgauge/platform"
 )
 
@@ -55,12 +56,37 @@
 	sink := logger.New(os.Stdout)
 	defer sink.Close()
 	log := newLogger(sink)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	if !awaitDisk(s.Daemon.Data, signals, log) {
+		return 0
+	}
 	a, err := platform.New(s, log)
 	if err != nil {
 		log.Error("start failed", zap.Error(err))
 		return exitFailure
 	}
-	return watch(a, log)
+	return watch(a, s.Daemon.Data, signals, log)
+}
+
+// awaitDisk waits until the data folder takes writes. It reports false when the process is told to
+// stop before that. Starting again and again on a full disk would serve nobody.
+func awaitDisk(folder string, signals <-chan os.Signal, log *zap.Logger) bool {
+	for folder != "" {
+		err := keeper.Writable(folder)
+		if err == nil {
+			return true
+		}
+		log.Warn("the disk takes no writes", zap.String("folder", folder), zap.Error(err))
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return false
+			}
+		case <-time.After(lookEvery):
+		}
+	}
+	return true
 }
 
 func newLogger(sink *logger.Logger) *zap.Logger {
@@ -71,9 +97,7 @@
 }
 
 // watch waits for the end of the process and for changes of its settings.
-func watch(a *platform.Adapter, log *zap.Logger) int {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+func watch(a *platform.Adapter, folder string, signals <-chan os.Signal, log *zap.Logger) int {
 	ticker := time.NewTicker(lookEvery)
 	defer ticker.Stop()
 	last, _ := os.ReadFile(platform.SettingsPath()) // a failure shows at the next look
@@ -92,7 +116,9 @@
 			log.Error("process fails", zap.Error(err))
 			return exitFailure
 		case err := <-a.DaemonFailed():
+			// What a failed write left on the disk is only known after a start, which needs the disk.
 			log.Error("daemon fails", zap.Error(err))
+			awaitDisk(folder, signals, log)
 			return exitFailure
 		}
 	}
--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -101,12 +101,11 @@
 	return errors.As(err, &te) && te.Code() == twirp.Unavailable
 }
 
-// Reached reports whether any keeper has answered anything within a bound, if only that it does not
-// lead.
-func (f *Forwarder) Reached(bound time.Duration) bool {
+// Silence returns for how long no keeper has answered anything, if only that it does not lead.
+func (f *Forwarder) Silence() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return time.Since(f.spoke) < bound
+	return time.Since(f.spoke)
 }
 
 // call asks the leader until it answers or the context ends. Every request that is passed on
--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -141,6 +141,8 @@
 	go func() {
 		defer close(a.done)
 		a.failure = a.run()
+		none := ""
+		a.leader.Store(&none)
 		a.failPending(ErrStopped)
 		if err := k.Close(); err != nil {
 			opts.Log.Error("close storage", zap.Error(err))
--- a/internal/state/keeper/keeper.go
+++ b/internal/state/keeper/keeper.go
@@ -29,6 +29,8 @@
 	snapshotName = "snapshot"
 	asideSuffix  = ".new"
 	rebuildName  = "rebuilt"
+	probeName    = "probe"
+	probeBytes   = 64 << 10 // about what one sync writes under load
 	fileMode     = 0o600
 	folderMode   = 0o700
 )
@@ -284,6 +286,24 @@
 	return err == nil
 }
 
+// Writable reports whether a folder takes a write and a sync. A disk that is full or out of order
+// gives the error.
+func Writable(folder string) error {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return fmt.Errorf("probe the disk: %w", err)
+	}
+	path := filepath.Join(folder, probeName)
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err != nil {
+		return fmt.Errorf("probe the disk: %w", err)
+	}
+	_, err = f.Write(make([]byte, probeBytes))
+	if err := errors.Join(err, f.Sync(), f.Close(), os.Remove(path)); err != nil {
+		return fmt.Errorf("probe the disk: %w", err)
+	}
+	return nil
+}
+
 func encodeFrames(records []*messages.Record) ([]byte, error) {
 	var buffer []byte
 	for _, r := range records {
--- a/internal/state/keeper/keeper_test.go
+++ b/internal/state/keeper/keeper_test.go
@@ -286,3 +286,15 @@
 		}
 	})
 }
+
+func TestWritable(t *testing.T) {
+	is := is.New(t)
+	folder := filepath.Join(t.TempDir(), "new")
+	is.NoErr(Writable(folder))
+	left, err := os.ReadDir(folder)
+	is.NoErr(err)
+	is.Equal(len(left), 0)
+	// A name that is taken by a folder can't be written, whoever runs the test.
+	is.NoErr(os.Mkdir(filepath.Join(folder, probeName), folderMode))
+	is.True(Writable(folder) != nil)
+}
