--- a/internal/queue/conductor/call.go
+++ b/internal/queue/conductor/call.go
@@ -84,6 +84,9 @@
 	if book.Job(id) != nil {
 		return &messages.Verdict{Status: StatusOK, Reason: "known already"}, nil
 	}
+	if q.GetAdvised() {
+		return &messages.Verdict{Status: StatusMismatch, Reason: "the queue's workers are chosen by an outside service, which is not supported"}, nil
+	}
 	work = proto.Clone(s.GetWork()).(*messages.Work)
 	work.Id, work.Queue, work.Organisation = id, q.GetName(), org.GetName()
 	work.Pool, work.Priority, work.Attempts = q.GetPool(), q.GetPriority(), q.GetAttempts()
