--- a/internal/queue/conductor/decide.go
+++ b/internal/queue/conductor/decide.go
@@ -190,6 +190,9 @@
 	return c.estimates.Estimate(j.Work.GetQueue(), "", time.Duration(s.Spec.GetEstimate())*time.Millisecond)
 }
 
+// neverEnds stands for the rest of a task that runs until its job is cancelled.
+const neverEnds = 1000 * time.Hour
+
 // viewOf returns a worker as the placer sees it.
 func (c *Conductor) viewOf(book *bookkeeper.Book, w *worker, now time.Time) *placer.Worker {
 	v := &placer.Worker{
@@ -207,9 +210,13 @@
 		need := placer.Need(s.Spec)
 		v.Free = v.Free.Sub(need)
 		t := c.tracks[key]
+		remaining := t.remaining(now, c.estimate(j, s))
+		if s.Spec.GetLasting() {
+			remaining = neverEnds
+		}
 		v.Runs = append(v.Runs, &placer.Active{
 			Key: key, Job: j, Step: s, Need: need, Stopping: c.mustStop(j, key),
-			Unsaved: t.unsaved(now, s.Spec.GetCheckpoints()), Remaining: t.remaining(now, c.estimate(j, s)),
+			Unsaved: t.unsaved(now, s.Spec.GetCheckpoints()), Remaining: remaining,
 		})
 	}
 	for key := range w.listed {
--- a/internal/queue/placer/evict.go
+++ b/internal/queue/placer/evict.go
@@ -138,11 +138,12 @@
 	return best, bestRuns, bestCost
 }
 
-// victims lists the runs on a worker that a unit may stop, the cheapest first.
+// victims lists the runs on a worker that a unit may stop, the cheapest first. Tasks that last serve
+// users of their own and are left alone.
 func (p *pass) victims(u *unit, e *eviction, s *spot) []victim {
 	var list []victim
 	for _, a := range s.Runs {
-		if a.Stopping || e.chosen[a] || a.Job.Work.GetPriority() <= u.job.Work.GetPriority() || a.Remaining < nearEnd {
+		if a.Stopping || a.Step.Spec.GetLasting() || e.chosen[a] || a.Job.Work.GetPriority() <= u.job.Work.GetPriority() || a.Remaining < nearEnd {
 			continue
 		}
 		cost := int64(0)
--- a/internal/queue/placer/placer_test.go
+++ b/internal/queue/placer/placer_test.go
@@ -219,3 +219,19 @@
 		}
 	}
 }
+
+// TestLastingTasksAreLeftAlone is the pattern of services beside urgent gangs: what serves users of its
+// own is never stopped for them.
+func TestLastingTasksAreLeftAlone(t *testing.T) {
+	is := is.New(t)
+	b := bookkeeper.New()
+	workers := fleet(2)
+	submit(b, "service", 2, &messages.Step{Count: 1, Accelerators: 8, Lasting: true})
+	occupy(b, "service", workers[0])
+	submit(b, "batch", 1, &messages.Step{Count: 1, Accelerators: 8})
+	occupy(b, "batch", workers[1])
+	submit(b, "urgent", 0, &messages.Step{Count: 1, Accelerators: 8, Gang: true})
+	plan := New(input(workers, b))
+	is.Equal(len(plan.Stops), 1)
+	is.Equal(plan.Stops[0].Key.Job, "batch")
+}
