--- /dev/null
+++ b/internal/queue/conductor/size_test.go
@@ -0,0 +1,60 @@
+package conductor
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+)
+
+// BenchmarkSize measures a pass and a report at the sizes of docs/CAPACITY.md: a full fleet with 14
+// tasks a worker, and 50 jobs that wait.
+func BenchmarkSize(b *testing.B) {
+	for _, n := range []int{48, 350, 6600} {
+		f := newBench()
+		var starts []*messages.Run
+		for i := range n {
+			r := &messages.FleetReport{
+				Worker: fmt.Sprintf("w%d", i), Born: 5, Sequence: 1, Pool: "p", Rack: fmt.Sprintf("r%d", i/8),
+				Processors: 14_000, Memory: 128_000, Accelerators: 8,
+			}
+			if _, err := f.Report(context.Background(), r); err != nil {
+				b.Fatal(err)
+			}
+			id := fmt.Sprintf("job%d", i)
+			f.book.Apply(&messages.QueueChange{Submits: []*messages.Work{{
+				Id: id, Queue: "q", Priority: 1, Steps: []*messages.Step{{Count: 14, Processors: 1000, Estimate: 10_000}},
+			}}})
+			for k := range int32(14) {
+				starts = append(starts, &messages.Run{Job: id, Task: k, Number: 1, Worker: r.GetWorker(), Born: 5})
+			}
+		}
+		f.book.Apply(&messages.QueueChange{Starts: starts})
+		for i := range 50 {
+			f.book.Apply(&messages.QueueChange{Submits: []*messages.Work{{
+				Id: fmt.Sprintf("waiting%d", i), Queue: "q", Priority: int32(i % 3),
+				Steps: []*messages.Step{{Count: 8, Processors: 4000, Accelerators: 2, Gang: true, Compact: true, Estimate: 5000}},
+			}}})
+		}
+		b.Run(fmt.Sprintf("pass/workers=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				f.decide(f.book)
+				clear(f.stopping)
+			}
+		})
+		b.Run(fmt.Sprintf("report/workers=%d", n), func(b *testing.B) {
+			sequence := uint64(1)
+			for b.Loop() {
+				sequence++
+				r := &messages.FleetReport{Worker: "w0", Born: 5, Sequence: sequence, Pool: "p", Rack: "r0", Processors: 14_000, Memory: 128_000, Accelerators: 8}
+				for _, run := range starts[:14] {
+					r.Running = append(r.Running, &messages.Running{Run: run, Percent: 50})
+				}
+				if _, err := f.Report(context.Background(), r); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -82,6 +82,10 @@
 	workers []*spot
 	racks   map[string][]*spot // by pool and rack
 	pools   map[string][]*spot
+	gangs   map[*bookkeeper.Step][]*Active // members of each gang that are at work
+	at      map[*Active]*spot
+	costs   map[*Active]int64 // of stopping a run, its gang included
+	inVain  []*unit           // for which no room could be made
 	claims  int
 }
 
@@ -97,10 +101,17 @@
 
 // New runs one pass and returns what it decided.
 func New(in *Input) Plan {
-	p := &pass{in: in, racks: map[string][]*spot{}, pools: map[string][]*spot{}}
+	p := &pass{
+		in: in, racks: map[string][]*spot{}, pools: map[string][]*spot{},
+		gangs: map[*bookkeeper.Step][]*Active{}, at: map[*Active]*spot{}, costs: map[*Active]int64{},
+	}
 	for _, w := range in.Workers {
 		s := &spot{Worker: w, free: w.Free, soon: w.Free}
 		for _, a := range w.Runs {
+			p.at[a] = s
+			if a.Step.Spec.GetGang() {
+				p.gangs[a.Step] = append(p.gangs[a.Step], a)
+			}
 			if a.Stopping {
 				s.soon = s.soon.Add(a.Need)
 			}
--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -88,15 +88,19 @@
 	if !a.Step.Spec.GetGang() {
 		return []*Active{a}
 	}
-	var members []*Active
-	for _, s := range p.workers {
-		for _, b := range s.Runs {
-			if b.Step == a.Step {
-				members = append(members, b)
-			}
+	return p.gangs[a.Step]
+}
+
+// costOf returns what a stop of a run loses.
+func (p *pass) costOf(a *Active) int64 {
+	cost, known := p.costs[a]
+	if !known {
+		for _, member := range p.gangOf(a) {
+			cost += member.Need.Weight() * member.Unsaved.Milliseconds() / 1000
 		}
+		p.costs[a] = cost
 	}
-	return members
+	return cost
 }
 
 func sortByCost(victims []victim) {
--- a/internal/queue/placer/vector.go
+++ b/internal/queue/placer/vector.go
@@ -53,5 +53,10 @@
 // price lost work.
 const processorsPerAccelerator = 8000
 
+// covers reports whether an amount is at least another one in each resource.
+func (v Vector) covers(w Vector) bool {
+	return v.Processors >= w.Processors && v.Memory >= w.Memory && v.Accelerators >= w.Accelerators
+}
+
 // Weight returns the size of an amount in thousandths of processors.
 func (v Vector) Weight() int64 { return v.Processors + v.Accelerators*processorsPerAccelerator }
