--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -48,6 +48,7 @@
 	SnapshotEvery int               // entries between snapshots
 	Seed          uint64
 	Now           func() time.Time
+	Elapsed       func() time.Duration // the clock that ticks are counted on, nil for that of the machine
 	Send          func([]*messages.Message)
 	// Deliver hands out what follows from an entry. It must not block. leading tells that this
 	// replica leads and so must carry out the orders.
@@ -109,6 +110,9 @@
 
 // New opens the storage and starts the replica.
 func New(opts Options) (*Applier, error) {
+	if opts.Elapsed == nil {
+		opts.Elapsed = timekeeper.Elapsed
+	}
 	if keeper.IsRebuilt(opts.Folder) {
 		opts.Bootstrap = &messages.Members{}
 	}
@@ -168,7 +172,7 @@
 func (a *Applier) run() error {
 	ticker := time.NewTicker(a.opts.Tick)
 	defer ticker.Stop()
-	a.ticked = timekeeper.Elapsed()
+	a.ticked = a.opts.Elapsed()
 	for {
 		select {
 		case <-a.stop:
@@ -199,7 +203,7 @@
 // catchUp gives the consensus the ticks that are due, those of a suspension included: a leader that
 // wakes up must find its lease expired before it reads or answers anything.
 func (a *Applier) catchUp() {
-	due := (timekeeper.Elapsed() - a.ticked) / a.opts.Tick
+	due := (a.opts.Elapsed() - a.ticked) / a.opts.Tick
 	a.ticked += due * a.opts.Tick
 	for range min(due, mostTicks) {
 		a.node.Tick()
@@ -239,6 +243,8 @@
 			a.node.Step(m)
 		}
 	case inputCall:
+		// An input before this one may have taken long enough for the lease to run out.
+		a.catchUp()
 		in.run()
 	case *proposal:
 		a.propose(in)
--- a/internal/state/applier/applier_test.go
+++ b/internal/state/applier/applier_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/job/decider"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/timekeeper"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
 
@@ -21,6 +22,7 @@
 // trio is three replicas in one process.
 type trio struct {
 	t        *testing.T
+	skipped  atomic.Int64 // by which the replicas' clocks are ahead of the machine's
 	replicas map[string]*Applier
 	cut      atomic.Bool
 }
@@ -47,7 +49,8 @@
 	for i, m := range members.GetVoters() {
 		a, err := New(Options{
 			Name: m.GetName(), Folder: t.TempDir(), Bootstrap: members, Tick: 5 * time.Millisecond, SnapshotEvery: snapshotEvery,
-			Seed: uint64(i), Now: time.Now, Send: send, Deliver: func(uint64, uint64, bool, []decider.Order) {}, Log: zap.NewNop(),
+			Seed: uint64(i), Now: time.Now, Send: send,
+			Elapsed: func() time.Duration { return timekeeper.Elapsed() + time.Duration(tr.skipped.Load()) }, Deliver: func(uint64, uint64, bool, []decider.Order) {}, Log: zap.NewNop(),
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -132,3 +135,29 @@
 		}
 	}
 }
+
+// TestLeaseEndsDuringAStep lets one call to a leader take longer than its lease. A read that waited
+// behind it must not be answered from the old lease.
+func TestLeaseEndsDuringAStep(t *testing.T) {
+	is := is.New(t)
+	tr := newTrio(t, 100)
+	leader := tr.leader()
+	blocked, proceed := make(chan struct{}), make(chan struct{})
+	long := make(chan error, 1)
+	go func() {
+		long <- leader.Read(context.Background(), func(uint64, *decider.State) {
+			close(blocked)
+			<-proceed
+			tr.skipped.Store(int64(time.Minute))
+		})
+	}()
+	<-blocked
+	late := make(chan error, 1)
+	go func() { late <- leader.Read(context.Background(), func(uint64, *decider.State) {}) }()
+	for len(leader.inbox) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	close(proceed)
+	is.NoErr(<-long)
+	is.True(errors.Is(<-late, ErrNotLeader))
+}
