--- a/internal/queue/conductor/conductor.go
+++ b/internal/queue/conductor/conductor.go
@@ -19,6 +19,7 @@
 const (
 	passInterval = 100 * time.Millisecond // between passes while nothing happens
 	passGap      = 10 * time.Millisecond  // between passes while much happens, so that one serves many events
+	passRest     = 2                      // times a pass's own duration until the next, to leave the processor to others
 	readTimeout  = time.Second            // for the replica to answer the pass
 )
 
@@ -41,7 +42,7 @@
 
 // reportEvery returns the time between the reports of one of n workers.
 func (t Timing) reportEvery(n int) time.Duration {
-	return max(t.Report, min(time.Duration(n)*t.Share, t.Silent/3))
+	return max(t.Report, min(time.Duration(n)*t.Share, t.Silent*2/3))
 }
 
 // silentReports is how many reports of a worker may be missing until nothing is started on it.
@@ -136,11 +137,11 @@
 			case <-c.wake:
 			case <-ticker.C:
 			}
-			c.Pass(ctx)
+			took := c.Pass(ctx)
 			select {
 			case <-ctx.Done():
 				return
-			case <-time.After(passGap):
+			case <-time.After(max(passGap, passRest*took)):
 			}
 		}
 	})
@@ -185,22 +186,23 @@
 	}
 }
 
-// Pass commits what time and the placer ask for.
-func (c *Conductor) Pass(ctx context.Context) {
+// Pass commits what time and the placer ask for. It returns how long the decisions took.
+func (c *Conductor) Pass(ctx context.Context) (took time.Duration) {
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	var change *messages.QueueChange
 	err := c.read(readCtx, func(book *bookkeeper.Book) {
 		began := time.Now()
 		change = c.decide(book)
-		c.metrics.pass.RecordDuration(time.Since(began))
+		took = time.Since(began)
+		c.metrics.pass.RecordDuration(took)
 	})
 	if err != nil || change == nil {
-		return // another keeper leads, or there is nothing to do
+		return took // another keeper leads, or there is nothing to do
 	}
 	if err := c.commit(ctx, change); err != nil {
 		c.opts.Log.Warn("decisions not committed", zap.Int("starts", len(change.GetStarts())), zap.Int("ends", len(change.GetEnds())), zap.Error(err))
-		return
+		return took
 	}
 	err = c.read(ctx, func(*bookkeeper.Book) {
 		c.endLapsing(change.GetEnds())
@@ -209,8 +211,9 @@
 		}
 	})
 	if err != nil {
-		return // the term is over, and with it what was known of the workers
+		c.opts.Log.Info("the term ended during a pass", zap.Error(err))
 	}
+	return took
 }
 
 // commit has a change committed and measures how long that takes.
