--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -102,7 +102,7 @@
 func (r *Runner) conduct(rep *replica) *conductor.Conductor {
 	a, s := rep.applier, r.opts.Settings
 	queues := conductor.New(conductor.Options{
-		Timing: r.opts.Queues.Timing, Address: r.opts.Queues.Address, FarFactor: r.opts.Queues.FarFactor,
+		Timing: r.opts.Queues.Timing, Address: r.opts.Queues.Address,
 		Read: func(ctx context.Context, read func(term uint64, book *bookkeeper.Book)) error {
 			return a.Read(ctx, func(term uint64, state *decider.State) { read(term, state.Queues()) })
 		},
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -58,9 +58,8 @@
 
 // QueueOptions are the parameters of queues.
 type QueueOptions struct {
-	Timing    conductor.Timing
-	Address   string  // where workers of queues reach this daemon, "" for anywhere
-	FarFactor float64 // how much longer a task takes away from its data or its gang
+	Timing  conductor.Timing
+	Address string // where workers of queues reach this daemon, "" for anywhere
 }
 
 // DefaultQueues returns the parameters of queues of a real fleet.
@@ -68,9 +67,8 @@
 	return QueueOptions{
 		Timing: conductor.Timing{
 			Lease: 8 * time.Second, Longest: 8 * time.Second, Report: time.Second, Silent: 3 * time.Second,
-			Retention: 24 * time.Hour, Early: 0,
+			Retention: 24 * time.Hour,
 		},
-		FarFactor: 1,
 	}
 }
 
--- a/internal/job/decider/codec_test.go
+++ b/internal/job/decider/codec_test.go
@@ -12,7 +12,8 @@
 // FuzzDecode feeds any bytes to the decoder of log entries. What it takes must come out the same
 // after another round.
 func FuzzDecode(f *testing.F) {
-	for _, e := range []Event{ApplyManifest{Text: []byte("{}")}, Announce{}, Lost{Worker: "w"}, Submit{Org: "o"}, Cancel{Keys: []string{"k"}}, Report{Acks: []Ack{{}}}, ChangeQueues{Change: &messages.QueueChange{Cancels: []string{"j"}}}, Tick{}} {
+	queues := ChangeQueues{Change: &messages.QueueChange{Cancels: []string{"j"}}}
+	for _, e := range []Event{ApplyManifest{Text: []byte("{}")}, Announce{}, Lost{Worker: "w"}, Submit{Org: "o"}, Cancel{Keys: []string{"k"}}, Report{Acks: []Ack{{}}}, Tick{}, queues} {
 		data, err := Encode(time.Unix(1, 0).UTC(), e)
 		if err != nil {
 			f.Fatal(err)
--- a/internal/queue/conductor/conductor.go
+++ b/internal/queue/conductor/conductor.go
@@ -31,7 +31,6 @@
 	Share     time.Duration // of the time between two reports that each known worker adds, to bound the leader's load
 	Silent    time.Duration // without a report until nothing is started on a worker
 	Retention time.Duration // for which the phase of an ended job is known
-	Early     time.Duration // by which an occurrence may start before its time
 }
 
 // driftPercent bounds how much slower a worker's clock may run, with a margin.
@@ -75,8 +74,6 @@
 type Options struct {
 	Timing  Timing
 	Address string // where workers reach this leader best, "" for anywhere
-	// FarFactor is how much longer a task takes away from its data or its gang.
-	FarFactor float64
 	// Read runs a function on the account of a leader that holds its lease. Calls do not overlap.
 	Read func(ctx context.Context, read func(term uint64, book *bookkeeper.Book)) error
 	// Commit returns once a change is committed and applied.
--- a/internal/queue/conductor/decide.go
+++ b/internal/queue/conductor/decide.go
@@ -146,8 +146,8 @@
 func (c *Conductor) input(book *bookkeeper.Book) *placer.Input {
 	now, wall := c.opts.Now(), c.opts.Wall()
 	in := &placer.Input{
-		Jobs: book.Open(), FarFactor: c.opts.FarFactor,
-		Age: func(j *bookkeeper.Job) time.Duration { return now.Sub(c.firstSeen(j)) },
+		Jobs: book.Open(),
+		Age:  func(j *bookkeeper.Job) time.Duration { return now.Sub(c.firstSeen(j)) },
 		Guarantee: func(name string) int64 {
 			return book.OrganisationByName(name).GetAccelerators()
 		},
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -50,8 +50,6 @@
 	Due func(j *bookkeeper.Job, occurrence int32) bool
 	// Pool returns the pool that a job's tasks run in, "" for none now.
 	Pool func(*bookkeeper.Job) string
-	// FarFactor is how much longer a task takes away from its data or its gang.
-	FarFactor float64
 }
 
 // Plan is what one pass decided.
--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 )
 
 // placeTasks starts the tasks of a unit that need not run together, as many as have room.
@@ -82,27 +81,3 @@
 	}
 	return true
 }
-
-// gangOf returns the runs that end when one run of a gang is stopped, the run itself included.
-func (p *pass) gangOf(a *Active) []*Active {
-	if !a.Step.Spec.GetGang() {
-		return []*Active{a}
-	}
-	return p.gangs[a.Step]
-}
-
-// costOf returns what a stop of a run loses.
-func (p *pass) costOf(a *Active) int64 {
-	cost, known := p.costs[a]
-	if !known {
-		for _, member := range p.gangOf(a) {
-			cost += member.Need.Weight() * member.Unsaved.Milliseconds() / 1000
-		}
-		p.costs[a] = cost
-	}
-	return cost
-}
-
-func sortByCost(victims []victim) {
-	slices.SortStableFunc(victims, func(a, b victim) int { return cmp.Compare(a.cost, b.cost) })
-}
--- a/internal/queue/simulator/simulator.go
+++ b/internal/queue/simulator/simulator.go
@@ -350,7 +350,6 @@
 			Lease: s.opts.Fleet.Lease, Longest: s.opts.Fleet.Lease, Report: 250 * time.Millisecond,
 			Silent: 2200 * time.Millisecond, Retention: 3 * time.Minute,
 		},
-		FarFactor: farFactor,
 		Read: func(_ context.Context, read func(uint64, *bookkeeper.Book)) error {
 			s.queueForReplica()
 			switch {
--- a/internal/state/applier/applier_test.go
+++ b/internal/state/applier/applier_test.go
@@ -46,11 +46,12 @@
 			}
 		}
 	}
+	elapsed := func() time.Duration { return timekeeper.Elapsed() + time.Duration(tr.skipped.Load()) }
 	for i, m := range members.GetVoters() {
 		a, err := New(Options{
 			Name: m.GetName(), Folder: t.TempDir(), Bootstrap: members, Tick: 5 * time.Millisecond, SnapshotEvery: snapshotEvery,
 			Seed: uint64(i), Now: time.Now, Send: send,
-			Elapsed: func() time.Duration { return timekeeper.Elapsed() + time.Duration(tr.skipped.Load()) }, Deliver: func(uint64, uint64, bool, []decider.Order) {}, Log: zap.NewNop(),
+			Elapsed: elapsed, Deliver: func(uint64, uint64, bool, []decider.Order) {}, Log: zap.NewNop(),
 		})
 		if err != nil {
 			t.Fatal(err)
