--- a/internal/job/decider/codec_test.go
+++ b/internal/job/decider/codec_test.go
@@ -13,7 +13,8 @@
 // after another round.
 func FuzzDecode(f *testing.F) {
 	queues := ChangeQueues{Change: &messages.QueueChange{Cancels: []string{"j"}}}
-	for _, e := range []Event{ApplyManifest{Text: []byte("{}")}, Announce{}, Lost{Worker: "w"}, Submit{Org: "o"}, Cancel{Keys: []string{"k"}}, Report{Acks: []Ack{{}}}, Tick{}, queues} {
+	first := ApplyManifest{Text: []byte("{}")}
+	for _, e := range []Event{first, Announce{}, Lost{Worker: "w"}, Submit{Org: "o"}, Cancel{Keys: []string{"k"}}, Report{Acks: []Ack{{}}}, Tick{}, queues} {
 		data, err := Encode(time.Unix(1, 0).UTC(), e)
 		if err != nil {
 			f.Fatal(err)
