bookkeeper: one name and one order of runs for all; what nothing calls is taken out

The name of an ended run was built in three places and runs were compared in three; both now stand once, in bookkeeper. Step.Idle and a worker's place had no reader.

--- a/internal/queue/bookkeeper/bookkeeper.go
+++ b/internal/queue/bookkeeper/bookkeeper.go
@@ -4,6 +4,7 @@
 package bookkeeper
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
@@ -45,10 +46,19 @@
 	return RunKey{TaskKey{r.GetJob(), r.GetOccurrence(), r.GetStep(), r.GetTask()}, r.GetNumber()}
 }
 
-func endKey(e *messages.End) RunKey {
+// EndKeyOf returns the name of the run that an end is of.
+func EndKeyOf(e *messages.End) RunKey {
 	return RunKey{TaskKey{e.GetJob(), e.GetOccurrence(), e.GetStep(), e.GetTask()}, e.GetNumber()}
 }
 
+// CompareKeys orders runs by job, occurrence, step, task and number.
+func CompareKeys(a, b RunKey) int {
+	return cmp.Or(
+		cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence),
+		cmp.Compare(a.Step, b.Step), cmp.Compare(a.Task, b.Task), cmp.Compare(a.Number, b.Number),
+	)
+}
+
 // How a run ended.
 const (
 	EndDone    = "done"    // the task has done its work
@@ -191,7 +201,7 @@
 	b.lives[e.GetWorker()] = life
 	runs := b.runs[e.GetWorker()]
 	for _, end := range e.GetEnds() {
-		key := endKey(end)
+		key := EndKeyOf(end)
 		r := runs[key]
 		if r == nil || r.GetBorn() != e.GetBorn() {
 			continue
--- a/internal/queue/bookkeeper/job.go
+++ b/internal/queue/bookkeeper/job.go
@@ -111,20 +111,6 @@
 	return t.Number + 1, t.saved
 }
 
-// Idle returns the number of tasks that are not done and have no run, and so may be started.
-func (s *Step) Idle() int {
-	if s.Done {
-		return 0
-	}
-	idle := 0
-	for i := range s.Tasks {
-		if !s.Tasks[i].Done && s.Tasks[i].Active == 0 {
-			idle++
-		}
-	}
-	return idle
-}
-
 // Failures returns how often a task, or the gang it belongs to, has failed.
 func (s *Step) Failures(task int32) uint32 {
 	if s.Spec.GetGang() {
--- a/internal/queue/bookkeeper/snapshot.go
+++ b/internal/queue/bookkeeper/snapshot.go
@@ -31,12 +31,7 @@
 	return data, nil
 }
 
-func compareRuns(x, y *messages.Run) int {
-	return cmp.Or(
-		cmp.Compare(x.GetJob(), y.GetJob()), cmp.Compare(x.GetOccurrence(), y.GetOccurrence()),
-		cmp.Compare(x.GetStep(), y.GetStep()), cmp.Compare(x.GetTask(), y.GetTask()), cmp.Compare(x.GetNumber(), y.GetNumber()),
-	)
-}
+func compareRuns(x, y *messages.Run) int { return CompareKeys(KeyOf(x), KeyOf(y)) }
 
 func (j *Job) save() *messages.JobState {
 	state := &messages.JobState{Work: j.Work, Phase: string(j.Phase), Sequence: j.Sequence, Ended: j.EndedAt}
--- a/internal/queue/conductor/decide.go
+++ b/internal/queue/conductor/decide.go
@@ -80,7 +80,9 @@
 			continue
 		}
 		c.opts.Log.Info("starts not sent", zap.String("worker", id), zap.Int("starts", len(ends.Ends)), zap.Duration("silent", now.Sub(w.heard)))
-		slices.SortFunc(ends.Ends, func(a, b *messages.End) int { return compareKeys(endKey(a), endKey(b)) })
+		slices.SortFunc(ends.Ends, func(a, b *messages.End) int {
+			return bookkeeper.CompareKeys(bookkeeper.EndKeyOf(a), bookkeeper.EndKeyOf(b))
+		})
 		list = append(list, ends)
 	}
 	slices.SortFunc(list, func(a, b *messages.WorkerEnds) int { return strings.Compare(a.GetWorker(), b.GetWorker()) })
--- a/internal/queue/conductor/sort.go
+++ b/internal/queue/conductor/sort.go
@@ -14,13 +14,6 @@
 
 func sortRuns(list []*placer.Active) {
 	slices.SortFunc(list, func(a, b *placer.Active) int {
-		return cmp.Or(cmp.Compare(a.Job.Sequence, b.Job.Sequence), compareKeys(a.Key, b.Key))
+		return cmp.Or(cmp.Compare(a.Job.Sequence, b.Job.Sequence), bookkeeper.CompareKeys(a.Key, b.Key))
 	})
 }
-
-func compareKeys(a, b bookkeeper.RunKey) int {
-	return cmp.Or(
-		cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence),
-		cmp.Compare(a.Step, b.Step), cmp.Compare(a.Task, b.Task), cmp.Compare(a.Number, b.Number),
-	)
-}
--- a/internal/queue/conductor/worker.go
+++ b/internal/queue/conductor/worker.go
@@ -18,7 +18,6 @@
 	born     int64
 	sequence uint64
 	pool     string
-	place    string
 	rack     string
 	labels   []string
 	capacity placer.Vector
@@ -110,7 +109,7 @@
 	// A worker that got no answer reports again only after its time for an answer.
 	w.deaf = !w.heard.IsZero() && now.Sub(w.heard) > c.opts.Timing.unanswered(len(c.workers))
 	w.sequence, w.heard = r.GetSequence(), now
-	w.pool, w.place, w.labels = r.GetPool(), r.GetPlace(), r.GetLabels()
+	w.pool, w.labels = r.GetPool(), r.GetLabels()
 	w.rack = r.GetRack()
 	w.capacity = placer.Vector{Processors: r.GetProcessors(), Memory: r.GetMemory(), Accelerators: r.GetAccelerators()}
 	w.leaving = r.GetLeaving()
@@ -141,7 +140,7 @@
 			continue
 		}
 		ends.Sequence = max(ends.Sequence, e.GetSequence())
-		key := endKey(e.GetEnd())
+		key := bookkeeper.EndKeyOf(e.GetEnd())
 		if run := runs[key]; run != nil && run.GetBorn() == w.born {
 			ends.Ends = append(ends.Ends, e.GetEnd())
 			c.observeEnd(book, w, key, e.GetEnd())
@@ -172,7 +171,7 @@
 func (c *Conductor) neverStarted(book *bookkeeper.Book, w *worker, listed []*messages.End) []*messages.End {
 	ended := make(map[bookkeeper.RunKey]bool, len(listed))
 	for _, e := range listed {
-		ended[endKey(e)] = true
+		ended[bookkeeper.EndKeyOf(e)] = true
 	}
 	var ends []*messages.End
 	for key, run := range book.RunsOn(w.id) {
@@ -188,17 +187,12 @@
 			Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number, How: bookkeeper.EndRefused,
 		})
 	}
-	slices.SortFunc(ends, func(a, b *messages.End) int { return compareKeys(endKey(a), endKey(b)) })
+	slices.SortFunc(ends, func(a, b *messages.End) int {
+		return bookkeeper.CompareKeys(bookkeeper.EndKeyOf(a), bookkeeper.EndKeyOf(b))
+	})
 	return ends
 }
 
-func endKey(e *messages.End) bookkeeper.RunKey {
-	return bookkeeper.RunKey{
-		TaskKey: bookkeeper.TaskKey{Job: e.GetJob(), Occurrence: e.GetOccurrence(), Step: e.GetStep(), Task: e.GetTask()},
-		Number:  e.GetNumber(),
-	}
-}
-
 // ordersFor returns what a worker must do, by the committed account.
 func (c *Conductor) ordersFor(book *bookkeeper.Book, r *messages.FleetReport) *messages.FleetOrders {
 	w := c.workers[r.GetWorker()]
@@ -231,9 +225,9 @@
 			o.Stops = append(o.Stops, &messages.Run{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number})
 		}
 	}
-	slices.SortFunc(o.Stops, func(a, b *messages.Run) int { return compareKeys(bookkeeper.KeyOf(a), bookkeeper.KeyOf(b)) })
+	slices.SortFunc(o.Stops, func(a, b *messages.Run) int { return bookkeeper.CompareKeys(bookkeeper.KeyOf(a), bookkeeper.KeyOf(b)) })
 	slices.SortFunc(o.Starts, func(a, b *messages.StartOrder) int {
-		return compareKeys(bookkeeper.KeyOf(a.GetRun()), bookkeeper.KeyOf(b.GetRun()))
+		return bookkeeper.CompareKeys(bookkeeper.KeyOf(a.GetRun()), bookkeeper.KeyOf(b.GetRun()))
 	})
 	return o
 }
--- a/internal/queue/simulator/job.go
+++ b/internal/queue/simulator/job.go
@@ -1,7 +1,6 @@
 package simulator
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"math"
@@ -33,13 +32,6 @@
 	size      float64
 }
 
-func compareKeys(a, b bookkeeper.RunKey) int {
-	return cmp.Or(
-		cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step),
-		cmp.Compare(a.Task, b.Task), cmp.Compare(a.Number, b.Number),
-	)
-}
-
 // arrivals plans the submission of all jobs.
 func (s *Simulator) arrivals() {
 	for i := range s.opts.Load.Queues {
@@ -274,8 +266,7 @@
 	if e.GetHow() != bookkeeper.EndDone {
 		return
 	}
-	key := bookkeeper.TaskKey{Job: e.GetJob(), Occurrence: e.GetOccurrence(), Step: e.GetStep(), Task: e.GetTask()}
-	for _, k := range s.tasksOf(key) {
+	for _, k := range s.tasksOf(bookkeeper.EndKeyOf(e).TaskKey) {
 		s.doneTasks[k] = true
 	}
 }
--- a/internal/queue/simulator/run.go
+++ b/internal/queue/simulator/run.go
@@ -111,7 +111,7 @@
 // repace plans all ends again after the worker's pace has changed.
 func (w *worker) repace() {
 	for _, other := range w.s.workers {
-		for _, key := range slices.SortedFunc(maps.Keys(other.runs), compareKeys) {
+		for _, key := range slices.SortedFunc(maps.Keys(other.runs), bookkeeper.CompareKeys) {
 			if t := other.runs[key]; t.working {
 				t.replan(other)
 			}
--- a/internal/queue/simulator/worker.go
+++ b/internal/queue/simulator/worker.go
@@ -100,7 +100,7 @@
 		Worker: w.id, Born: w.born, Sequence: w.sequence, Pool: poolName, Rack: w.rack, Labels: []string{"a", w.rack},
 		Processors: w.capacity.Processors, Memory: w.capacity.Memory, Accelerators: w.capacity.Accelerators,
 	}
-	for _, key := range slices.SortedFunc(maps.Keys(w.runs), compareKeys) {
+	for _, key := range slices.SortedFunc(maps.Keys(w.runs), bookkeeper.CompareKeys) {
 		t := w.runs[key]
 		t.advance(w)
 		r.Running = append(r.Running, &messages.Running{
@@ -194,7 +194,7 @@
 	if w.lease.IsZero() || !w.s.now.After(w.lease) {
 		return
 	}
-	for _, key := range slices.SortedFunc(maps.Keys(w.runs), compareKeys) {
+	for _, key := range slices.SortedFunc(maps.Keys(w.runs), bookkeeper.CompareKeys) {
 		w.end(key, bookkeeper.EndLapsed)
 	}
 }
@@ -363,7 +363,7 @@
 			return
 		}
 		w.up = false
-		for _, key := range slices.SortedFunc(maps.Keys(w.runs), compareKeys) {
+		for _, key := range slices.SortedFunc(maps.Keys(w.runs), bookkeeper.CompareKeys) {
 			lost := w.runs[key]
 			lost.advance(w)
 			delete(w.runs, key)
