forwarder: a leader that failed a call is not asked again because the own replica names it

Ruled out: the repairer, which adds every keeper that it hears. A caller that has gone no longer counts as a failure of the leader either.

TestRemovedKeeperFindsTheLeader fails without the change (no answer in 2 s) and passes with it.

--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -44,9 +44,12 @@
 
 	mu     sync.Mutex
 	leader netip.AddrPort // last known, zero for none
-	spoke  time.Time      // when a keeper last answered anything
-	next   int            // keeper to ask when no leader is known
-	local  *Local         // nil on a daemon that is no keeper
+	// refuted is a leader that failed a call. The own replica may go on to name it, as a keeper that
+	// was removed hears of no successor.
+	refuted netip.AddrPort
+	spoke   time.Time // when a keeper last answered anything
+	next    int       // keeper to ask when no leader is known
+	local   *Local    // nil on a daemon that is no keeper
 }
 
 // New returns a forwarder that knows no leader yet. client must carry the daemons' credentials.
@@ -58,14 +61,8 @@
 func (f *Forwarder) target() (netip.AddrPort, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.local != nil {
-		// A keeper that is a member knows the leader itself.
-		if address := f.local.Leader(); address.IsValid() {
-			return address, true
-		}
-	}
-	if f.leader.IsValid() {
-		return f.leader, true
+	if address := f.known(); address.IsValid() {
+		return address, true
 	}
 	keepers := f.directory.Keepers()
 	if len(keepers) == 0 {
@@ -74,6 +71,17 @@
 	return keepers[f.next%len(keepers)], true
 }
 
+// known returns the leader by what is known, zero for none. The caller holds the lock.
+func (f *Forwarder) known() netip.AddrPort {
+	if f.local != nil {
+		// A keeper that is a member knows the leader itself.
+		if address := f.local.Leader(); address.IsValid() && address != f.refuted {
+			return address
+		}
+	}
+	return f.leader
+}
+
 // learn remembers what a reply says of the leader.
 func (f *Forwarder) learn(asked netip.AddrPort, err error) {
 	f.mu.Lock()
@@ -83,9 +91,12 @@
 	}
 	if err == nil {
 		f.leader = asked
+		if f.refuted == asked {
+			f.refuted = netip.AddrPort{}
+		}
 		return
 	}
-	f.leader = netip.AddrPort{}
+	f.leader, f.refuted = netip.AddrPort{}, asked
 	f.next++
 	var te twirp.Error
 	if errors.As(err, &te) {
@@ -138,10 +149,13 @@
 	if !ok {
 		return zero, ErrNoLeader
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	askCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	reply, err := ask(ctx, address)
-	f.learn(address, err)
+	reply, err := ask(askCtx, address)
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		// A caller that has gone says nothing of the leader.
+		f.learn(address, err)
+	}
 	return reply, err
 }
 
--- a/internal/entry/forwarder/queues.go
+++ b/internal/entry/forwarder/queues.go
@@ -81,5 +81,5 @@
 func (f *Forwarder) knowsLeader() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.local == nil || f.local.Leader().IsValid()
+	return f.local == nil || f.known().IsValid()
 }
