conductor: answers to reports are held until there is an order

The answer to a report now waits up to 500 ms for an order, not beyond the time at which a run on the worker is expected to end, as ends are listed only between two answers. Starts, stops, cancellations and broken gangs wake it. A later report voids the answers to earlier ones.

--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -110,7 +110,7 @@
 			_, err := a.Propose(ctx, decider.ChangeQueues{Change: change})
 			return err
 		},
-		Explain: rep.server.Explain, Now: time.Now, Wall: time.Now, Metrics: r.opts.Metrics.SubScope("queues"), Log: r.log,
+		Explain: rep.server.Explain, Wait: conductor.Wait, Now: time.Now, Wall: time.Now, Metrics: r.opts.Metrics.SubScope("queues"), Log: r.log,
 	})
 	r.forward.SetLocal(forwarder.Local{
 		Address: s.PeeringAddr(), Queues: queues,
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -33,6 +33,7 @@
 const (
 	headerTimeout   = 5 * time.Second
 	metricsInterval = time.Second
+	peerStreams     = 8192 // calls of one daemon at one time: reports whose answers are held must not keep out the consensus
 	drainPoll       = 20 * time.Millisecond
 	minDrain        = 1500 * time.Millisecond // for the balancer and the workers to notice
 )
@@ -66,7 +67,7 @@
 func DefaultQueues() QueueOptions {
 	return QueueOptions{
 		Timing: conductor.Timing{
-			Lease: 8 * time.Second, Longest: 8 * time.Second, Report: time.Second, Silent: 3 * time.Second,
+			Lease: 8 * time.Second, Longest: 8 * time.Second, Report: time.Second, Hold: 500 * time.Millisecond, Silent: 3 * time.Second,
 			Retention: 24 * time.Hour,
 		},
 	}
@@ -205,7 +206,10 @@
 		return errors.Join(err, entry.Close())
 	}
 	r.entry = &http.Server{Handler: r.router, ReadHeaderTimeout: headerTimeout}
-	r.peer = &http.Server{Handler: r.peers.guard(r.peerHandler()), ReadHeaderTimeout: headerTimeout, Protocols: peerProtocols()}
+	r.peer = &http.Server{
+		Handler: r.peers.guard(r.peerHandler()), ReadHeaderTimeout: headerTimeout, Protocols: peerProtocols(),
+		HTTP2: &http.HTTP2Config{MaxConcurrentStreams: peerStreams},
+	}
 	r.serve(r.entry, entry)
 	r.serve(r.peer, peer)
 	return nil
--- a/internal/queue/bookkeeper/job.go
+++ b/internal/queue/bookkeeper/job.go
@@ -44,11 +44,12 @@
 	saved    string
 }
 
-// Task is one task of a step. Of a gang only Active is used.
+// Task is one task of a step. Of a gang only Active and Worker are used.
 type Task struct {
 	Number   uint32 // of its last run
 	Done     bool
-	Active   int // runs that have not ended
+	Active   int    // runs that have not ended
+	Worker   string // of its last run
 	failures uint32
 	saved    string
 }
@@ -131,6 +132,7 @@
 	}
 	t.Number = r.GetNumber()
 	t.Active++
+	t.Worker = r.GetWorker()
 	if s.Spec.GetGang() {
 		s.number = r.GetNumber()
 	}
--- a/internal/queue/bookkeeper/snapshot.go
+++ b/internal/queue/bookkeeper/snapshot.go
@@ -117,6 +117,7 @@
 		return fmt.Errorf("restore queues: job %s has no task %d in step %d", r.GetJob(), r.GetTask(), r.GetStep())
 	}
 	s.Tasks[r.GetTask()].Active++
+	s.Tasks[r.GetTask()].Worker = r.GetWorker()
 	j.active++
 	if b.runs[r.GetWorker()] == nil {
 		b.runs[r.GetWorker()] = map[RunKey]*messages.Run{}
--- a/internal/queue/conductor/call.go
+++ b/internal/queue/conductor/call.go
@@ -132,6 +132,9 @@
 		return nil, c.opts.Explain(ctx, err)
 	}
 	c.opts.Log.Info("job cancelled", zap.String("request", id))
+	if err := c.read(ctx, func(book *bookkeeper.Book) { c.rouseJob(book.Job(id)) }); err != nil {
+		c.opts.Log.Info("the term ended during a cancellation", zap.String("request", id), zap.Error(err))
+	}
 	c.stir()
 	return verdict, nil
 }
--- a/internal/queue/conductor/conductor.go
+++ b/internal/queue/conductor/conductor.go
@@ -28,6 +28,7 @@
 	Lease     time.Duration // of a worker's runs, from the sending of its report
 	Longest   time.Duration // longest lease that any leader grants
 	Report    time.Duration // least time between the reports of a worker
+	Hold      time.Duration // longest time for which an answer waits for orders, 0 for none
 	Share     time.Duration // of the time between two reports that each known worker adds, to bound the leader's load
 	Silent    time.Duration // without a report until nothing is started on a worker
 	Retention time.Duration // for which the phase of an ended job is known
@@ -44,26 +45,25 @@
 	return max(t.Report, min(time.Duration(n)*t.Share, t.Silent*2/3))
 }
 
-// silentReports is how many reports of a worker may be missing until nothing is started on it.
-const silentReports = 4
+// againAfter is how soon a worker reports again whose answer was held, so that the next answer can be
+// held.
+const againAfter = 20 * time.Millisecond
 
-// leastSilence is longer than a report takes over a slow link, with the commit of its ends.
-const leastSilence = 900 * time.Millisecond
+// leastHold is the shortest time for which it is worth holding an answer.
+const leastHold = 60 * time.Millisecond
+
+// silenceMargin is longer than a worker waits for an answer beyond the time for which it is held,
+// and until it has asked another keeper.
+const silenceMargin = 750 * time.Millisecond
 
 // silentAfter returns for how long one of n workers may be silent until nothing is started on it.
 func (t Timing) silentAfter(n int) time.Duration {
-	return min(t.Silent, max(leastSilence, silentReports*t.reportEvery(n)))
-}
-
-// unanswered returns the time between two reports of one of n workers from which on the answer to
-// the first has most likely got lost.
-func (t Timing) unanswered(n int) time.Duration {
-	return t.reportEvery(n) + answerMargin
+	return min(t.Silent, max(t.reportEvery(n), t.Hold)+silenceMargin)
 }
 
-// answerMargin is longer than an answer takes with the commit of ends, and shorter than the second
-// that a worker waits for one.
-const answerMargin = 600 * time.Millisecond
+// answerMargin is longer than a report takes beyond the time that the worker was told, and shorter
+// than the rest of the second that a worker waits for an answer that is held.
+const answerMargin = 350 * time.Millisecond
 
 // over returns when a lease that was granted at a time has surely run out.
 func (t Timing) over(granted time.Time, lease time.Duration) time.Time {
@@ -80,6 +80,8 @@
 	Commit func(ctx context.Context, change *messages.QueueChange) error
 	// Explain turns an error of Read or Commit into one that points to the leader.
 	Explain func(ctx context.Context, err error) error
+	// Wait returns after a time, or earlier when it is woken or the context ends.
+	Wait func(ctx context.Context, wake <-chan struct{}, limit time.Duration)
 	// Now is the steady clock, Wall the time of day.
 	Now  func() time.Time
 	Wall func() time.Time
@@ -88,6 +90,17 @@
 	Log     *zap.Logger
 }
 
+// Wait is the wait of a real daemon.
+func Wait(ctx context.Context, wake <-chan struct{}, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-wake:
+	case <-timer.C:
+	}
+}
+
 // Conductor is the leader's part on one keeper. It rests while another keeper leads.
 type Conductor struct {
 	opts    Options
@@ -205,6 +218,7 @@
 		c.endLapsing(change.GetEnds())
 		for _, r := range change.GetStarts() {
 			c.placed[bookkeeper.KeyOf(r)] = true
+			c.rouse(r.GetWorker())
 		}
 	})
 	if err != nil {
--- a/internal/queue/conductor/conductor_test.go
+++ b/internal/queue/conductor/conductor_test.go
@@ -18,6 +18,8 @@
 	*Conductor
 	book *bookkeeper.Book
 	now  time.Time
+	// wait stands for the wait of an answer that is held.
+	wait func(ctx context.Context, wake <-chan struct{}, limit time.Duration)
 }
 
 func newBench() *bench {
@@ -28,11 +30,15 @@
 			read(1, b.book)
 			return nil
 		},
-		Commit: func(_ context.Context, c *messages.QueueChange) error {
+		Commit: func(ctx context.Context, c *messages.QueueChange) error {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
 			b.book.Apply(c)
 			return nil
 		},
 		Explain: func(_ context.Context, err error) error { return err },
+		Wait:    func(ctx context.Context, wake <-chan struct{}, limit time.Duration) { b.wait(ctx, wake, limit) },
 		Now:     func() time.Time { return b.now }, Wall: func() time.Time { return b.now }, Metrics: tally.NoopScope, Log: zap.NewNop(),
 	})
 	b.book.Apply(&messages.QueueChange{Catalog: &messages.Catalog{
@@ -171,3 +177,113 @@
 	b.Pass(context.Background())
 	is.Equal(b.book.Job("a").Active(), 0)
 }
+
+// TestEndsOfAnAbandonedReport is the pattern of a worker whose report was held up: it no longer waits
+// for the answer, and the ends in the report must count all the same, or done work is done again.
+func TestEndsOfAnAbandonedReport(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	is.Equal(b.submit(t, "/q/a", "k1"), StatusOK)
+	b.report(t, 1, nil)
+	b.Pass(context.Background())
+	is.Equal(len(b.report(t, 2, nil).GetStarts()), 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := b.Report(ctx, &messages.FleetReport{
+		Worker: "w", Born: 5, Sequence: 3, Pool: "p", Processors: 8000, Memory: 8000,
+		Ends: []*messages.NumberedEnd{{Sequence: 1, End: &messages.End{Job: "a", Number: 1, How: bookkeeper.EndDone}}},
+	})
+	is.NoErr(err)
+	is.Equal(b.book.Job("a").Phase, bookkeeper.Completed)
+}
+
+// TestHeardWorkerIsNotLost is the pattern of a leader under load that reads reports and is too slow to
+// answer them: the leases that it could have extended run out, and what the workers list still counts.
+func TestHeardWorkerIsNotLost(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	is.Equal(b.submit(t, "/q/a", "k1"), StatusOK)
+	b.report(t, 1, nil)
+	b.Pass(context.Background())
+	is.Equal(len(b.report(t, 2, nil).GetStarts()), 1)
+	lost := func() bool { return b.lapses(b.book) != nil }
+	run := &messages.Running{Run: &messages.Run{Job: "a", Number: 1}, Percent: 10}
+	for sequence := range uint64(20) {
+		b.now = b.now.Add(500 * time.Millisecond)
+		b.hear(b.book, &messages.FleetReport{
+			Worker: "w", Born: 5, Sequence: 3 + sequence, Pool: "p", Processors: 8000, Memory: 8000, Running: []*messages.Running{run},
+		})
+		is.True(!lost())
+	}
+	b.now = b.now.Add(b.opts.Timing.silentAfter(1))
+	is.True(lost())
+}
+
+// TestHeldAnswers checks when the answer to a report waits for orders, and what ends the wait.
+func TestHeldAnswers(t *testing.T) {
+	newHolding := func() *bench {
+		b := newBench()
+		b.opts.Timing.Hold = 500 * time.Millisecond
+		b.wait = func(_ context.Context, _ <-chan struct{}, limit time.Duration) { b.now = b.now.Add(limit) }
+		return b
+	}
+	t.Run("an idle worker's answer waits to the end", func(t *testing.T) {
+		is := is.New(t)
+		b := newHolding()
+		from := b.now
+		o := b.report(t, 1, nil)
+		is.Equal(b.now.Sub(from), 500*time.Millisecond)
+		is.Equal(o.GetAgain(), againAfter.Milliseconds())
+	})
+	t.Run("a start ends the wait", func(t *testing.T) {
+		is := is.New(t)
+		b := newHolding()
+		b.wait = func(ctx context.Context, wake <-chan struct{}, _ time.Duration) {
+			b.now = b.now.Add(100 * time.Millisecond)
+			is.Equal(b.submit(t, "/q/a", "k1"), StatusOK)
+			b.Pass(ctx)
+			<-wake
+		}
+		from := b.now
+		is.Equal(len(b.report(t, 1, nil).GetStarts()), 1)
+		is.Equal(b.now.Sub(from), 100*time.Millisecond)
+	})
+	t.Run("a cancellation ends the wait", func(t *testing.T) {
+		is := is.New(t)
+		b := newHolding()
+		is.Equal(b.submit(t, "/q/a", "k1"), StatusOK)
+		b.report(t, 1, nil)
+		b.Pass(context.Background())
+		b.report(t, 2, nil)
+		b.wait = func(ctx context.Context, wake <-chan struct{}, _ time.Duration) {
+			_, err := b.Cancel(ctx, &messages.Lookup{Host: "h", Path: "/q/a", Key: "k1"})
+			is.NoErr(err)
+			<-wake
+		}
+		o := b.report(t, 3, func(r *messages.FleetReport) {
+			r.Running = []*messages.Running{{Run: &messages.Run{Job: "a", Number: 1}, Percent: 1}}
+		})
+		is.Equal(len(o.GetStops()), 1)
+	})
+	t.Run("it does not wait beyond the expected end of a run", func(t *testing.T) {
+		is := is.New(t)
+		b := newHolding()
+		is.Equal(b.submit(t, "/q/a", "k1"), StatusOK)
+		b.report(t, 1, nil)
+		b.Pass(context.Background())
+		b.report(t, 2, nil)
+		listed := func(percent int32) func(r *messages.FleetReport) {
+			return func(r *messages.FleetReport) {
+				r.Running = []*messages.Running{{Run: &messages.Run{Job: "a", Number: 1}, Percent: percent}}
+			}
+		}
+		b.report(t, 3, listed(1))
+		b.now = b.now.Add(400 * time.Millisecond)
+		from := b.now
+		b.report(t, 4, listed(90)) // 900 ms for 90 percent
+		is.Equal(b.now.Sub(from), 100*time.Millisecond)
+		from = b.now
+		b.report(t, 5, listed(99))
+		is.Equal(b.now, from)
+	})
+}
--- a/internal/queue/conductor/decide.go
+++ b/internal/queue/conductor/decide.go
@@ -43,7 +43,8 @@
 		if w != nil && w.born >= born && w.leaseEnd.After(end) {
 			end = w.leaseEnd
 		}
-		if now.Before(end) {
+		if now.Before(end) || w != nil && w.born == born && now.Sub(w.heard) < c.opts.Timing.silentAfter(len(c.workers)) {
+			// A worker that is heard tells itself what has ended.
 			return
 		}
 		c.metrics.lost.Inc(1)
@@ -130,12 +131,13 @@
 	plan := placer.New(c.input(book))
 	for _, a := range plan.Stops {
 		c.stopping[a.Key] = true
-		c.opts.Log.Info("run is stopped for urgent work", zap.String("request", a.Key.Job), zap.Int32("step", a.Key.Step),
+		c.rouse(a.Job.Step(a.Key.Occurrence, a.Key.Step).Tasks[a.Key.Task].Worker)
+		c.opts.Log.Info("run is stopped for urgent work", zap.String("request", a.Key.Job), zap.Int32("occurrence", a.Key.Occurrence), zap.Int32("step", a.Key.Step),
 			zap.Int32("task", a.Key.Task), zap.Uint32("run", a.Key.Number), zap.Duration("unsaved", a.Unsaved), zap.Duration("remaining", a.Remaining))
 	}
 	for _, r := range plan.Starts {
 		w := c.workers[r.GetWorker()]
-		c.opts.Log.Info("run starts", zap.String("request", r.GetJob()), zap.Int32("step", r.GetStep()), zap.Int32("task", r.GetTask()),
+		c.opts.Log.Info("run starts", zap.String("request", r.GetJob()), zap.Int32("occurrence", r.GetOccurrence()), zap.Int32("step", r.GetStep()), zap.Int32("task", r.GetTask()),
 			zap.Uint32("run", r.GetNumber()), zap.String("worker", r.GetWorker()), zap.Uint64("report", w.sequence),
 			zap.Duration("age", c.opts.Now().Sub(w.heard)))
 	}
--- a/internal/queue/conductor/track.go
+++ b/internal/queue/conductor/track.go
@@ -80,7 +80,7 @@
 	t := c.tracks[key]
 	j := book.Job(key.Job)
 	s := j.Step(key.Occurrence, key.Step)
-	c.opts.Log.Info("run ended", zap.String("request", key.Job), zap.Int32("step", key.Step), zap.Int32("task", key.Task),
+	c.opts.Log.Info("run ended", zap.String("request", key.Job), zap.Int32("occurrence", key.Occurrence), zap.Int32("step", key.Step), zap.Int32("task", key.Task),
 		zap.Uint32("run", key.Number), zap.String("worker", w.id), zap.String("how", e.GetHow()),
 		zap.Duration("elapsed", t.elapsed(now)), zap.Uint64("report", w.sequence))
 	count(c.metrics.ends, e.GetHow())
--- a/internal/queue/conductor/worker.go
+++ b/internal/queue/conductor/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -25,19 +26,29 @@
 	left     bool
 	lapsing  bool // the end of its life is being committed; it gets no orders until that is known
 	heard    time.Time
-	deaf     bool      // answers to it seem to get lost
-	leaseEnd time.Time // when all leases that were granted here have surely run out
+	expected time.Time     // when its next report comes at the latest if the last answer arrived, zero for any time
+	wake     chan struct{} // ends the wait of the report whose answer is held
+	deaf     bool          // answers to it seem to get lost
+	leaseEnd time.Time     // when all leases that were granted here have surely run out
 	listed   map[bookkeeper.RunKey]bool
 	// ordered holds the report whose answer last ordered the start of a run.
 	ordered map[bookkeeper.RunKey]uint64
 	health  health
 }
 
+// endsTimeout bounds the commit of ends: an election and a commit after it.
+const endsTimeout = 4 * time.Second
+
 // Report takes a worker's report, commits the ends in it and returns the worker's orders.
 func (c *Conductor) Report(ctx context.Context, r *messages.FleetReport) (*messages.FleetOrders, error) {
+	received := c.opts.Now()
 	var change *messages.QueueChange
 	var stale bool
-	err := c.read(ctx, func(book *bookkeeper.Book) { change, stale = c.hear(book, r) })
+	var wake <-chan struct{}
+	err := c.read(ctx, func(book *bookkeeper.Book) {
+		change, stale = c.hear(book, r)
+		wake = c.waitOn(r)
+	})
 	if err != nil {
 		return nil, c.opts.Explain(ctx, err)
 	}
@@ -45,17 +56,154 @@
 		return &messages.FleetOrders{Address: c.opts.Address}, nil
 	}
 	if change != nil {
-		if err := c.commit(ctx, change); err != nil {
+		// Ends that were read must count, also when the worker no longer waits for the answer.
+		commitCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endsTimeout)
+		defer cancel()
+		if err := c.commit(commitCtx, change); err != nil {
 			return nil, c.opts.Explain(ctx, err)
 		}
 		c.stir()
 	}
-	orders := &messages.FleetOrders{}
-	err = c.read(ctx, func(book *bookkeeper.Book) { orders = c.ordersFor(book, r) })
-	if err != nil {
-		return nil, c.opts.Explain(ctx, err)
+	return c.answer(ctx, r, change, received, wake)
+}
+
+// answer returns the orders for a worker. It holds them back for a time while there are none, so that
+// an order leaves as soon as it is decided.
+func (c *Conductor) answer(
+	ctx context.Context, r *messages.FleetReport, change *messages.QueueChange, received time.Time, wake <-chan struct{},
+) (*messages.FleetOrders, error) {
+	for {
+		orders := &messages.FleetOrders{}
+		var hold time.Duration
+		err := c.read(ctx, func(book *bookkeeper.Book) {
+			c.rouseGangs(book, change)
+			orders = c.ordersFor(book, r)
+			if hold = c.holdFor(book, r, received); len(orders.GetStarts())+len(orders.GetStops()) > 0 {
+				hold = 0
+			}
+			if hold == 0 {
+				c.expect(r, orders, received)
+			}
+		})
+		if err != nil {
+			return nil, c.opts.Explain(ctx, err)
+		}
+		if hold == 0 {
+			return orders, nil
+		}
+		change = nil
+		c.opts.Wait(ctx, wake, hold)
+		if err := ctx.Err(); err != nil {
+			return nil, fmt.Errorf("the report was abandoned: %w", err)
+		}
+	}
+}
+
+// waitOn returns what wakes the answer to a report. An answer to an earlier report that is held is
+// sent at once, as its worker no longer waits for it.
+func (c *Conductor) waitOn(r *messages.FleetReport) <-chan struct{} {
+	w := c.workers[r.GetWorker()]
+	if w == nil {
+		return nil
+	}
+	c.rouse(w.id)
+	w.wake = make(chan struct{}, 1)
+	return w.wake
+}
+
+// rouse lets the answer to a worker leave, if one is held.
+func (c *Conductor) rouse(worker string) {
+	w := c.workers[worker]
+	if w == nil || w.wake == nil {
+		return
+	}
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// rouseJob lets the answers to all workers leave that run a part of a job.
+func (c *Conductor) rouseJob(j *bookkeeper.Job) {
+	if j == nil {
+		return
+	}
+	steps := j.Steps()
+	for i := range steps {
+		c.rouseStep(&steps[i])
+	}
+}
+
+func (c *Conductor) rouseStep(s *bookkeeper.Step) {
+	for i := range s.Tasks {
+		if s.Tasks[i].Active > 0 {
+			c.rouse(s.Tasks[i].Worker)
+		}
+	}
+}
+
+// rouseGangs lets the answers leave that tell workers to stop what the ends in a change have made
+// useless: the other members of a gang, and the rest of a job that has failed.
+func (c *Conductor) rouseGangs(book *bookkeeper.Book, change *messages.QueueChange) {
+	for _, ends := range change.GetEnds() {
+		for _, e := range ends.GetEnds() {
+			j := book.Job(e.GetJob())
+			if j == nil {
+				continue
+			}
+			if j.Ended() {
+				c.rouseJob(j)
+				continue
+			}
+			if s := j.Step(e.GetOccurrence(), e.GetStep()); s.Spec.GetGang() {
+				c.rouseStep(s)
+			}
+		}
+	}
+}
+
+// holdFor returns for how long the answer to a report may wait for orders: not beyond the time at
+// which one of the worker's runs is expected to end, as the worker lists no end while it waits.
+func (c *Conductor) holdFor(book *bookkeeper.Book, r *messages.FleetReport, received time.Time) time.Duration {
+	w := c.workers[r.GetWorker()]
+	if w == nil || w.born != r.GetBorn() || w.sequence != r.GetSequence() || w.left || w.lapsing {
+		return 0
+	}
+	now := c.opts.Now()
+	hold := c.opts.Timing.Hold - now.Sub(received)
+	for key := range w.listed {
+		if hold < leastHold {
+			return 0
+		}
+		j := book.Job(key.Job)
+		if j == nil {
+			return 0
+		}
+		if s := j.Step(key.Occurrence, key.Step); s != nil && !s.Spec.GetLasting() {
+			hold = min(hold, c.tracks[key].remaining(now, c.estimate(j, s)))
+		}
+	}
+	if hold < leastHold {
+		return 0
+	}
+	return hold
+}
+
+// expect tells a worker when to report again, and takes note of that time. After an answer that was
+// held to its end the next one can be held, unless the fleet is so large that reports must be further
+// apart.
+func (c *Conductor) expect(r *messages.FleetReport, o *messages.FleetOrders, received time.Time) {
+	w := c.workers[r.GetWorker()]
+	if w == nil || o.GetLease() == 0 {
+		return
+	}
+	now := c.opts.Now()
+	again := c.opts.Timing.reportEvery(len(c.workers))
+	if held := now.Sub(received); held >= leastHold && c.opts.Timing.Hold > 0 {
+		again = max(again-held, againAfter)
 	}
-	return orders, nil
+	o.Again = again.Milliseconds()
+	w.expected = now.Add(again + answerMargin)
 }
 
 // hear takes note of a report and returns what must be committed before it is answered. stale
@@ -107,7 +255,8 @@
 		c.opts.Log.Info("worker leaves", zap.String("worker", w.id), zap.Int64("remaining", r.GetRemaining()))
 	}
 	// A worker that got no answer reports again only after its time for an answer.
-	w.deaf = !w.heard.IsZero() && now.Sub(w.heard) > c.opts.Timing.unanswered(len(c.workers))
+	w.deaf = !w.expected.IsZero() && now.After(w.expected)
+	w.expected = time.Time{}
 	w.sequence, w.heard = r.GetSequence(), now
 	w.pool, w.labels = r.GetPool(), r.GetLabels()
 	w.rack = r.GetRack()
@@ -197,7 +346,8 @@
 func (c *Conductor) ordersFor(book *bookkeeper.Book, r *messages.FleetReport) *messages.FleetOrders {
 	w := c.workers[r.GetWorker()]
 	o := &messages.FleetOrders{Term: c.term, Address: c.opts.Address, Again: c.opts.Timing.reportEvery(len(c.workers)).Milliseconds()}
-	if w == nil || w.born != r.GetBorn() || w.left || w.lapsing {
+	if w == nil || w.born != r.GetBorn() || w.sequence != r.GetSequence() || w.left || w.lapsing {
+		// The worker does not wait for this answer any more, or must not get orders.
 		return o
 	}
 	if life, ok := book.Life(w.id); ok && life.Born == w.born {
--- a/internal/queue/simulator/presets.go
+++ b/internal/queue/simulator/presets.go
@@ -2,12 +2,16 @@
 
 import "time"
 
+// holdAnswers is what the daemon's settings on the users' platform say.
+const holdAnswers = 500 * time.Millisecond
+
 // Reports returns the fleet and the load of a lab whose reports wait for accelerators: wide gangs
 // of large members beside narrow tasks. scale multiplies the arrivals.
 func Reports(scale float64) (Fleet, Load) {
 	fleet := Fleet{
 		Workers: 48, PerRack: 8, Processors: 64_000, Memory: 131_072, Accelerators: 8, Speeds: []float64{0.8, 1, 1.25},
 		Lease: 6 * time.Second, Stop: 200 * time.Millisecond, Checkpoint: time.Second, Restore: 600 * time.Millisecond,
+		Hold: holdAnswers,
 	}
 	return fleet, load(scale, 1, [3]float64{0.858, 1.92, 1.06}, [3]float64{4, 3, 12})
 }
@@ -17,6 +21,7 @@
 	fleet := Fleet{
 		Workers: 48, PerRack: 8, Processors: 128_000, Memory: 524_288, Accelerators: 8, Speeds: []float64{0.8, 1, 1.25},
 		Lease: 10 * time.Second, Stop: 400 * time.Millisecond, Checkpoint: 2 * time.Second, Restore: 100 * time.Millisecond,
+		Hold: holdAnswers,
 	}
 	return fleet, load(scale, 2, [3]float64{0.627, 1.91, 0.738}, [3]float64{5, 3, 16})
 }
--- a/internal/queue/simulator/simulator.go
+++ b/internal/queue/simulator/simulator.go
@@ -46,6 +46,7 @@
 	Stop         time.Duration // longest that a stop takes
 	Checkpoint   time.Duration // of work between two checkpoints
 	Restore      time.Duration
+	Hold         time.Duration // longest time for which the leader holds the answer to a report
 }
 
 // Load is what callers ask for.
@@ -304,6 +305,24 @@
 	<-p.resumed
 }
 
+// wakeLook is how soon a call that waits notices that it was woken.
+const wakeLook = 5 * time.Millisecond
+
+// wait holds a call until it is woken or a time is over.
+func (s *Simulator) wait(_ context.Context, wake <-chan struct{}, limit time.Duration) {
+	p := s.current
+	for end := s.now.Add(limit); s.now.Before(end); {
+		select {
+		case <-wake:
+			return
+		default:
+		}
+		s.after(min(wakeLook, end.Sub(s.now)), func() { s.resume(p) })
+		p.parked <- struct{}{}
+		<-p.resumed
+	}
+}
+
 func (s *Simulator) resume(p *process) {
 	outer := s.current
 	s.current = p
@@ -347,7 +366,7 @@
 	term := s.term
 	s.leader = conductor.NewStepped(conductor.Options{
 		Timing: conductor.Timing{
-			Lease: s.opts.Fleet.Lease, Longest: s.opts.Fleet.Lease, Report: 250 * time.Millisecond,
+			Lease: s.opts.Fleet.Lease, Longest: s.opts.Fleet.Lease, Report: 250 * time.Millisecond, Hold: s.opts.Fleet.Hold,
 			Silent: 2200 * time.Millisecond, Retention: 3 * time.Minute,
 		},
 		Read: func(_ context.Context, read func(uint64, *bookkeeper.Book)) error {
@@ -363,6 +382,7 @@
 		},
 		Commit:  func(_ context.Context, change *messages.QueueChange) error { return s.commit(term, change) },
 		Explain: func(_ context.Context, err error) error { return err },
+		Wait:    s.wait,
 		Now:     func() time.Time { return s.now },
 		Wall:    func() time.Time { return s.now },
 		Metrics: tally.NoopScope,
