--- a/cmd/bluebellplatformd/main.go
+++ b/cmd/bluebellplatformd/main.go
@@ -6,6 +6,8 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"net"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -15,7 +17,9 @@
 	"github.com/jessevdk/go-flags"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+	"golang.org/x/net/proxy"
 
+	"github.com/bluebellgauge/bluebellgauge/internal/daemon/runner"
 	"github.com/bluebellgauge/bluebellgauge/internal/report/logger"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/keeper"
 	"github.com/bluebellgauge/bluebellgauge/platform"
@@ -28,7 +32,8 @@
 )
 
 type options struct {
-	Check bool `long:"check" description:"check the settings file and exit"`
+	Check bool   `long:"check" description:"check the settings file and exit"`
+	Proxy string `long:"proxy" value-name:"ADDRESS" description:"SOCKS5 proxy for connections to other daemons, such as a tunnel between regions"`
 }
 
 func main() { os.Exit(run()) }
@@ -50,6 +55,11 @@
 	if opts.Check {
 		return 0
 	}
+	dial, err := dialer(opts.Proxy)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "bluebellplatformd:", err)
+		return exitSettings
+	}
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(s.Memory)
 	}
@@ -61,7 +71,7 @@
 	if !awaitDisk(s.Daemon.Data, signals, log) {
 		return 0
 	}
-	a, err := platform.New(s, log)
+	a, err := platform.New(s, dial, log)
 	if err != nil {
 		log.Error("start failed", zap.Error(err))
 		return exitFailure
@@ -69,6 +79,22 @@
 	return watch(a, s.Daemon.Data, signals, log)
 }
 
+// dialer returns how other daemons are reached, nil for the network itself.
+func dialer(address string) (runner.Dial, error) {
+	if address == "" {
+		return nil, nil
+	}
+	through, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, fmt.Errorf("--proxy: %w", err)
+	}
+	d, err := proxy.SOCKS5("tcp", through.String(), nil, &net.Dialer{})
+	if err != nil {
+		return nil, fmt.Errorf("--proxy: %w", err)
+	}
+	return d.(proxy.ContextDialer).DialContext, nil // every SOCKS5 dialer of the library takes a context
+}
+
 // awaitDisk waits until the data folder takes writes. It reports false when the process is told to
 // stop before that. Starting again and again on a full disk would serve nobody.
 func awaitDisk(folder string, signals <-chan os.Signal, log *zap.Logger) bool {
