registrar: the list of daemons travels only when it changes

Cause: each daemon's beat, 3.3 a second, was answered with the list of all daemons. Replies now name a digest of the list and carry it only for a sender that holds another one, and the leader spreads beats by 1.5 ms a daemon. Ruled out: reports of 3000 workers, which stayed as many.

--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -273,19 +273,21 @@
 
 // beatLoop keeps the daemon and the leader informed of each other.
 func (r *Runner) beatLoop() {
-	ticker := time.NewTicker(r.opts.Timing.Beat)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		r.beat()
 		select {
 		case <-r.ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
+		began := time.Now()
+		timer.Reset(r.beat() - time.Since(began))
 	}
 }
 
-func (r *Runner) beat() {
+// beat sends one beat and returns the time from its sending until the next one.
+func (r *Runner) beat() time.Duration {
 	s := r.opts.Settings
 	b := &messages.Beat{Daemon: s.Name, Place: s.Place, Address: s.Peering, Listen: s.Listen, Draining: r.isDraining()}
 	if r.replica != nil {
@@ -296,20 +298,22 @@
 	o, err := r.forward.Sync(r.ctx, b)
 	if err != nil {
 		r.log.Debug("beat not answered", zap.Error(err))
-		return
+		return r.opts.Timing.Beat
 	}
+	again := max(time.Duration(o.GetAgain())*time.Millisecond, r.opts.Timing.Beat)
 	r.home.Answered(sent, b, o)
 	r.peers.learn(o.GetDaemons())
 	if len(o.GetManifest()) == 0 {
-		return
+		return again
 	}
 	version, err := r.manifest.Install(o.GetManifest())
 	if err != nil {
 		r.log.Error("manifest refused", zap.Error(err))
-		return
+		return again
 	}
 	r.home.SetVersion(version)
 	r.log.Info("manifest in force", zap.Uint64("version", version))
+	return again
 }
 
 func (r *Runner) isDraining() bool {
--- a/internal/entry/forwarder/server.go
+++ b/internal/entry/forwarder/server.go
@@ -149,7 +149,7 @@
 		if s.watch == nil {
 			return list
 		}
-		for _, d := range s.watch.Daemons(s.Now()) {
+		for _, d := range s.watch.Roster(s.Now()).Daemons {
 			list = append(list, DaemonView{
 				Name: d.GetName(), Place: d.GetPlace(), Version: d.GetVersion(), Draining: d.GetDraining(),
 				Keeper: d.GetKeeper(), Current: d.GetVersion() == state.Version(),
@@ -235,7 +235,11 @@
 		reply.Version = state.Version()
 		reply.Barred = watch.Barred(now, state)
 		reply.Unknown = watch.Unknown(b, state)
-		reply.Daemons = watch.Daemons(now)
+		reply.Again = watch.BeatEvery().Milliseconds()
+		roster := watch.Roster(now)
+		if reply.Roster = roster.Digest; b.GetRoster() != roster.Digest {
+			reply.Daemons = roster.Daemons
+		}
 		if _, text := state.Manifest(); b.GetVersion() < state.Version() {
 			reply.Manifest = text
 		}
--- a/internal/queue/conductor/worker.go
+++ b/internal/queue/conductor/worker.go
@@ -166,8 +166,8 @@
 // which one of the worker's runs is expected to end, as the worker lists no end while it waits.
 func (c *Conductor) holdFor(book *bookkeeper.Book, r *messages.FleetReport, received time.Time) time.Duration {
 	w := c.workers[r.GetWorker()]
-	if w == nil || w.born != r.GetBorn() || w.sequence != r.GetSequence() || w.left || w.lapsing {
-		return 0
+	if w == nil || w.born != r.GetBorn() || w.sequence != r.GetSequence() || w.leaving || w.left || w.lapsing {
+		return 0 // a worker that leaves waits for the word that this is known
 	}
 	now := c.opts.Now()
 	hold := c.opts.Timing.Hold - now.Sub(received)
--- a/internal/worker/registrar/home.go
+++ b/internal/worker/registrar/home.go
@@ -57,6 +57,7 @@
 	epoch    uint64            // term that has had a full beat
 	term     uint64
 	daemons  []*messages.Daemon
+	roster   uint64 // digest of the list of daemons
 	version  uint64
 }
 
@@ -113,6 +114,7 @@
 	defer h.mu.Unlock()
 	h.expire()
 	b.Version = h.version
+	b.Roster = h.roster
 	b.Epoch = h.epoch
 	b.Full = h.epoch == 0 || h.epoch != h.term
 	for name, r := range h.workers {
@@ -156,7 +158,9 @@
 		h.epoch = 0
 	}
 	h.lastBeat = sent
-	h.daemons = o.GetDaemons()
+	if o.GetRoster() != h.roster {
+		h.daemons, h.roster = o.GetDaemons(), o.GetRoster()
+	}
 	for _, name := range b.GetSilent() {
 		h.unsilence(name)
 	}
--- a/internal/worker/registrar/watch.go
+++ b/internal/worker/registrar/watch.go
@@ -1,10 +1,14 @@
 package registrar
 
 import (
+	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bluebellgauge/bluebellgauge/internal/job/decider"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
@@ -19,8 +23,20 @@
 	began   time.Time
 	daemons map[string]*watchedDaemon
 	workers map[string]*watchedWorker
+	roster  Roster
+	listed  time.Time // when the roster was made, zero when it must be made anew
+}
+
+// Roster is the list of daemons whose beats come in, sorted by name.
+type Roster struct {
+	Daemons []*messages.Daemon
+	Digest  uint64
 }
 
+// rosterFor is how long a roster is used in which nobody has changed. A daemon that falls silent stays
+// in it that much longer.
+const rosterFor = time.Second
+
 type watchedDaemon struct {
 	beat *messages.Beat
 	last time.Time
@@ -48,6 +64,9 @@
 		w.daemons[b.GetDaemon()] = d
 	}
 	d.full = d.full || b.GetFull()
+	if !sameDaemon(d.beat, b) || now.Sub(d.last) > daemonGone {
+		w.listed = time.Time{}
+	}
 	d.beat = b
 	d.last = now
 	for _, heard := range b.GetHeard() {
@@ -125,23 +144,46 @@
 	return unknown
 }
 
-// Daemons returns the daemons whose beats come in, sorted by name.
-func (w *Watch) Daemons(now time.Time) []*messages.Daemon {
-	var list []*messages.Daemon
-	for name, d := range w.daemons {
+// sameDaemon reports whether two beats describe a daemon alike.
+func sameDaemon(a, b *messages.Beat) bool {
+	return a != nil && a.GetPlace() == b.GetPlace() && a.GetAddress() == b.GetAddress() && a.GetListen() == b.GetListen() &&
+		a.GetVersion() == b.GetVersion() && a.GetDraining() == b.GetDraining() && (a.GetIdentity() != "") == (b.GetIdentity() != "")
+}
+
+// Roster returns the daemons whose beats come in. The caller must not change it.
+func (w *Watch) Roster(now time.Time) Roster {
+	if !w.listed.IsZero() && now.Sub(w.listed) < rosterFor {
+		return w.roster
+	}
+	w.listed = now
+	w.roster = Roster{}
+	digest := xxhash.New()
+	for _, name := range slices.Sorted(maps.Keys(w.daemons)) {
+		d := w.daemons[name]
 		if now.Sub(d.last) > daemonGone {
 			continue
 		}
 		b := d.beat
-		list = append(list, &messages.Daemon{
+		w.roster.Daemons = append(w.roster.Daemons, &messages.Daemon{
 			Name: name, Place: b.GetPlace(), Address: b.GetAddress(), Listen: b.GetListen(),
 			Version: b.GetVersion(), Draining: b.GetDraining(), Keeper: b.GetIdentity() != "",
 		})
+		// A hash takes every write.
+		_, _ = fmt.Fprintln(digest, name, b.GetPlace(), b.GetAddress(), b.GetListen(), b.GetVersion(), b.GetDraining(), b.GetIdentity() != "")
 	}
-	slices.SortFunc(list, func(a, b *messages.Daemon) int { return strings.Compare(a.GetName(), b.GetName()) })
-	return list
+	w.roster.Digest = digest.Sum64()
+	return w.roster
 }
 
+// BeatEvery returns the time between the beats of a daemon, which grows with their number so that all
+// beats together stay a small part of the leader's work.
+func (w *Watch) BeatEvery() time.Duration {
+	return max(w.timing.Beat, time.Duration(len(w.daemons))*beatShare)
+}
+
+// beatShare is what each daemon adds to the time between two beats.
+const beatShare = 1500 * time.Microsecond
+
 // KeeperSeen is a daemon with a data folder, as its last beat described it.
 type KeeperSeen struct {
 	Name     string
