conductor: late reports extend no lease; a successor at its address ends a worker

The worker's own clock in its reports now bounds when a report was sent, and silence and leases count from then.

TestLateReportExtendsNoLease and TestSuccessorAtAnAddress failed first. Workers without runs are forgotten after a minute.

--- a/internal/queue/conductor/conductor.go
+++ b/internal/queue/conductor/conductor.go
@@ -114,6 +114,7 @@
 	term      uint64
 	began     time.Time // of the term, as seen here
 	workers   map[string]*worker
+	addresses map[string]string // to the worker that reports from there
 	tracks    map[bookkeeper.RunKey]*track
 	placed    map[bookkeeper.RunKey]bool // starts that were committed in this term
 	suspects  suspects
@@ -169,6 +170,7 @@
 	c.term = term
 	c.began = c.opts.Now()
 	c.workers = map[string]*worker{}
+	c.addresses = map[string]string{}
 	c.tracks = map[bookkeeper.RunKey]*track{}
 	c.placed = map[bookkeeper.RunKey]bool{}
 	c.suspects = suspects{}
--- a/internal/queue/conductor/conductor_test.go
+++ b/internal/queue/conductor/conductor_test.go
@@ -287,3 +287,54 @@
 		is.Equal(b.now, from)
 	})
 }
+
+// TestLateReportExtendsNoLease is the pattern of a worker that crashes behind a cut: its last report is
+// held up and arrives seconds later. It says nothing of the worker's life now, and its answer arrives
+// nowhere, so what ran there must not wait for a lease from that time on.
+func TestLateReportExtendsNoLease(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	clock := func(ms int64) func(*messages.FleetReport) {
+		return func(r *messages.FleetReport) { r.Clock = ms }
+	}
+	b.report(t, 1, clock(10_000))
+	heard := b.now
+	b.now = b.now.Add(time.Second)
+	b.report(t, 2, clock(11_000))
+	is.Equal(b.workers["w"].heard, b.now)
+	sent := b.now.Add(510 * time.Millisecond)
+	b.now = b.now.Add(7 * time.Second)
+	b.report(t, 3, clock(11_500))
+	w := b.workers["w"]
+	is.True(!w.heard.Before(sent.Add(-10*time.Millisecond)) && w.heard.Before(sent.Add(50*time.Millisecond)))
+	is.Equal(w.leaseEnd, b.opts.Timing.over(w.heard, b.opts.Timing.Lease))
+	is.True(!b.viewOf(b.book, w, b.now).Usable) // it is silent, whatever arrives
+	// A clock that runs two per cent slow must not shorten a lease.
+	b.now = heard.Add(10 * time.Second)
+	b.report(t, 4, clock(10_000+9_800))
+	is.Equal(b.workers["w"].heard.Add(time.Second).After(b.now), true)
+}
+
+// TestSuccessorAtAnAddress is the pattern of a worker that crashes and whose successor comes up at the
+// same address under another id: what ran before ends at once, not with the lease.
+func TestSuccessorAtAnAddress(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	is.Equal(b.submit(t, "/q/a", "k1"), StatusOK)
+	at := func(worker string, born int64) func(*messages.FleetReport) {
+		return func(r *messages.FleetReport) { r.Worker, r.Born, r.Address = worker, born, "10.0.0.1:8080" }
+	}
+	b.report(t, 1, at("old", 5))
+	b.Pass(context.Background())
+	is.Equal(len(b.report(t, 2, at("old", 5)).GetStarts()), 1)
+	is.True(b.lapses(b.book) == nil)
+	b.now = b.now.Add(time.Second)
+	b.report(t, 1, at("new", 9))
+	b.Pass(context.Background()) // ends the run on the old worker
+	b.Pass(context.Background()) // and starts it again
+	is.Equal(len(b.report(t, 2, at("new", 9)).GetStarts()), 1)
+	// A report of the old worker that was held up changes nothing.
+	is.Equal(b.report(t, 3, at("old", 5)).GetLease(), int64(0))
+	b.Pass(context.Background())
+	is.Equal(len(b.workers), 1)
+}
--- a/internal/queue/conductor/decide.go
+++ b/internal/queue/conductor/decide.go
@@ -39,16 +39,19 @@
 		for _, r := range runs {
 			born = max(born, r.GetBorn())
 		}
+		known := w != nil && w.born >= born
 		end := c.opts.Timing.over(c.began, c.opts.Timing.Longest)
-		if w != nil && w.born >= born && w.leaseEnd.After(end) {
+		if known && w.leaseEnd.After(end) {
 			end = w.leaseEnd
 		}
-		if now.Before(end) || w != nil && w.born == born && now.Sub(w.heard) < c.opts.Timing.silentAfter(len(c.workers)) {
-			// A worker that is heard tells itself what has ended.
-			return
+		replaced := known && w.born == born && w.replaced
+		heard := known && w.born == born && now.Sub(w.heard) < c.opts.Timing.silentAfter(len(c.workers))
+		if !replaced && (heard || now.Before(end)) {
+			return // a worker that is heard tells itself what has ended
 		}
 		c.metrics.lost.Inc(1)
-		c.opts.Log.Info("worker lost", zap.String("worker", id), zap.Int64("born", born), zap.Int("runs", len(runs)), zap.Time("lease", end))
+		c.opts.Log.Info("worker lost", zap.String("worker", id), zap.Int64("born", born), zap.Int("runs", len(runs)),
+			zap.Time("lease", end), zap.Bool("replaced", replaced))
 		if w != nil && w.born == born {
 			w.lapsing = true
 		}
@@ -90,9 +93,17 @@
 	return list
 }
 
+// forgetWorkers is how long a worker without runs is known that is not heard.
+const forgetWorkers = time.Minute
+
 // clean drops what was known of runs whose ends are committed. It must stay until then: a run whose
 // end is on its way must not be ordered again.
 func (c *Conductor) clean(book *bookkeeper.Book) {
+	now := c.opts.Now()
+	maps.DeleteFunc(c.workers, func(id string, w *worker) bool {
+		return (w.replaced || now.Sub(w.heard) > forgetWorkers) && len(book.RunsOn(id)) == 0
+	})
+	maps.DeleteFunc(c.addresses, func(_, id string) bool { return c.workers[id] == nil })
 	over := func(key bookkeeper.RunKey) bool { return !book.IsActive(key) }
 	maps.DeleteFunc(c.tracks, func(key bookkeeper.RunKey, _ *track) bool { return over(key) })
 	maps.DeleteFunc(c.placed, func(key bookkeeper.RunKey, _ bool) bool { return over(key) })
--- a/internal/queue/conductor/worker.go
+++ b/internal/queue/conductor/worker.go
@@ -16,6 +16,7 @@
 // worker is one life of a worker, as it reports itself.
 type worker struct {
 	id       string
+	address  string
 	born     int64
 	sequence uint64
 	pool     string
@@ -24,8 +25,10 @@
 	capacity placer.Vector
 	leaving  bool
 	left     bool
-	lapsing  bool // the end of its life is being committed; it gets no orders until that is known
-	heard    time.Time
+	replaced bool          // a later worker reports from its address, so it has ended
+	lapsing  bool          // the end of its life is being committed; it gets no orders until that is known
+	heard    time.Time     // latest time at which its last report can have been sent
+	clock    int64         // of the worker in that report, milliseconds, 0 for none
 	expected time.Time     // when its next report comes at the latest if the last answer arrived, zero for any time
 	wake     chan struct{} // ends the wait of the report whose answer is held
 	deaf     bool          // answers to it seem to get lost
@@ -220,7 +223,7 @@
 		c.opts.Log.Warn("report of an unknown pool", zap.String("worker", r.GetWorker()), zap.String("pool", r.GetPool()))
 		return nil, true
 	}
-	if isStale(book, w, r) {
+	if isStale(book, w, r) || c.isReplaced(r) {
 		return nil, true
 	}
 	if w == nil || r.GetBorn() > w.born {
@@ -244,11 +247,35 @@
 	w := &worker{id: r.GetWorker(), born: r.GetBorn(), ordered: map[bookkeeper.RunKey]uint64{}}
 	c.workers[r.GetWorker()] = w
 	c.opts.Log.Info("worker reports", zap.String("worker", w.id), zap.Int64("born", w.born),
-		zap.String("pool", r.GetPool()), zap.Strings("labels", r.GetLabels()))
+		zap.String("address", r.GetAddress()), zap.String("pool", r.GetPool()), zap.Strings("labels", r.GetLabels()))
 	c.stir()
 	return w
 }
 
+// isReplaced reports whether a worker that started later reports from the address of a report. It takes
+// note of the worker that the sender itself replaces. An address belongs to one process at a time, so
+// the earlier one has ended, and nothing need wait for its lease.
+func (c *Conductor) isReplaced(r *messages.FleetReport) bool {
+	if r.GetAddress() == "" {
+		return false
+	}
+	earlier := c.workers[c.addresses[r.GetAddress()]]
+	if earlier != nil && earlier.id != r.GetWorker() {
+		if earlier.born > r.GetBorn() {
+			return true
+		}
+		if earlier.born == r.GetBorn() {
+			return false // nothing tells which of them is the later one
+		}
+		earlier.replaced, earlier.left = true, true
+		c.opts.Log.Info("worker replaced", zap.String("worker", earlier.id), zap.Int64("born", earlier.born),
+			zap.String("address", r.GetAddress()), zap.String("successor", r.GetWorker()), zap.Int64("later", r.GetBorn()))
+		c.stir()
+	}
+	c.addresses[r.GetAddress()] = r.GetWorker()
+	return false
+}
+
 // update takes note of what a worker says of itself.
 func (c *Conductor) update(w *worker, r *messages.FleetReport, now time.Time) {
 	if r.GetLeaving() && !w.leaving {
@@ -257,14 +284,33 @@
 	// A worker that got no answer reports again only after its time for an answer.
 	w.deaf = !w.expected.IsZero() && now.After(w.expected)
 	w.expected = time.Time{}
-	w.sequence, w.heard = r.GetSequence(), now
+	w.heard, w.clock = sentAt(w, r, now), r.GetClock()
+	w.sequence = r.GetSequence()
 	w.pool, w.labels = r.GetPool(), r.GetLabels()
 	w.rack = r.GetRack()
 	w.capacity = placer.Vector{Processors: r.GetProcessors(), Memory: r.GetMemory(), Accelerators: r.GetAccelerators()}
 	w.leaving = r.GetLeaving()
+	w.address = r.GetAddress()
 	w.left = w.left && w.leaving // a worker that is ready has not left: the goodbye was an earlier life's
 }
 
+// sentAt returns the latest time at which a report that arrives now can have been sent. A report that
+// was held up by a cut may arrive seconds later; then the worker's own clock tells that less time has
+// passed since its last report.
+func sentAt(w *worker, r *messages.FleetReport, now time.Time) time.Time {
+	passed := time.Duration(r.GetClock()-w.clock) * time.Millisecond
+	if w.clock == 0 || r.GetClock() == 0 || passed < 0 {
+		return now
+	}
+	if latest := w.heard.Add(passed + passed*driftPercent/100 + clockStep); latest.Before(now) {
+		return latest
+	}
+	return now
+}
+
+// clockStep is the precision of a worker's clock in its reports.
+const clockStep = time.Millisecond
+
 // hearGoodbye takes note that a worker is about to exit. Nothing starts on it any more and its lease
 // is not extended; what runs on it counts until the lease has run out, as a worker whose goodbye is
 // not answered goes on for a while, and a late goodbye of an earlier life says nothing of this one.
@@ -354,7 +400,7 @@
 		o.Acknowledged = life.Sequence
 	}
 	o.Lease = c.opts.Timing.Lease.Milliseconds()
-	w.leaseEnd = c.opts.Timing.over(c.opts.Now(), c.opts.Timing.Lease)
+	w.leaseEnd = c.opts.Timing.over(w.heard, c.opts.Timing.Lease)
 	runs := book.RunsOn(w.id)
 	for key, run := range runs {
 		if run.GetBorn() != w.born {
--- a/internal/queue/simulator/worker.go
+++ b/internal/queue/simulator/worker.go
@@ -40,6 +40,9 @@
 	slow                      float64
 }
 
+// clockPercent is how fast the workers' clocks run.
+const clockPercent = 98
+
 type gangKey struct {
 	job        string
 	occurrence int32
@@ -99,6 +102,7 @@
 	r := &messages.FleetReport{
 		Worker: w.id, Born: w.born, Sequence: w.sequence, Pool: poolName, Rack: w.rack, Labels: []string{"a", w.rack},
 		Processors: w.capacity.Processors, Memory: w.capacity.Memory, Accelerators: w.capacity.Accelerators,
+		Clock: (w.s.now.UnixMilli() - w.born) * clockPercent / 100,
 	}
 	for _, key := range slices.SortedFunc(maps.Keys(w.runs), bookkeeper.CompareKeys) {
 		t := w.runs[key]
