conductor, placer: workers that fail all that they start are put aside and probed

Ruled out: failures by the jobs' own fault, which come in the work and not at once. A run that fails at once, or two jobs in a row, now put a worker aside for 2 s, doubling; then one task at a time that may fail again probes it. A task with its last attempt keeps off suspects. Beyond a quarter of the pool failures say more of the jobs.

--- a/internal/queue/conductor/decide.go
+++ b/internal/queue/conductor/decide.go
@@ -173,11 +173,24 @@
 		},
 		Pool: func(j *bookkeeper.Job) string { return c.poolOf(book, j) },
 	}
+	aside := map[string]int{} // workers of each pool
+	known := map[string]int{}
+	for _, w := range c.workers {
+		known[w.pool]++
+		if w.health.isAside(now) {
+			aside[w.pool]++
+		}
+	}
 	for _, w := range c.workers {
 		if w.left {
 			continue
 		}
-		in.Workers = append(in.Workers, c.viewOf(book, w, now))
+		v := c.viewOf(book, w, now)
+		if aside[w.pool]*mostAside <= known[w.pool] {
+			v.Usable = v.Usable && !w.health.isAside(now)
+			v.Probed = w.health.isProbed(now)
+		}
+		in.Workers = append(in.Workers, v)
 	}
 	sortWorkers(in.Workers)
 	return in
--- a/internal/queue/conductor/track.go
+++ b/internal/queue/conductor/track.go
@@ -92,8 +92,13 @@
 			c.estimates.Observe(j.Work.GetQueue(), "", declared, t.elapsed(now))
 		}
 	case bookkeeper.EndFailed:
-		if c.suspects.blame(key.Job, w.id) {
-			w.health.failed(now)
+		// A job that is at fault itself fails in its work, not at once.
+		if elapsed := t.elapsed(now); c.suspects.blame(key.Job, w.id) || elapsed < atOnce {
+			w.health.failed(now, key.Job, elapsed)
+			if w.health.isAside(now) {
+				c.opts.Log.Info("worker put aside", zap.String("worker", w.id), zap.String("request", key.Job), zap.Duration("elapsed", elapsed),
+					zap.Duration("for", w.health.aside), zap.Uint64("report", w.sequence))
+			}
 		}
 	}
 }
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -21,7 +21,8 @@
 	Capacity Vector
 	Free     Vector // capacity less all runs that have not ended
 	Usable   bool   // new tasks may start on it
-	Suspect  bool   // it is only used when nothing else has room
+	Suspect  bool   // it is only used when nothing else has room, and by no task that must not fail again
+	Probed   bool   // it gets one task at a time that may fail
 	Runs     []*Active
 }
 
@@ -68,6 +69,7 @@
 	urgent    bool
 	entitled  bool // within its organisation's guarantee
 	hopeless  bool // its objective can't be reached any more
+	last      bool // with one more failure its job has failed
 	estimate  time.Duration
 	objective time.Duration
 	age       time.Duration
@@ -92,7 +94,8 @@
 	*Worker
 	free Vector // now
 	// soon is what is free once the stops under way are done, less what is promised to earlier units.
-	soon Vector
+	soon  Vector
+	taken bool // a task starts on it in this pass
 	// held is promised to an earlier unit that waits: later units may use it only if they end in time.
 	heldUntil time.Duration // 0 for not held
 }
@@ -185,6 +188,11 @@
 		job: j, step: s, need: Need(s.Spec), pool: pool, tasks: tasks, urgent: isUrgent(j),
 		estimate: p.in.Estimate(j, s), age: p.in.Age(j), objective: time.Duration(j.Work.GetObjective()) * time.Millisecond,
 	}
+	failures := uint32(0)
+	for _, task := range tasks {
+		failures = max(failures, s.Failures(task))
+	}
+	u.last = failures > 0 && failures+1 >= uint32(max(j.Work.GetAttempts(), 1))
 	u.hopeless = u.objective > 0 && u.age+u.estimate > u.objective
 	return u
 }
@@ -223,6 +231,9 @@
 
 // suits reports whether a worker may run a task of a unit at all.
 func (u *unit) suits(w *Worker) bool {
+	if w.Suspect && u.last || w.Probed && (u.step.Spec.GetGang() || u.last || len(w.Runs) > 0) {
+		return false
+	}
 	label := u.step.Spec.GetLabel()
 	return label == "" || slices.Contains(w.Labels, label)
 }
@@ -230,6 +241,7 @@
 // start takes note of one task that starts on a worker.
 func (p *pass) start(u *unit, task int32, s *spot) {
 	number, saved := u.step.Next(task)
+	s.taken = true
 	s.free = s.free.Sub(u.need)
 	s.soon = s.soon.Sub(u.need)
 	p.plan.Starts = append(p.plan.Starts, &messages.Run{
--- a/internal/queue/placer/placer_test.go
+++ b/internal/queue/placer/placer_test.go
@@ -235,3 +235,40 @@
 	is.Equal(len(plan.Stops), 1)
 	is.Equal(plan.Stops[0].Key.Job, "batch")
 }
+
+// TestBadWorkersDrawNoWork is the pattern of workers that fail all that they start while the others are
+// full: they have room at once after each failure, and must not use up the attempts of job after job.
+func TestBadWorkersDrawNoWork(t *testing.T) {
+	task := func(gang bool) *messages.Step {
+		return &messages.Step{Count: 2, Processors: 1000, Accelerators: 1, Gang: gang}
+	}
+	for _, c := range []struct {
+		name     string
+		step     *messages.Step
+		failures int
+		change   func(w *Worker)
+		starts   int
+	}{
+		{"a sound worker takes all", task(false), 0, func(*Worker) {}, 2},
+		{"a suspect takes what nothing else has room for", task(false), 0, func(w *Worker) { w.Suspect = true }, 2},
+		{"a suspect takes no last attempt", task(false), 2, func(w *Worker) { w.Suspect = true }, 0},
+		{"one task probes a bad worker", task(false), 0, func(w *Worker) { w.Probed = true }, 1},
+		{"no last attempt probes", task(false), 2, func(w *Worker) { w.Probed = true }, 0},
+		{"no gang probes", task(true), 0, func(w *Worker) { w.Probed = true }, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := bookkeeper.New()
+			submit(b, "j", 1, c.step)
+			for n := range uint32(c.failures) {
+				b.Apply(&messages.QueueChange{Starts: []*messages.Run{{Job: "j", Number: n + 1, Worker: "x", Born: 1}}})
+				b.Apply(&messages.QueueChange{Ends: []*messages.WorkerEnds{{
+					Worker: "x", Born: 1, Sequence: uint64(n) + 1, Ends: []*messages.End{{Job: "j", Number: n + 1, How: bookkeeper.EndFailed}},
+				}}})
+			}
+			workers := fleet(1)
+			c.change(workers[0])
+			is.Equal(len(New(input(workers, b)).Starts), c.starts)
+		})
+	}
+}
