forwarder: calls leave a leader that is dark once its successor is known

The leader lost power at 1.9 s and another one led from 3.5 s on, and entries still waited for the first one at 5.4 s: each call gave it two seconds, and the failure of any such call made the entry forget the successor that a beat had found. Eight submissions were answered 504, after which callers of jobs that are not idempotent do not come again. Calls to a keeper are now abandoned and made again when another keeper has answered as the leader; they have the same effect twice.

TestCallsLeaveADarkLeader and TestLateFailureKeepsTheSuccessor failed first.

--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -49,12 +49,22 @@
 	refuted netip.AddrPort
 	spoke   time.Time // when a keeper last answered anything
 	next    int       // keeper to ask when no leader is known
-	local   *Local    // nil on a daemon that is no keeper
+	flying  map[*flight]struct{}
+	local   *Local // nil on a daemon that is no keeper
 }
 
+// flight is a call that waits for a keeper's answer.
+type flight struct {
+	asked   netip.AddrPort
+	abandon context.CancelCauseFunc
+}
+
+// errDeposed ends calls to a keeper once another one turns out to lead. They are made again there.
+var errDeposed = errors.New("another keeper leads")
+
 // New returns a forwarder that knows no leader yet. client must carry the daemons' credentials.
 func New(scheme string, client *http.Client, directory Directory) *Forwarder {
-	return &Forwarder{scheme: scheme, client: client, directory: directory}
+	return &Forwarder{scheme: scheme, client: client, directory: directory, flying: map[*flight]struct{}{}}
 }
 
 // target returns the daemon to ask.
@@ -90,22 +100,36 @@
 		f.spoke = time.Now()
 	}
 	if err == nil {
-		f.leader = asked
-		if f.refuted == asked {
-			f.refuted = netip.AddrPort{}
-		}
+		f.lead(asked)
 		return
 	}
-	f.leader, f.refuted = netip.AddrPort{}, asked
+	f.refuted = asked
+	if f.leader == asked {
+		f.leader = netip.AddrPort{}
+	}
 	f.next++
 	var te twirp.Error
 	if errors.As(err, &te) {
-		if hint, parseErr := netip.ParseAddrPort(te.Meta(leaderMeta)); parseErr == nil && hint != asked {
+		if hint, parseErr := netip.ParseAddrPort(te.Meta(leaderMeta)); parseErr == nil && hint != asked && !f.leader.IsValid() {
 			f.leader = hint
 		}
 	}
 }
 
+// lead takes note of a keeper that has answered as the leader. Calls that wait for another one, which
+// may be dark, are abandoned. The caller holds the lock.
+func (f *Forwarder) lead(address netip.AddrPort) {
+	f.leader = address
+	if f.refuted == address {
+		f.refuted = netip.AddrPort{}
+	}
+	for c := range f.flying {
+		if c.asked != address {
+			c.abandon(errDeposed)
+		}
+	}
+}
+
 // isAnswer reports whether an error was sent by a keeper. Errors of the way to it are internal ones.
 func isAnswer(err error) bool {
 	var te twirp.Error
@@ -151,11 +175,20 @@
 	}
 	askCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	askCtx, abandon := context.WithCancelCause(askCtx)
+	c := &flight{asked: address, abandon: abandon}
+	f.mu.Lock()
+	f.flying[c] = struct{}{}
+	f.mu.Unlock()
 	reply, err := ask(askCtx, address)
-	if !errors.Is(ctx.Err(), context.Canceled) {
-		// A caller that has gone says nothing of the leader.
+	f.mu.Lock()
+	delete(f.flying, c)
+	f.mu.Unlock()
+	// A caller that has gone, or a call that was abandoned, says nothing new of the keeper.
+	if !errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(askCtx), errDeposed) {
 		f.learn(address, err)
 	}
+	abandon(nil)
 	return reply, err
 }
 
--- a/internal/entry/forwarder/forwarder_test.go
+++ b/internal/entry/forwarder/forwarder_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,11 +20,15 @@
 type keeperStub struct {
 	messages.Queues
 	leader netip.AddrPort // zero when it leads itself
-	asked  int
+	dark   chan struct{}  // not nil for a keeper that does not answer until it is closed
+	asked  atomic.Int32
 }
 
 func (k *keeperStub) Fetch(context.Context, *messages.Lookup) (*messages.Catalog, error) {
-	k.asked++
+	k.asked.Add(1)
+	if k.dark != nil {
+		<-k.dark
+	}
 	if k.leader.IsValid() {
 		return nil, twirp.Unavailable.Error("not the leader").WithMeta(leaderMeta, k.leader.String())
 	}
@@ -58,7 +64,7 @@
 		is.NoErr(err)
 		is.Equal(c.GetVersion(), uint64(7))
 	}
-	is.True(deposed.asked <= 2) // it is not asked again once the leader has answered
+	is.True(deposed.asked.Load() <= 2) // it is not asked again once the leader has answered
 }
 
 // TestGoneCallerRefutesNoLeader checks that a caller that leaves takes nothing from what is known.
@@ -76,3 +82,47 @@
 	defer f.mu.Unlock()
 	is.Equal(f.leader, address)
 }
+
+// TestCallsLeaveADarkLeader is the pattern of a leader that loses power while calls wait for it: they
+// are made again as soon as any other call has found its successor.
+func TestCallsLeaveADarkLeader(t *testing.T) {
+	is := is.New(t)
+	dark := &keeperStub{dark: make(chan struct{})}
+	darkAddress := serveStub(t, dark)
+	t.Cleanup(func() { close(dark.dark) })
+	successor := serveStub(t, &keeperStub{})
+	f := New("http", http.DefaultClient, fixedDirectory{darkAddress})
+	f.leader = darkAddress
+	served := make(chan error)
+	began := time.Now()
+	for range 3 {
+		go func() {
+			_, err := f.Fetch(context.Background())
+			served <- err
+		}()
+	}
+	for flying := 0; flying < 3; time.Sleep(time.Millisecond) {
+		f.mu.Lock()
+		flying = len(f.flying)
+		f.mu.Unlock()
+	}
+	f.mu.Lock()
+	f.lead(successor) // as the answer to a beat does
+	f.mu.Unlock()
+	for range 3 {
+		is.NoErr(<-served)
+	}
+	is.True(time.Since(began) < callTimeout/2)
+}
+
+// TestLateFailureKeepsTheSuccessor checks that the failure of a call to an earlier leader does not make
+// the one that was found since forgotten.
+func TestLateFailureKeepsTheSuccessor(t *testing.T) {
+	is := is.New(t)
+	first, second := netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")
+	f := New("http", http.DefaultClient, fixedDirectory{first, second})
+	f.learn(first, nil)
+	f.learn(second, nil)
+	f.learn(first, errors.New("no answer in time"))
+	is.Equal(f.leader, second)
+}
