--- a/cmd/bluebellplatformd/main.go
+++ b/cmd/bluebellplatformd/main.go
@@ -39,6 +39,9 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	// The settings may change while the process starts, and a signal that nobody takes ends it.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	var opts options
 	if _, err := flags.Parse(&opts); err != nil {
 		var usage *flags.Error
@@ -66,8 +69,6 @@
 	sink := logger.New(os.Stdout)
 	defer sink.Close()
 	log := newLogger(sink)
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if !awaitDisk(s.Daemon.Data, signals, log) {
 		return 0
 	}
--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -38,7 +38,7 @@
 
 func (u *unit) mayTake(s *spot, onWorker map[string]int) bool {
 	spread := int(u.step.Spec.GetSpread())
-	return u.suits(s.Worker) && !(s.Probed && s.taken) && (spread == 0 || onWorker[s.ID] < spread)
+	return u.suits(s.Worker) && (!s.Probed || !s.taken) && (spread == 0 || onWorker[s.ID] < spread)
 }
 
 // spotFor returns the worker that a task leaves the least room on, near its data if possible.
