conductor: workers with room report more often; jobs that fit nowhere are refused

Reports: with 1000 workers a report came each 1.2 s, so an answer was held for less than half of the time.

Jobs: a step that the whole pool has no room for when it is empty, by size, label or spread, was accepted and waited for ever.

--- a/internal/queue/conductor/call.go
+++ b/internal/queue/conductor/call.go
@@ -92,6 +92,11 @@
 	work.Pool, work.Priority, work.Attempts = q.GetPool(), q.GetPriority(), q.GetAttempts()
 	work.Objective = objective(q, work).Milliseconds()
 	work.Accepted = c.opts.Wall().UnixMilli()
+	// A job that an earlier call may have had committed must not be refused.
+	if reason := c.unplaceable(work); reason != "" && !c.proposed[id] {
+		return &messages.Verdict{Status: StatusRefused, Reason: reason, Retry: fleetRetry.Milliseconds()}, nil
+	}
+	c.proposed[id] = true
 	return &messages.Verdict{Status: StatusOK}, work
 }
 
--- a/internal/queue/conductor/conductor.go
+++ b/internal/queue/conductor/conductor.go
@@ -115,6 +115,8 @@
 	began     time.Time // of the term, as seen here
 	workers   map[string]*worker
 	addresses map[string]string // to the worker that reports from there
+	roomy     int               // workers with room at the last pass
+	proposed  map[string]bool   // jobs whose acceptance was proposed in this term and is not in the account yet
 	tracks    map[bookkeeper.RunKey]*track
 	placed    map[bookkeeper.RunKey]bool // starts that were committed in this term
 	suspects  suspects
@@ -171,6 +173,7 @@
 	c.began = c.opts.Now()
 	c.workers = map[string]*worker{}
 	c.addresses = map[string]string{}
+	c.proposed = map[string]bool{}
 	c.tracks = map[bookkeeper.RunKey]*track{}
 	c.placed = map[bookkeeper.RunKey]bool{}
 	c.suspects = suspects{}
--- a/internal/queue/conductor/conductor_test.go
+++ b/internal/queue/conductor/conductor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -338,3 +339,86 @@
 	b.Pass(context.Background())
 	is.Equal(len(b.workers), 1)
 }
+
+// TestReportsOfALargeFleet is the pattern of a fleet of which few workers have room: those report as
+// often as ones in a small fleet, and all others further apart.
+func TestReportsOfALargeFleet(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	b.opts.Timing.Share = 10 * time.Millisecond
+	again := map[string]int64{}
+	for sequence := range uint64(2) {
+		for i := range 100 {
+			id := fmt.Sprintf("w%d", i)
+			again[id] = b.report(t, sequence+1, func(r *messages.FleetReport) {
+				if r.Worker = id; i >= 10 {
+					r.Accelerators = 1 // of which the run below takes all
+				}
+			}).GetAgain()
+		}
+		if sequence > 0 {
+			break
+		}
+		var starts []*messages.Run
+		b.book.Apply(&messages.QueueChange{Submits: []*messages.Work{{Id: "j", Queue: "q", Steps: []*messages.Step{{Count: 90, Accelerators: 1, Estimate: 60_000}}}}})
+		for i := range int32(90) {
+			starts = append(starts, &messages.Run{Job: "j", Task: i, Number: 1, Worker: fmt.Sprintf("w%d", 10+i), Born: 5})
+		}
+		b.book.Apply(&messages.QueueChange{Starts: starts})
+		b.input(b.book)
+	}
+	is.Equal(again["w0"], b.opts.Timing.reportEvery(10).Milliseconds())
+	is.Equal(again["w99"], b.opts.Timing.reportEvery(100).Milliseconds())
+	is.True(again["w0"] < again["w99"])
+}
+
+// TestJobsThatFitNowhereAreRefused is the pattern of jobs that no worker could ever run: their callers
+// are told at once, with a time to come again, and not left to wait.
+func TestJobsThatFitNowhereAreRefused(t *testing.T) {
+	b := newBench()
+	hand := func(id string, s *messages.Step) *messages.Verdict {
+		v, err := b.Submit(context.Background(), &messages.Submission{
+			Host: "h", Path: "/q/" + id, Key: "k1", Work: &messages.Work{Steps: []*messages.Step{s}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return v
+	}
+	is := is.New(t)
+	large := &messages.Step{Count: 1, Accelerators: 16, Estimate: 1000}
+	is.Equal(hand("unknown", large).GetStatus(), StatusOK) // no worker is known yet
+	fill := func() {
+		for i := range 4 {
+			b.report(t, uint64(b.now.Unix()), func(r *messages.FleetReport) {
+				r.Worker, r.Accelerators, r.Labels = fmt.Sprintf("w%d", i), 8, []string{"a"}
+			})
+		}
+	}
+	fill()
+	is.Equal(hand("early", large).GetStatus(), StatusOK) // the leader may not have heard all of them
+	b.now = b.now.Add(fleetKnownAfter)
+	fill()
+	b.proposed["under-way"] = true
+	is.Equal(hand("under-way", large).GetStatus(), StatusOK) // an earlier call may have had it accepted
+	for _, c := range []struct {
+		name string
+		step *messages.Step
+		want string
+	}{
+		{"fits", &messages.Step{Count: 9, Accelerators: 8, Estimate: 1000}, StatusOK},
+		{"large", large, StatusRefused},
+		{"gang", &messages.Step{Count: 4, Accelerators: 8, Gang: true, Estimate: 1000}, StatusOK},
+		{"wide-gang", &messages.Step{Count: 5, Accelerators: 8, Gang: true, Estimate: 1000}, StatusRefused},
+		{"spread-gang", &messages.Step{Count: 5, Accelerators: 1, Spread: 1, Gang: true, Estimate: 1000}, StatusRefused},
+		{"label", &messages.Step{Count: 1, Label: "a", Estimate: 1000}, StatusOK},
+		{"no-label", &messages.Step{Count: 1, Label: "b", Estimate: 1000}, StatusRefused},
+	} {
+		v := hand(c.name, c.step)
+		if v.GetStatus() != c.want {
+			t.Errorf("%s: %s (%s), want %s", c.name, v.GetStatus(), v.GetReason(), c.want)
+		}
+		is.Equal(v.GetRetry() > 0, c.want == StatusRefused)
+		is.Equal(b.book.Job(c.name) != nil, c.want == StatusOK)
+	}
+}
--- a/internal/queue/conductor/worker.go
+++ b/internal/queue/conductor/worker.go
@@ -26,6 +26,7 @@
 	leaving  bool
 	left     bool
 	replaced bool          // a later worker reports from its address, so it has ended
+	roomy    bool          // something could start on it, at the last pass
 	lapsing  bool          // the end of its life is being committed; it gets no orders until that is known
 	heard    time.Time     // latest time at which its last report can have been sent
 	clock    int64         // of the worker in that report, milliseconds, 0 for none
@@ -192,16 +193,20 @@
 	return hold
 }
 
-// expect tells a worker when to report again, and takes note of that time. After an answer that was
-// held to its end the next one can be held, unless the fleet is so large that reports must be further
-// apart.
+// expect tells a worker when to report again, and takes note of that time.
 func (c *Conductor) expect(r *messages.FleetReport, o *messages.FleetOrders, received time.Time) {
 	w := c.workers[r.GetWorker()]
 	if w == nil || o.GetLease() == 0 {
 		return
 	}
 	now := c.opts.Now()
-	again := c.opts.Timing.reportEvery(len(c.workers))
+	// In a large fleet reports must be further apart. A worker without room speaks when a run ends, so
+	// the leader hears more of those that starts may go to.
+	sharing := len(c.workers)
+	if w.roomy {
+		sharing = c.roomy
+	}
+	again := c.opts.Timing.reportEvery(sharing)
 	if held := now.Sub(received); held >= leastHold && c.opts.Timing.Hold > 0 {
 		again = max(again-held, againAfter)
 	}
