conductor: a late report leaves a held answer alone

Found by reading: a report that is out of date took the place of the one whose answer is held, so a start woke nobody and waited for the end of the hold, up to 500 ms. The new case of TestHeldAnswers failed first.

--- a/internal/queue/conductor/conductor_test.go
+++ b/internal/queue/conductor/conductor_test.go
@@ -78,6 +78,19 @@
 	return v.GetStatus()
 }
 
+// run hands in the job "a" of one task and has it started on the worker, which has sent two reports then.
+func (b *bench) run(t *testing.T) {
+	t.Helper()
+	if status := b.submit(t, "/q/a", "k1"); status != StatusOK {
+		t.Fatal(status)
+	}
+	b.report(t, 1, nil)
+	b.Pass(context.Background())
+	if starts := b.report(t, 2, nil).GetStarts(); len(starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(starts))
+	}
+}
+
 // TestVerdicts is a table of calls and what callers are told.
 func TestVerdicts(t *testing.T) {
 	is := is.New(t)
@@ -130,10 +143,7 @@
 func TestUnheardStartMovesOn(t *testing.T) {
 	is := is.New(t)
 	b := newBench()
-	is.Equal(b.submit(t, "/q/a", "k1"), StatusOK)
-	b.report(t, 1, nil)
-	b.Pass(context.Background())
-	is.Equal(len(b.report(t, 2, nil).GetStarts()), 1)
+	b.run(t)
 	b.now = b.now.Add(1100 * time.Millisecond) // the worker waits a second for the answer
 	is.Equal(len(b.report(t, 3, nil).GetStarts()), 0)
 	is.Equal(b.book.Job("a").Active(), 0)
@@ -184,10 +194,7 @@
 func TestEndsOfAnAbandonedReport(t *testing.T) {
 	is := is.New(t)
 	b := newBench()
-	is.Equal(b.submit(t, "/q/a", "k1"), StatusOK)
-	b.report(t, 1, nil)
-	b.Pass(context.Background())
-	is.Equal(len(b.report(t, 2, nil).GetStarts()), 1)
+	b.run(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	_, err := b.Report(ctx, &messages.FleetReport{
@@ -203,10 +210,7 @@
 func TestHeardWorkerIsNotLost(t *testing.T) {
 	is := is.New(t)
 	b := newBench()
-	is.Equal(b.submit(t, "/q/a", "k1"), StatusOK)
-	b.report(t, 1, nil)
-	b.Pass(context.Background())
-	is.Equal(len(b.report(t, 2, nil).GetStarts()), 1)
+	b.run(t)
 	lost := func() bool { return b.lapses(b.book) != nil }
 	run := &messages.Running{Run: &messages.Run{Job: "a", Number: 1}, Percent: 10}
 	for sequence := range uint64(20) {
@@ -249,13 +253,32 @@
 		is.Equal(len(b.report(t, 1, nil).GetStarts()), 1)
 		is.Equal(b.now.Sub(from), 100*time.Millisecond)
 	})
-	t.Run("a cancellation ends the wait", func(t *testing.T) {
+	t.Run("a report that comes late leaves the wait alone", func(t *testing.T) {
 		is := is.New(t)
 		b := newHolding()
-		is.Equal(b.submit(t, "/q/a", "k1"), StatusOK)
 		b.report(t, 1, nil)
-		b.Pass(context.Background())
-		b.report(t, 2, nil)
+		b.wait = func(ctx context.Context, wake <-chan struct{}, _ time.Duration) {
+			b.wait = func(context.Context, <-chan struct{}, time.Duration) { b.now = b.now.Add(time.Second) }
+			woken := func() bool {
+				select {
+				case <-wake:
+					return true
+				default:
+					return false
+				}
+			}
+			b.report(t, 1, nil)
+			is.True(!woken())
+			is.Equal(b.submit(t, "/q/a", "k1"), StatusOK)
+			b.Pass(ctx)
+			is.True(woken())
+		}
+		is.Equal(len(b.report(t, 2, nil).GetStarts()), 1)
+	})
+	t.Run("a cancellation ends the wait", func(t *testing.T) {
+		is := is.New(t)
+		b := newHolding()
+		b.run(t)
 		b.wait = func(ctx context.Context, wake <-chan struct{}, _ time.Duration) {
 			_, err := b.Cancel(ctx, &messages.Lookup{Host: "h", Path: "/q/a", Key: "k1"})
 			is.NoErr(err)
@@ -269,10 +292,7 @@
 	t.Run("it does not wait beyond the expected end of a run", func(t *testing.T) {
 		is := is.New(t)
 		b := newHolding()
-		is.Equal(b.submit(t, "/q/a", "k1"), StatusOK)
-		b.report(t, 1, nil)
-		b.Pass(context.Background())
-		b.report(t, 2, nil)
+		b.run(t)
 		listed := func(percent int32) func(r *messages.FleetReport) {
 			return func(r *messages.FleetReport) {
 				r.Running = []*messages.Running{{Run: &messages.Run{Job: "a", Number: 1}, Percent: percent}}
--- a/internal/queue/conductor/worker.go
+++ b/internal/queue/conductor/worker.go
@@ -50,8 +50,9 @@
 	var stale bool
 	var wake <-chan struct{}
 	err := c.read(ctx, func(book *bookkeeper.Book) {
-		change, stale = c.hear(book, r)
-		wake = c.waitOn(r)
+		if change, stale = c.hear(book, r); !stale {
+			wake = c.waitOn(r)
+		}
 	})
 	if err != nil {
 		return nil, c.opts.Explain(ctx, err)
