--- a/internal/queue/simulator/simulator.go
+++ b/internal/queue/simulator/simulator.go
@@ -144,6 +144,7 @@
 	passing   bool // a pass of the leader waits for its commit
 	current   *process
 	commits   []*commit // under way, in the order of the log
+	waiters   []*waiter
 	workers   []*worker
 	jobs      []*job
 	byID      map[string]*job
@@ -187,6 +188,7 @@
 		}
 		s.now = e.at
 		e.run()
+		s.wakeWaiters()
 	}
 	s.settle()
 	return s
@@ -305,21 +307,43 @@
 	<-p.resumed
 }
 
-// wakeLook is how soon a call that waits notices that it was woken.
-const wakeLook = 5 * time.Millisecond
+// waiter is a call whose answer is held.
+type waiter struct {
+	process *process
+	wake    <-chan struct{}
+}
 
 // wait holds a call until it is woken or a time is over.
 func (s *Simulator) wait(_ context.Context, wake <-chan struct{}, limit time.Duration) {
-	p := s.current
-	for end := s.now.Add(limit); s.now.Before(end); {
+	w := &waiter{process: s.current, wake: wake}
+	s.waiters = append(s.waiters, w)
+	s.after(limit, func() {
+		if s.dropWaiter(w) {
+			s.resume(w.process)
+		}
+	})
+	w.process.parked <- struct{}{}
+	<-w.process.resumed
+}
+
+// dropWaiter reports whether a call still waited.
+func (s *Simulator) dropWaiter(w *waiter) bool {
+	i := slices.Index(s.waiters, w)
+	if i >= 0 {
+		s.waiters = slices.Delete(s.waiters, i, i+1)
+	}
+	return i >= 0
+}
+
+// wakeWaiters lets the calls go on that the last event has woken.
+func (s *Simulator) wakeWaiters() {
+	for _, w := range slices.Clone(s.waiters) {
 		select {
-		case <-wake:
-			return
+		case <-w.wake:
+			s.dropWaiter(w)
+			s.resume(w.process)
 		default:
 		}
-		s.after(min(wakeLook, end.Sub(s.now)), func() { s.resume(p) })
-		p.parked <- struct{}{}
-		<-p.resumed
 	}
 }
 
