forwarder: a known leader is not looked for among the calls under way; conductor: reports within the leader's time

Each answer of the leader went through all calls under way to end those to others, and on the leader itself these are the reports whose answers it holds, 3000 of them, 2000 times a second. They are only gone through when another keeper is found to lead.

Reports of workers with room came on top of the others; they now share what the full ones leave of the leader's time (TestReportsStayWithinTheLeadersTime).

--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -119,10 +119,13 @@
 // lead takes note of a keeper that has answered as the leader. Calls that wait for another one, which
 // may be dark, are abandoned. The caller holds the lock.
 func (f *Forwarder) lead(address netip.AddrPort) {
-	f.leader = address
 	if f.refuted == address {
 		f.refuted = netip.AddrPort{}
 	}
+	if f.leader == address {
+		return // calls to others ended when it was found; on a leader thousands are under way
+	}
+	f.leader = address
 	for c := range f.flying {
 		if c.asked != address {
 			c.abandon(errDeposed)
--- a/internal/queue/conductor/worker.go
+++ b/internal/queue/conductor/worker.go
@@ -201,13 +201,7 @@
 		return
 	}
 	now := c.opts.Now()
-	// In a large fleet reports must be further apart. A worker without room speaks when a run ends, so
-	// the leader hears more of those that starts may go to.
-	sharing := len(c.workers)
-	if w.roomy {
-		sharing = c.roomy
-	}
-	again := c.opts.Timing.reportEvery(sharing)
+	again := c.opts.Timing.reportsOf(w.roomy, c.roomy, len(c.workers))
 	if held := now.Sub(received); held >= leastHold && c.opts.Timing.Hold > 0 {
 		again = max(again-held, againAfter)
 	}
