platform: the name of the settings variable stands in one place

The test of the program had written it a second time, outside of the adapter. No change of behaviour; vet, lint and the tests of both packages pass.

--- a/cmd/bluebellplatformd/main_test.go
+++ b/cmd/bluebellplatformd/main_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/bluebellgauge/bluebellgauge/platform"
 )
 
 // asProgram makes the test binary run as the program.
@@ -29,7 +31,7 @@
 	path := filepath.Join(t.TempDir(), "node.json")
 	is.NoErr(syscall.Mkfifo(path, 0o600)) // reading waits until the test writes
 	command := exec.Command(os.Args[0])
-	command.Env = []string{asProgram + "=1", "BLUEBELLGAUGE_NODE_FILE=" + path}
+	command.Env = []string{asProgram + "=1", platform.SettingsVariable + "=" + path}
 	is.NoErr(command.Start())
 	settings, err := os.OpenFile(path, os.O_WRONLY, 0) // waits until the program reads
 	is.NoErr(err)
