coordinator: a report is processed though its sender is gone; a former address replaces nobody

Two faults, each with a test that failed first.

A report whose sender closed its connection while the report waited for the replica was dropped: the read of the state took the request's context. The last report of a worker that exits is such a report, and the ends in it were lost, so finished work ran again. TestEndsOfAnAbandonedReport passed only because its fixture ignored the context.

A worker that restarted at another address was taken for replaced when a later worker started at its first address, and its runs were started elsewhere.

--- a/internal/queue/coordinator/coordinator_test.go
+++ b/internal/queue/coordinator/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -17,18 +18,22 @@
 // fixture is a coordinator with in-memory state and a clock that the test sets.
 type fixture struct {
 	*Coordinator
-	state *tracker.Tracker
-	now   time.Time
+	state      *tracker.Tracker
+	leaderTerm uint64
+	now        time.Time
 	// wait replaces the wait of a long poll.
 	wait func(ctx context.Context, wake <-chan struct{}, limit time.Duration)
 }
 
 func newFixture() *fixture {
-	f := &fixture{state: tracker.New(), now: time.Unix(1_000_000, 0)}
+	f := &fixture{state: tracker.New(), leaderTerm: 1, now: time.Unix(1_000_000, 0)}
 	f.Coordinator = NewStepped(Options{
 		Timing: Timing{Lease: 6 * time.Second, MaxLease: 6 * time.Second, MinReportInterval: 250 * time.Millisecond, MaxContactTimeout: 2 * time.Second, Retention: time.Minute},
-		Read: func(_ context.Context, read func(uint64, *tracker.Tracker)) error {
-			read(1, f.state)
+		Read: func(ctx context.Context, read func(uint64, *tracker.Tracker)) error {
+			if ctx.Err() != nil {
+				return ctx.Err() // a cancelled call does not reach the state
+			}
+			read(f.leaderTerm, f.state)
 			return nil
 		},
 		Commit: func(ctx context.Context, c *messages.QueueChange) error {
@@ -190,8 +195,8 @@
 	is.Equal(f.state.Job("a").Active(), 0)
 }
 
-// TestEndsOfAnAbandonedReport checks that the ends in a delayed report are committed though the worker no
-// longer waits for the response. Otherwise finished work is repeated.
+// TestEndsOfAnAbandonedReport checks that the ends in a report are committed though its sender is gone before
+// the leader handles it, as after the last report of a worker that exits. Otherwise finished work is repeated.
 func TestEndsOfAnAbandonedReport(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
@@ -202,7 +207,7 @@
 		Worker: "w", Born: 5, Sequence: 3, Pool: "p", Processors: 8000, Memory: 8000,
 		Ends: []*messages.NumberedEnd{{Sequence: 1, End: &messages.End{Job: "a", Number: 1, How: tracker.EndDone}}},
 	})
-	is.NoErr(err)
+	is.True(errors.Is(err, context.Canceled)) // nobody waits for orders
 	is.Equal(f.state.Job("a").Phase, tracker.Completed)
 }
 
@@ -361,6 +366,26 @@
 	is.Equal(len(f.workers), 1)
 }
 
+// TestFormerAddressReplacesNobody checks that a worker that restarted at another address is not taken for
+// replaced when a later worker starts at its former address: its runs go on and must not start elsewhere.
+func TestFormerAddressReplacesNobody(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	at := func(worker string, born int64, address string) func(*messages.FleetReport) {
+		return func(r *messages.FleetReport) { r.Worker, r.Born, r.Address = worker, born, address }
+	}
+	f.report(t, 1, at("moved", 5, "10.0.0.1:8080"))
+	f.report(t, 1, at("moved", 7, "10.0.0.2:8080"))
+	is.Equal(f.submit(t, "/q/a", "k1"), StatusOK)
+	f.Pass(context.Background())
+	is.Equal(len(f.report(t, 2, at("moved", 7, "10.0.0.2:8080")).GetStarts()), 1)
+	f.report(t, 1, at("later", 9, "10.0.0.1:8080"))
+	is.True(!f.workers["moved"].replaced)
+	is.True(f.expiredWorkers(f.state) == nil)
+	f.report(t, 2, at("later2", 11, "10.0.0.1:8080"))
+	is.True(f.workers["later"].replaced)
+}
+
 // TestOversizedJobsAreRefused checks that a job that exceeds the capacity of the fleet is refused at once with
 // a retry delay, and does not wait forever.
 func TestOversizedJobsAreRefused(t *testing.T) {
--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -39,8 +39,9 @@
 	health      health
 }
 
-// endsCommitTimeout limits the commit of ends. It covers an election and a commit after it.
-const endsCommitTimeout = 4 * time.Second
+// receiveTimeout limits the processing of a report and the commit of the ends in it. It covers an election and
+// a commit after it.
+const receiveTimeout = 4 * time.Second
 
 // Report processes a worker's report, commits the ends in it and returns orders for the worker.
 func (c *Coordinator) Report(ctx context.Context, r *messages.FleetReport) (*messages.FleetOrders, error) {
@@ -48,7 +49,11 @@
 	var change *messages.QueueChange
 	var stale bool
 	var wake <-chan struct{}
-	err := c.read(ctx, func(state *tracker.Tracker) {
+	// The report is processed even if its sender is gone by now, as after the last report of a worker that
+	// exits. Otherwise finished work is repeated.
+	receiveCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), receiveTimeout)
+	defer cancel()
+	err := c.read(receiveCtx, func(state *tracker.Tracker) {
 		if change, stale = c.receive(state, r); !stale {
 			wake = c.beginPoll(r)
 		}
@@ -60,27 +65,25 @@
 		return &messages.FleetOrders{Address: c.opts.Address}, nil
 	}
 	if change != nil {
-		// Commit the ends even if the worker no longer waits for the response, or finished work is repeated.
-		commitCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endsCommitTimeout)
-		defer cancel()
-		if err := c.commit(commitCtx, change); err != nil {
+		if err := c.commit(receiveCtx, change); err != nil {
 			return nil, c.opts.RedirectError(ctx, err)
 		}
 		c.triggerPass()
+		err := c.read(receiveCtx, func(state *tracker.Tracker) { c.wakeAffectedWorkers(state, change) })
+		if err != nil {
+			return nil, c.opts.RedirectError(ctx, err)
+		}
 	}
-	return c.respond(ctx, r, change, received, wake)
+	return c.respond(ctx, r, received, wake)
 }
 
 // respond returns the orders for a worker. While there are none it waits, as a long poll, so that an order is
 // sent as soon as it is decided.
-func (c *Coordinator) respond(
-	ctx context.Context, r *messages.FleetReport, change *messages.QueueChange, received time.Time, wake <-chan struct{},
-) (*messages.FleetOrders, error) {
+func (c *Coordinator) respond(ctx context.Context, r *messages.FleetReport, received time.Time, wake <-chan struct{}) (*messages.FleetOrders, error) {
 	for {
 		orders := &messages.FleetOrders{}
 		var remaining time.Duration
 		err := c.read(ctx, func(state *tracker.Tracker) {
-			c.wakeAffectedWorkers(state, change)
 			orders = c.ordersFor(state, r)
 			if remaining = c.pollTime(state, r, received); len(orders.GetStarts())+len(orders.GetStops()) > 0 {
 				remaining = 0
@@ -95,7 +98,6 @@
 		if remaining == 0 {
 			return orders, nil
 		}
-		change = nil
 		c.opts.Wait(ctx, wake, remaining)
 		if err := ctx.Err(); err != nil {
 			return nil, fmt.Errorf("report cancelled while waiting for orders: %w", err)
@@ -259,7 +261,8 @@
 		return false
 	}
 	previous := c.workers[c.addresses[r.GetAddress()]]
-	if previous != nil && previous.id != r.GetWorker() {
+	// A worker that has restarted at another address is not the one that used this address.
+	if previous != nil && previous.id != r.GetWorker() && previous.address == r.GetAddress() {
 		if previous.born > r.GetBorn() {
 			return true
 		}
