coordinator, placer: workers that fail all that they start use up fewer jobs

A worker's failures were cleared by any success, also by a run that it had begun while it was sound, so it was neither quarantined nor suspect right after a failure. Successes now count if the run began after the last failure. A failure of a run that an earlier leader had started no longer counts as an immediate one, for the new leader does not know when it began: a sound worker was quarantined after each change of leader. The last attempt of a job that has just failed starts on workers on which a started run is at work, for 8 s, and then on any.

From the list of faults noticed while reading, each with a test that failed first: - a unit without a trusted worker kept later ones from evicting in the same pass; - evictions for a step with a spread limit were planned on one worker. TestCompactGangStaysInOneRack now looks at the rack, TestPlanInvariants at the racks of compact gangs and at workers in doubt.

--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -172,7 +172,8 @@
 			return j.Work.GetOccurrences() == 0 ||
 				wall.UnixMilli() >= j.Work.GetFirst()+int64(occurrence)*j.Work.GetInterval()
 		},
-		Pool: func(j *tracker.Job) string { return c.poolOf(state, j) },
+		Pool:         func(j *tracker.Job) string { return c.poolOf(state, j) },
+		FailedLately: func(j *tracker.Job) bool { return c.failedWorkers.failedLately(now, j.Work.GetId()) },
 	}
 	quarantined := map[string]int{} // number of workers by pool
 	total := map[string]int{}
@@ -227,7 +228,7 @@
 	v := &placer.Worker{
 		ID: w.id, Started: w.born, Pool: w.pool, Rack: w.rack, Labels: w.labels, Capacity: w.capacity, Free: w.capacity,
 		Usable:  !w.leaving && !w.unreachable && now.Sub(w.lastContact) < c.opts.Timing.contactTimeout(len(c.workers)) && now.Before(w.leaseEnd),
-		Suspect: w.health.isSuspect(now),
+		Suspect: w.health.isSuspect(now), Proven: w.health.isProven(now) && !w.health.isSuspect(now),
 	}
 	runs := state.RunsOn(w.id)
 	for key, r := range runs {
--- a/internal/queue/coordinator/health.go
+++ b/internal/queue/coordinator/health.go
@@ -10,22 +10,32 @@
 	quarantineThreshold  = 2               // failure score from which a worker is quarantined
 	minQuarantine        = 2 * time.Second // a quarantined worker gets no work
 	maxQuarantine        = 16 * time.Second
-	probePeriod          = 6 * time.Second        // time to find a probe task; after it the worker is only a suspect
-	immediateFailureTime = 150 * time.Millisecond // a run that fails within it did not begin its work
-	quarantineDivisor    = 4                      // quarantine is ignored above one in this many workers, as failures then indicate faulty jobs
+	probePeriod          = 6 * time.Second         // time to find a probe task; after it the worker is only a suspect
+	immediateFailureTime = 150 * time.Millisecond  // a run that fails within it did not begin its work
+	cautionPeriod        = 8 * time.Second         // after a failure, for which a job's last attempt needs proven workers
+	provenPeriod         = 1500 * time.Millisecond // for which a started run speaks for its worker
+	quarantineDivisor    = 4                       // quarantine is ignored above one in this many workers, as failures then indicate faulty jobs
 )
 
 // health rates a worker by the ends of its runs.
 type health struct {
 	failureScore    int    // since the last success
 	lastJob         string // job of the last failure
+	lastFailure     time.Time
+	provenAt        time.Time // when a run that this leader ordered was last seen at work
 	suspectUntil    time.Time
 	suspectTime     time.Duration
 	quarantineUntil time.Time
 	quarantineTime  time.Duration
 }
 
-func (h *health) recordSuccess() { *h = health{} }
+// recordSuccess clears the failures if the run that succeeded began after the last one. Runs that a worker began
+// while it was sound may still succeed after it has started to fail all others.
+func (h *health) recordSuccess(began time.Time) {
+	if began.After(h.lastFailure) {
+		*h = health{provenAt: h.provenAt}
+	}
+}
 
 // recordFailure counts a failure against the worker. Few runs fail by themselves, so a single failure makes
 // the worker a suspect, and each further one doubles the time. A run that fails immediately, or failures of
@@ -40,13 +50,16 @@
 	case job != h.lastJob:
 		h.failureScore++
 	}
-	h.lastJob = job
+	h.lastJob, h.lastFailure = job, now
 	if h.failureScore >= quarantineThreshold && !h.isQuarantined(now) {
 		h.quarantineTime = min(max(2*h.quarantineTime, minQuarantine), maxQuarantine)
 		h.quarantineUntil = now.Add(h.quarantineTime)
 	}
 }
 
+// isProven reports whether a run that started lately did not fail at once.
+func (h *health) isProven(now time.Time) bool { return now.Sub(h.provenAt) < provenPeriod }
+
 func (h *health) isSuspect(now time.Time) bool { return now.Before(h.suspectUntil) }
 
 // isQuarantined reports whether the worker must get no work.
@@ -57,14 +70,24 @@
 	return h.failureScore >= quarantineThreshold && !h.isQuarantined(now) && now.Before(h.quarantineUntil.Add(probePeriod))
 }
 
-// failedWorkers holds the set of workers on which each job has failed, by job.
-type failedWorkers map[string]map[string]bool
+// failedWorkers holds the workers on which each job has failed, with the time of the last failure, by job.
+type failedWorkers map[string]map[string]time.Time
 
 // record adds a failure. It reports whether the worker is more likely than the job to be the cause.
-func (s failedWorkers) record(job, worker string) bool {
+func (s failedWorkers) record(now time.Time, job, worker string) bool {
 	if s[job] == nil {
-		s[job] = map[string]bool{}
+		s[job] = map[string]time.Time{}
 	}
-	s[job][worker] = true
+	s[job][worker] = now
 	return len(s[job]) < jobFaultThreshold
 }
+
+// failedLately reports whether a run of a job has failed within cautionPeriod.
+func (s failedWorkers) failedLately(now time.Time, job string) bool {
+	for _, at := range s[job] {
+		if now.Sub(at) < cautionPeriod {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/queue/coordinator/health_test.go
+++ b/internal/queue/coordinator/health_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
 
@@ -40,12 +41,42 @@
 			is.Equal(h.isProbing(now), c.quarantined)
 			h.recordFailure(now, "c", short)
 			is.True(h.isQuarantined(now))
-			h.recordSuccess()
+			h.recordSuccess(now.Add(-time.Second))
+			is.True(h.isQuarantined(now)) // a run that began before the failure proves nothing
+			h.recordSuccess(now.Add(time.Millisecond))
 			is.True(!h.isQuarantined(now) && !h.isProbing(now) && !h.isSuspect(now))
 		})
 	}
 }
 
+// TestFailureOfInheritedRun checks which failures count as immediate. A leader does not know when a run began
+// that its predecessor started, so the failure of such a run does not quarantine the worker.
+func TestFailureOfInheritedRun(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		inherited   bool
+		quarantined bool
+	}{
+		{"started by this leader and never listed", false, true},
+		{"started by an earlier leader", true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			f.startRun(t)
+			if c.inherited {
+				f.leaderTerm++
+			}
+			f.now = f.now.Add(250 * time.Millisecond)
+			f.report(t, 3, func(r *messages.FleetReport) {
+				r.Ends = []*messages.NumberedEnd{{Sequence: 1, End: &messages.End{Job: "a", Number: 1, How: tracker.EndFailed}}}
+			})
+			is.Equal(f.workers["w"].health.isQuarantined(f.now), c.quarantined)
+			is.True(f.workers["w"].health.isSuspect(f.now))
+		})
+	}
+}
+
 // TestQuarantineIsLimited checks that quarantine is ignored when too many workers are in it. Jobs that always
 // fail do so on worker after worker, and must not quarantine the whole fleet.
 func TestQuarantineIsLimited(t *testing.T) {
--- a/internal/queue/coordinator/progress.go
+++ b/internal/queue/coordinator/progress.go
@@ -30,6 +30,9 @@
 		if t == nil {
 			t = &runProgress{worker: w.id, firstListed: now, progressedAt: now, savedAt: now}
 			c.progress[key] = t
+			if _, ordered := w.startOrders[key]; ordered {
+				w.health.provenAt = now
+			}
 		}
 		if l.GetPercent() != t.percent {
 			t.percent, t.progressedAt = l.GetPercent(), now
@@ -48,6 +51,18 @@
 	return now.Sub(t.firstListed)
 }
 
+// began returns when a run that has ended was first listed. A run that was never listed began and ended between two
+// reports if this leader ordered it, and at an unknown earlier time if an earlier leader did.
+func (t *runProgress) began(now time.Time, ordered bool) time.Time {
+	switch {
+	case t != nil:
+		return t.firstListed
+	case ordered:
+		return now
+	}
+	return time.Time{}
+}
+
 // minProgressPercent is the progress from which a run's remaining time is extrapolated.
 const minProgressPercent = 8
 
@@ -85,19 +100,21 @@
 		zap.Uint32("run", key.Number), zap.String("worker", w.id), zap.String("how", e.GetHow()),
 		zap.Duration("elapsed", t.elapsed(now)), zap.Uint64("report", w.sequence))
 	count(c.metrics.ends, e.GetHow())
+	_, ordered := w.startOrders[key]
 	switch e.GetHow() {
 	case tracker.EndDone:
-		w.health.recordSuccess()
+		w.health.recordSuccess(t.began(now, ordered))
 		if t != nil && t.saved == "" {
 			declared := time.Duration(s.Spec.GetEstimate()) * time.Millisecond
 			c.estimator.Observe(j.Work.GetQueue(), "", declared, t.elapsed(now))
 		}
 	case tracker.EndFailed:
+		elapsed := now.Sub(t.began(now, ordered))
 		// A faulty job fails during its work, so an immediate failure counts against the worker.
-		if elapsed := t.elapsed(now); c.failedWorkers.record(key.Job, w.id) || elapsed < immediateFailureTime {
+		if c.failedWorkers.record(now, key.Job, w.id) || elapsed < immediateFailureTime {
 			w.health.recordFailure(now, key.Job, elapsed)
 			if w.health.isQuarantined(now) {
-				c.opts.Log.Info("worker quarantined", zap.String("worker", w.id), zap.String("request", key.Job), zap.Duration("elapsed", elapsed),
+				c.opts.Log.Info("worker quarantined", zap.String("worker", w.id), zap.String("request", key.Job), zap.Duration("elapsed", t.elapsed(now)),
 					zap.Duration("for", w.health.quarantineTime), zap.Uint64("report", w.sequence))
 			}
 		}
--- a/internal/queue/placer/evict.go
+++ b/internal/queue/placer/evict.go
@@ -17,10 +17,10 @@
 const minRemaining = 500 * time.Millisecond
 
 // evict stops the cheapest set of lower-priority runs that frees enough capacity for a whole unit, and
-// reserves that capacity. It reports false if there is no such set.
-func (p *pass) evict(u *unit, domains [][]*candidate) bool {
+// reserves that capacity. It returns the reserved allocations, or nil if there is no such set.
+func (p *pass) evict(u *unit, domains [][]*candidate) []allocation {
 	if p.isInfeasible(u) {
-		return false
+		return nil
 	}
 	var best *eviction
 	for _, d := range rankDomains(u, domains) {
@@ -31,16 +31,17 @@
 	}
 	if best == nil {
 		p.infeasible = append(p.infeasible, u)
-		return false
+		return nil
 	}
 	for _, a := range best.runs {
 		p.stop(a)
 	}
 	allocations, ok := u.pack(best.domain, func(c *candidate) Vector { return c.projected })
-	if ok {
-		reserveCapacity(u, allocations)
+	if !ok {
+		return nil
 	}
-	return ok
+	reserveCapacity(u, allocations)
+	return allocations
 }
 
 // maxDomains limits the domains searched per eviction, so that the cost of a pass does not grow with the
@@ -75,15 +76,21 @@
 }
 
 // isInfeasible reports whether eviction already failed in this pass for a unit that needs no more than this
-// one. The set of runs that can be evicted only shrinks during a pass.
+// one and may use all workers that this one may use. The set of runs that can be evicted only shrinks during a
+// pass.
 func (p *pass) isInfeasible(u *unit) bool {
 	return slices.ContainsFunc(p.infeasible, func(earlier *unit) bool {
-		return earlier.pool == u.pool && earlier.job.Work.GetPriority() <= u.job.Work.GetPriority() && len(earlier.tasks) <= len(u.tasks) &&
+		return !earlier.excludesMoreThan(u) && earlier.pool == u.pool && earlier.job.Work.GetPriority() <= u.job.Work.GetPriority() && len(earlier.tasks) <= len(u.tasks) &&
 			u.need.covers(earlier.need) && earlier.step.Spec.GetLabel() == "" &&
 			(u.step.Spec.GetCompact() || !earlier.step.Spec.GetCompact()) && earlier.step.Spec.GetSpread() == 0
 	})
 }
 
+// excludesMoreThan reports whether canRunOn excludes workers for u that it allows for v, because of their health.
+func (u *unit) excludesMoreThan(v *unit) bool {
+	return u.provenOnly && !v.provenOnly || u.lastAttempt && !v.lastAttempt || u.step.Spec.GetGang() && !v.step.Spec.GetGang()
+}
+
 // stop adds a run to the plan's stops and counts its resources as projected capacity.
 func (p *pass) stop(a *ActiveRun) {
 	if a.Stopping {
--- a/internal/queue/placer/gang.go
+++ b/internal/queue/placer/gang.go
@@ -35,7 +35,7 @@
 		reserveCapacity(u, allocations)
 		return
 	}
-	if u.urgent && p.evict(u, domains) {
+	if u.urgent && p.evict(u, domains) != nil {
 		return
 	}
 	if p.reservations < maxReservations {
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -23,6 +23,7 @@
 	Usable   bool   // new tasks may start on it
 	Suspect  bool   // used only if no other worker fits, and never for a last attempt
 	Probed   bool   // used for one task at a time, never for a gang or a last attempt
+	Proven   bool   // a run that started lately is at work on it
 	Runs     []*ActiveRun
 }
 
@@ -51,6 +52,9 @@
 	Due func(j *tracker.Job, occurrence int32) bool
 	// Pool returns the pool for a job's tasks, "" if there is none at present.
 	Pool func(*tracker.Job) string
+	// FailedLately reports whether a run of a job has just failed. Its last attempt then starts on proven workers
+	// only, as one that fails all that it starts would use the attempt up.
+	FailedLately func(*tracker.Job) bool
 }
 
 // Plan holds the decisions of one pass.
@@ -71,6 +75,7 @@
 	guaranteed  bool // within its organisation's guarantee
 	late        bool // its objective can no longer be met
 	lastAttempt bool // one more failure fails the job
+	provenOnly  bool // starts on proven workers only
 	estimate    time.Duration
 	objective   time.Duration
 	age         time.Duration
@@ -196,6 +201,7 @@
 		failures = max(failures, s.Failures(task))
 	}
 	u.lastAttempt = failures > 0 && failures+1 >= uint32(max(j.Work.GetAttempts(), 1))
+	u.provenOnly = u.lastAttempt && p.input.FailedLately(j)
 	u.late = u.objective > 0 && u.age+u.estimate > u.objective
 	return u
 }
@@ -234,7 +240,7 @@
 
 // canRunOn reports whether the unit may use the worker, regardless of free capacity.
 func (u *unit) canRunOn(w *Worker) bool {
-	if w.Suspect && u.lastAttempt || w.Probed && (u.step.Spec.GetGang() || u.lastAttempt || len(w.Runs) > 0) {
+	if u.provenOnly && !w.Proven || w.Suspect && u.lastAttempt || w.Probed && (u.step.Spec.GetGang() || u.lastAttempt || len(w.Runs) > 0) {
 		return false
 	}
 	label := u.step.Spec.GetLabel()
--- a/internal/queue/placer/placer_test.go
+++ b/internal/queue/placer/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,6 +35,18 @@
 		},
 		Due:  func(*tracker.Job, int32) bool { return true },
 		Pool: func(*tracker.Job) string { return "p" },
+
+		FailedLately: func(*tracker.Job) bool { return false },
+	}
+}
+
+// fail ends runs of the first task of a job as failed.
+func fail(tr *tracker.Tracker, id string, failures int) {
+	for n := range uint32(failures) {
+		tr.Apply(&messages.QueueChange{Starts: []*messages.Run{{Job: id, Number: n + 1, Worker: "x", Born: 1}}})
+		tr.Apply(&messages.QueueChange{Ends: []*messages.WorkerEnds{{
+			Worker: "x", Born: 1, Sequence: uint64(n) + 1, Ends: []*messages.End{{Job: id, Number: n + 1, How: tracker.EndFailed}},
+		}}})
 	}
 }
 
@@ -74,7 +87,7 @@
 }
 
 // TestCompactGangStaysInOneRack checks that a compact gang, which is slow across racks, waits for a single
-// rack that it fits into instead of using free workers of two racks.
+// rack that it fits into instead of using free workers of two racks, and starts in the rack that becomes free.
 func TestCompactGangStaysInOneRack(t *testing.T) {
 	is := is.New(t)
 	tr := tracker.New()
@@ -83,6 +96,16 @@
 	occupy(tr, "low", workers[0], workers[1], workers[4], workers[5])
 	submit(tr, "gang", 1, &messages.Step{Count: 4, Accelerators: 8, Gang: true, Compact: true})
 	is.Equal(len(NewPlan(input(workers, tr)).Starts), 0)
+	for _, w := range workers[4:6] {
+		w.Free, w.Runs = w.Capacity, nil
+	}
+	racks := map[string]int{}
+	for _, r := range NewPlan(input(workers, tr)).Starts {
+		racks[workers[slices.IndexFunc(workers, func(w *Worker) bool { return w.ID == r.GetWorker() })].Rack]++
+	}
+	is.Equal(racks, map[string]int{"r1": 4})
+	submit(tr, "other", 1, &messages.Step{Count: 2, Accelerators: 8})
+	occupy(tr, "other", workers[4], workers[5])
 	submit(tr, "loose", 1, &messages.Step{Count: 4, Accelerators: 8, Gang: true})
 	used := map[string]bool{}
 	tr.Apply(&messages.QueueChange{Cancels: []string{"gang"}})
@@ -116,6 +139,43 @@
 	is.Equal(len(second.Starts), 0)
 }
 
+// TestCautiousUnitBlocksNoOther checks that an urgent unit for which no eviction makes room, because it may not use
+// workers in doubt, does not keep later ones of the same pass from evicting there.
+func TestCautiousUnitBlocksNoOther(t *testing.T) {
+	is := is.New(t)
+	tr := tracker.New()
+	workers := fleet(1)
+	workers[0].Suspect = true
+	submit(tr, "low", 1, &messages.Step{Count: 1, Accelerators: 8})
+	occupy(tr, "low", workers[0])
+	submit(tr, "last attempt", 0, &messages.Step{Count: 1, Accelerators: 8, Gang: true})
+	fail(tr, "last attempt", 2)
+	is.Equal(len(NewPlan(input(workers, tr)).Stops), 0)
+	submit(tr, "first attempt", 0, &messages.Step{Count: 1, Accelerators: 8, Gang: true})
+	is.Equal(len(NewPlan(input(workers, tr)).Stops), 1)
+}
+
+// TestEvictionRespectsSpread checks that runs are stopped on as many workers as the spread limit of the urgent
+// step requires, though all the cheapest ones are on one worker.
+func TestEvictionRespectsSpread(t *testing.T) {
+	is := is.New(t)
+	tr := tracker.New()
+	workers := fleet(2)
+	submit(tr, "cheap", 1, &messages.Step{Count: 2, Accelerators: 4, Checkpoints: true})
+	occupy(tr, "cheap", workers[0], workers[0])
+	submit(tr, "dear", 1, &messages.Step{Count: 2, Accelerators: 4})
+	occupy(tr, "dear", workers[1], workers[1])
+	for _, a := range workers[0].Runs {
+		a.Unsaved = 0
+	}
+	submit(tr, "urgent", 0, &messages.Step{Count: 2, Accelerators: 4, Spread: 1})
+	var stopped []string
+	for _, a := range NewPlan(input(workers, tr)).Stops {
+		stopped = append(stopped, a.Key.Job)
+	}
+	is.Equal(stopped, []string{"cheap", "dear"})
+}
+
 // TestWaitingGangIsNotStarved checks that a stream of small long tasks does not delay a wide gang: tasks that
 // would end after its estimated start do not get the workers reserved for it.
 func TestWaitingGangIsNotStarved(t *testing.T) {
@@ -144,6 +204,8 @@
 		workers := fleet(rapid.IntRange(1, 10).Draw(t, "workers"))
 		for _, w := range workers {
 			w.Usable = rapid.IntRange(0, 9).Draw(t, "usable") > 0
+			w.Suspect = rapid.IntRange(0, 4).Draw(t, "suspect") == 0
+			w.Probed = rapid.IntRange(0, 4).Draw(t, "probed") == 0
 			if rapid.Bool().Draw(t, "label") {
 				w.Labels = []string{"a"}
 			}
@@ -156,7 +218,9 @@
 				Spread: int32(rapid.SampledFrom([]int{0, 0, 1, 2}).Draw(t, "spread")), Label: rapid.SampledFrom([]string{"", "", "a"}).Draw(t, "needs"),
 				Estimate: int64(rapid.IntRange(100, 20_000).Draw(t, "estimate")),
 			}
-			submit(tr, fmt.Sprintf("j%d", i), int32(rapid.IntRange(0, 2).Draw(t, "priority")), s)
+			id := fmt.Sprintf("j%d", i)
+			submit(tr, id, int32(rapid.IntRange(0, 2).Draw(t, "priority")), s)
+			fail(tr, id, rapid.IntRange(0, 2).Draw(t, "failures"))
 		}
 		for range 3 {
 			plan := NewPlan(input(workers, tr))
@@ -179,6 +243,28 @@
 	})
 }
 
+// fitsInOneRack reports whether all tasks of a step fit on the workers of one rack that it may use, when these are
+// idle.
+func fitsInOneRack(s *tracker.Step, workers []*Worker) bool {
+	slots := map[string]int{}
+	for _, w := range workers {
+		if !w.Usable || w.Probed || w.Suspect && s.Failures(0) == 2 || s.Spec.GetLabel() != "" && len(w.Labels) == 0 {
+			continue
+		}
+		limit := len(s.Tasks)
+		if spread := int(s.Spec.GetSpread()); spread > 0 {
+			limit = min(limit, spread)
+		}
+		slots[w.Rack] += w.Capacity.Fits(Need(s.Spec), limit)
+	}
+	for _, n := range slots {
+		if n >= len(s.Tasks) {
+			return true
+		}
+	}
+	return false
+}
+
 func checkPlan(t *rapid.T, tr *tracker.Tracker, workers []*Worker, plan Plan) {
 	free, byID := map[string]Vector{}, map[string]*Worker{}
 	counts := map[string]int{}
@@ -188,10 +274,15 @@
 			counts[a.Key.Job+w.ID]++
 		}
 	}
-	started := map[string]int{}
+	started, startedOn := map[string]int{}, map[string]int{}
+	racks := map[string]string{} // of the first member, by job
 	for _, r := range plan.Starts {
 		j, w := tr.Job(r.GetJob()), byID[r.GetWorker()]
 		s := j.Step(0, 0)
+		startedOn[w.ID]++
+		if racks[r.GetJob()] == "" {
+			racks[r.GetJob()] = w.Rack
+		}
 		free[w.ID] = free[w.ID].Sub(Need(s.Spec))
 		started[r.GetJob()]++
 		counts[r.GetJob()+w.ID]++
@@ -205,6 +296,12 @@
 			t.Fatalf("%v starts on a worker without the label", r)
 		case s.Spec.GetSpread() > 0 && counts[r.GetJob()+w.ID] > int(s.Spec.GetSpread()):
 			t.Fatalf("%v exceeds the spread limit of its step on %s", r, w.ID)
+		case s.Spec.GetGang() && s.Spec.GetCompact() && fitsInOneRack(s, workers) && w.Rack != racks[r.GetJob()]:
+			t.Fatalf("%v starts in rack %s, another member in rack %s", r, w.Rack, racks[r.GetJob()])
+		case w.Suspect && s.Failures(r.GetTask()) == 2:
+			t.Fatalf("%v is a last attempt on a suspect worker", r)
+		case w.Probed && (s.Spec.GetGang() || startedOn[w.ID] > 1 || len(w.Runs) > 0):
+			t.Fatalf("%v is not the only task on a probed worker", r)
 		case s.Tasks[r.GetTask()].Active > 0:
 			t.Fatalf("%v starts a task that is already running", r)
 		}
@@ -244,32 +341,34 @@
 		return &messages.Step{Count: 2, Processors: 1000, Accelerators: 1, Gang: gang}
 	}
 	for _, c := range []struct {
-		name     string
-		step     *messages.Step
-		failures int
-		change   func(w *Worker)
-		starts   int
+		name         string
+		step         *messages.Step
+		failures     int
+		failedLately bool
+		change       func(w *Worker)
+		starts       int
 	}{
-		{"healthy worker runs all tasks", task(false), 0, func(*Worker) {}, 2},
-		{"suspect worker is used if no other fits", task(false), 0, func(w *Worker) { w.Suspect = true }, 2},
-		{"suspect worker gets no last attempt", task(false), 2, func(w *Worker) { w.Suspect = true }, 0},
-		{"probed worker gets one task", task(false), 0, func(w *Worker) { w.Probed = true }, 1},
-		{"probed worker gets no last attempt", task(false), 2, func(w *Worker) { w.Probed = true }, 0},
-		{"probed worker gets no gang", task(true), 0, func(w *Worker) { w.Probed = true }, 0},
+		{"healthy worker runs all tasks", task(false), 0, false, func(*Worker) {}, 2},
+		{"suspect worker is used if no other fits", task(false), 0, false, func(w *Worker) { w.Suspect = true }, 2},
+		{"suspect worker gets no last attempt", task(false), 2, false, func(w *Worker) { w.Suspect = true }, 0},
+		{"probed worker gets one task", task(false), 0, false, func(w *Worker) { w.Probed = true }, 1},
+		{"probed worker gets no last attempt", task(false), 2, false, func(w *Worker) { w.Probed = true }, 0},
+		{"probed worker gets no gang", task(true), 0, false, func(w *Worker) { w.Probed = true }, 0},
+		{"unproven worker gets no last attempt right after a failure", task(false), 2, true, func(*Worker) {}, 0},
+		{"unproven worker gets a second attempt right after a failure", task(false), 1, true, func(*Worker) {}, 2},
+		{"unproven worker gets a last attempt later", task(false), 2, false, func(*Worker) {}, 2},
+		{"proven worker gets a last attempt", task(false), 2, true, func(w *Worker) { w.Proven = true }, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			tr := tracker.New()
 			submit(tr, "j", 1, c.step)
-			for n := range uint32(c.failures) {
-				tr.Apply(&messages.QueueChange{Starts: []*messages.Run{{Job: "j", Number: n + 1, Worker: "x", Born: 1}}})
-				tr.Apply(&messages.QueueChange{Ends: []*messages.WorkerEnds{{
-					Worker: "x", Born: 1, Sequence: uint64(n) + 1, Ends: []*messages.End{{Job: "j", Number: n + 1, How: tracker.EndFailed}},
-				}}})
-			}
+			fail(tr, "j", c.failures)
 			workers := fleet(1)
 			c.change(workers[0])
-			is.Equal(len(NewPlan(input(workers, tr)).Starts), c.starts)
+			in := input(workers, tr)
+			in.FailedLately = func(*tracker.Job) bool { return c.failedLately }
+			is.Equal(len(NewPlan(in).Starts), c.starts)
 		})
 	}
 }
--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -73,13 +73,12 @@
 			candidates = append(candidates, c)
 		}
 	}
-	if allocations, ok := single.pack(candidates, func(c *candidate) Vector { return c.projected }); ok {
+	allocations, ok := single.pack(candidates, func(c *candidate) Vector { return c.projected })
+	if ok {
 		reserveCapacity(&single, allocations)
-		counts[allocations[0].candidate.ID]++
-		return true
-	}
-	if !p.evict(&single, [][]*candidate{candidates}) {
+	} else if allocations = p.evict(&single, [][]*candidate{candidates}); allocations == nil {
 		return false
 	}
+	counts[allocations[0].candidate.ID]++
 	return true
 }
--- a/internal/queue/simulator/simulator_test.go
+++ b/internal/queue/simulator/simulator_test.go
@@ -1,12 +1,15 @@
 package simulator
 
 import (
+	"fmt"
 	"os"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
 )
 
 // TestLowLoad checks that a load well below the fleet's capacity is served almost in full, without violations
@@ -90,3 +93,27 @@
 		}
 	}
 }
+
+// TestFailingWorkersFailNoJobs covers a day on which some workers fail all that they start while runs that they
+// began before still succeed. Jobs have few attempts, and none of them may be used up by such workers.
+func TestFailingWorkersFailNoJobs(t *testing.T) {
+	for seed := range uint64(5) {
+		for name, preset := range map[string]func(float64) (Fleet, Load){"reports": Reports, "listings": Listings} {
+			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				fleet, load := preset(1)
+				for i := range load.Queues {
+					load.Queues[i].FailureRate, load.Queues[i].AlwaysFailing = 0, 0
+				}
+				s := simulate(Options{Seed: seed, Fleet: fleet, Load: load, Log: zap.NewNop(), Faults: []Fault{
+					{Kind: Failing, Start: 10 * time.Second, Duration: 6 * time.Second, Share: 0.09},
+				}})
+				for _, j := range s.jobs {
+					if j.phase == tracker.Failed {
+						t.Errorf("job %s of %s failed", j.id, j.queue.Name)
+					}
+				}
+			})
+		}
+	}
+}
