coordinator: runs that outlast a leaving worker are moved before it exits

Runs without checkpoints that cannot end in time are stopped at once, the others when there is just time to stop them and to report their ends; they start elsewhere as soon as the end is reported.

The longest time of a stop is read from the platform's settings.

--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -30,6 +30,7 @@
 	MinReportInterval       time.Duration // minimum time between two reports of a worker
 	MaxPollTime             time.Duration // longest time of a long poll for orders, 0 to disable long polls
 	ReportIntervalPerWorker time.Duration // time that each known worker adds to the report interval, to bound the leader's load
+	MaxStopTime             time.Duration // longest time from the receipt of a stop order to the end of the run
 	MaxContactTimeout       time.Duration // time without a report after which nothing is started on a worker
 	Retention               time.Duration // how long the phase of an ended job is kept
 }
--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -17,6 +17,7 @@
 func (c *Coordinator) decide(state *tracker.Tracker) *messages.QueueChange {
 	change := &messages.QueueChange{Time: c.opts.Wall().UnixMilli()}
 	c.prune(state)
+	c.evacuate(state)
 	change.Ends = append(c.expiredWorkers(state), c.unsentStarts(state)...)
 	change.Forgets = c.expiredJobs(state)
 	if len(change.Ends) == 0 {
--- /dev/null
+++ b/internal/queue/coordinator/evacuate.go
@@ -0,0 +1,54 @@
+package coordinator
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
+)
+
+// exitMargin is how long before a worker's exit a run must end for its end to be reported in time.
+const exitMargin = 250 * time.Millisecond
+
+// hopelessPercent is the share of a run's estimated remaining time that must exceed the time left on a leaving
+// worker for the run to be stopped at once. It allows for the error of the estimate.
+const hopelessPercent = 80
+
+// evacuate stops the runs on leaving workers that will not end before the worker exits. They can then start
+// elsewhere as soon as their ends are reported, and not only after the lease of a worker that is gone. Runs that
+// write checkpoints work on until there is just time to stop them; other ones would work for nothing.
+func (c *Coordinator) evacuate(state *tracker.Tracker) {
+	now := c.opts.Now()
+	stopTime := c.opts.Timing.MaxStopTime + 2*c.opts.Timing.reportInterval(len(c.workers)) + exitMargin
+	for _, id := range slices.Sorted(maps.Keys(c.workers)) {
+		w := c.workers[id]
+		if !w.leaving || w.left {
+			continue
+		}
+		left := w.exitAt.Sub(now)
+		for _, key := range slices.SortedFunc(maps.Keys(w.listed), tracker.CompareKeys) {
+			run, j := state.RunsOn(id)[key], state.Job(key.Job)
+			if run == nil || run.GetBorn() != w.born || c.mustStop(j, key) {
+				continue
+			}
+			s := j.Step(key.Occurrence, key.Step)
+			remaining := c.progress[key].remaining(now, c.estimate(j, s))
+			if s.Spec.GetLasting() || remaining+exitMargin <= left {
+				continue
+			}
+			hopeless := !s.Spec.GetCheckpoints() && remaining*hopelessPercent/100 > left
+			if !hopeless && left > stopTime {
+				continue
+			}
+			c.stopping[key] = true
+			c.wakeWorker(id)
+			c.metrics.evacuated.Inc(1)
+			c.opts.Log.Info("run is moved from a leaving worker", zap.String("request", key.Job), zap.Int32("occurrence", key.Occurrence),
+				zap.Int32("step", key.Step), zap.Int32("task", key.Task), zap.Uint32("run", key.Number), zap.String("worker", id),
+				zap.Duration("left", left), zap.Duration("remaining", remaining), zap.Uint64("report", w.sequence))
+		}
+	}
+}
--- a/internal/queue/coordinator/metrics.go
+++ b/internal/queue/coordinator/metrics.go
@@ -10,14 +10,15 @@
 
 // metrics are the counters and histograms of the coordinator.
 type metrics struct {
-	submits map[string]tally.Counter // by verdict status
-	ends    map[string]tally.Counter // by the way a run ended
-	starts  tally.Counter
-	evicted tally.Counter // runs preempted by urgent work
-	lost    tally.Counter // worker incarnations that were replaced or whose leases expired
-	reports tally.Counter
-	pass    tally.Histogram
-	commit  tally.Histogram
+	submits   map[string]tally.Counter // by verdict status
+	ends      map[string]tally.Counter // by the way a run ended
+	starts    tally.Counter
+	evicted   tally.Counter // runs preempted by urgent work
+	evacuated tally.Counter // runs moved from leaving workers
+	lost      tally.Counter // worker incarnations that were replaced or whose leases expired
+	reports   tally.Counter
+	pass      tally.Histogram
+	commit    tally.Histogram
 }
 
 // buckets range from a pass over an idle fleet to the longest limit for an acknowledgement.
@@ -28,7 +29,7 @@
 func newMetrics(scope tally.Scope) metrics {
 	m := metrics{
 		submits: map[string]tally.Counter{}, ends: map[string]tally.Counter{},
-		starts: scope.Counter("starts"), evicted: scope.Counter("evicted"), lost: scope.Counter("lost_workers"),
+		starts: scope.Counter("starts"), evicted: scope.Counter("evicted"), evacuated: scope.Counter("evacuated"), lost: scope.Counter("lost_workers"),
 		reports: scope.Counter("reports"), pass: scope.Histogram("pass_seconds", buckets()), commit: scope.Histogram("commit_seconds", buckets()),
 	}
 	for _, status := range []string{StatusOK, StatusRefused, StatusNoQueue, StatusNoKey, StatusUnknown, StatusEmpty, StatusMismatch} {
--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -24,6 +24,7 @@
 	labels        []string
 	capacity      placer.Vector
 	leaving       bool
+	exitAt        time.Time // earliest exit of a leaving worker
 	left          bool
 	replaced      bool          // a later worker reports from its address, so this one has ended
 	expiring      bool          // its end is being committed; it gets no orders until then
@@ -292,6 +293,7 @@
 	w.rack = r.GetRack()
 	w.capacity = placer.Vector{Processors: r.GetProcessors(), Memory: r.GetMemory(), Accelerators: r.GetAccelerators()}
 	w.leaving = r.GetLeaving()
+	w.exitAt = w.lastContact.Add(time.Duration(r.GetRemaining()) * time.Millisecond)
 	w.address = r.GetAddress()
 	w.left = w.left && w.leaving // not leaving: the exit notice was from an earlier incarnation
 }
--- a/internal/queue/simulator/simulator.go
+++ b/internal/queue/simulator/simulator.go
@@ -116,6 +116,7 @@
 	Slow           FaultKind = "slow"    // runs take longer
 	Failing        FaultKind = "failing" // runs fail as soon as they start
 	Stuck          FaultKind = "stuck"   // runs make no progress
+	Leave          FaultKind = "leave"   // the worker announces its exit, exits after Duration and restarts later
 	LeaderChange   FaultKind = "depose"  // the leader steps down, a new one is elected at the end of the fault
 	UnknownOutcome FaultKind = "unsure"  // commits return an error and may or may not be applied
 )
@@ -391,7 +392,7 @@
 	s.leader = coordinator.NewStepped(coordinator.Options{
 		Timing: coordinator.Timing{
 			Lease: s.opts.Fleet.MaxLease, MaxLease: s.opts.Fleet.MaxLease, MinReportInterval: 250 * time.Millisecond, MaxPollTime: s.opts.Fleet.MaxPollTime,
-			MaxContactTimeout: 2200 * time.Millisecond, Retention: 3 * time.Minute,
+			MaxStopTime: s.opts.Fleet.MaxStopTime, MaxContactTimeout: 2200 * time.Millisecond, Retention: 3 * time.Minute,
 		},
 		Read: func(_ context.Context, read func(uint64, *tracker.Tracker)) error {
 			s.delayRead()
@@ -453,7 +454,7 @@
 		s.outcomeUnknown = true
 		s.after(f.Duration, func() { s.outcomeUnknown = false })
 		return
-	case Crash, Partition, Unreachable, Slow, Failing, Stuck:
+	case Crash, Partition, Unreachable, Slow, Failing, Stuck, Leave:
 	}
 	chosen := f.Workers
 	if chosen == nil {
--- a/internal/queue/simulator/simulator_test.go
+++ b/internal/queue/simulator/simulator_test.go
@@ -117,3 +117,29 @@
 		}
 	}
 }
+
+// TestLeavingWorkersLoseNoRuns covers a day on which workers leave in series with some seconds' notice. Their runs
+// must end elsewhere or in time: none may be lost with its worker and wait there for the end of a lease.
+func TestLeavingWorkersLoseNoRuns(t *testing.T) {
+	for seed := range uint64(3) {
+		for name, preset := range map[string]func(float64) (Fleet, Load){"reports": Reports, "listings": Listings} {
+			for _, notice := range []time.Duration{2 * time.Second, 6 * time.Second} {
+				t.Run(fmt.Sprintf("%s/%v/%d", name, notice, seed), func(t *testing.T) {
+					t.Parallel()
+					fleet, load := preset(0.8)
+					var injected []Fault
+					for i := range 6 {
+						injected = append(injected, Fault{Kind: Leave, Start: time.Duration(6+4*i) * time.Second, Duration: notice, Workers: []int{i, 8 + i, 16 + i, 24 + i}})
+					}
+					r := Run(Options{Seed: seed, Fleet: fleet, Load: load, Faults: injected, Log: zap.NewNop()})
+					for _, v := range r.Violations {
+						t.Error(v)
+					}
+					if lost := r.Ends[tracker.EndExpired]; lost > 0 {
+						t.Errorf("%d runs were lost with their workers, ends %v", lost, r.Ends)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/queue/simulator/worker.go
+++ b/internal/queue/simulator/worker.go
@@ -36,6 +36,8 @@
 	endPending    bool                       // an end was added after the last report was sent
 	reportVersion int                        // of the scheduled report; events of earlier versions are ignored
 
+	exitAt time.Time // of a worker that has announced its exit, zero for none
+
 	partitioned, unreachable, failing, stuck int // active faults of each kind
 	slowdown                                 float64
 }
@@ -75,7 +77,7 @@
 	w.incarnation++
 	w.started = w.sim.now.UnixMilli()
 	w.sequence, w.lastEnd, w.fence = 0, 0, 0
-	w.leaseEnd = time.Time{}
+	w.leaseEnd, w.exitAt = time.Time{}, time.Time{}
 	w.runs = map[tracker.RunKey]*run{}
 	w.lastEndedRun = map[tracker.TaskKey]uint32{}
 	w.pendingEnds, w.reporting, w.endPending = nil, false, false
@@ -104,6 +106,9 @@
 		Processors: w.capacity.Processors, Memory: w.capacity.Memory, Accelerators: w.capacity.Accelerators,
 		Clock: (w.sim.now.UnixMilli() - w.started) * clockPercent / 100,
 	}
+	if !w.exitAt.IsZero() {
+		report.Leaving, report.Remaining = true, w.exitAt.Sub(w.sim.now).Milliseconds()
+	}
 	for _, key := range slices.SortedFunc(maps.Keys(w.runs), tracker.CompareKeys) {
 		r := w.runs[key]
 		r.advance(w)
@@ -367,20 +372,9 @@
 func (w *worker) startFault(f Fault) {
 	switch f.Kind {
 	case Crash:
-		if !w.up {
-			return
-		}
-		w.up = false
-		for _, key := range slices.SortedFunc(maps.Keys(w.runs), tracker.CompareKeys) {
-			lost := w.runs[key]
-			lost.advance(w)
-			delete(w.runs, key)
-			w.sim.activeRuns[key.TaskKey]--
-			w.sim.countEnd(lost, tracker.EndExpired)
-			if lost.spec.GetGang() {
-				w.sim.endGang(lost, tracker.EndExpired)
-			}
-		}
+		w.exit()
+	case Leave:
+		w.exitAt = w.sim.now.Add(f.Duration)
 	case Partition:
 		w.partitioned++
 	case Unreachable:
@@ -399,6 +393,40 @@
 	}
 }
 
+// exit ends the worker and all its runs without a report.
+func (w *worker) exit() {
+	if !w.up {
+		return
+	}
+	w.up = false
+	for _, key := range slices.SortedFunc(maps.Keys(w.runs), tracker.CompareKeys) {
+		lost := w.runs[key]
+		lost.advance(w)
+		delete(w.runs, key)
+		w.sim.activeRuns[key.TaskKey]--
+		w.sim.countEnd(lost, tracker.EndExpired)
+		if lost.spec.GetGang() {
+			w.sim.endGang(lost, tracker.EndExpired)
+		}
+	}
+}
+
+// restartDelay is the time from the exit of a worker that has left to the start of its successor.
+const restartDelay = 4 * time.Second
+
+// leave sends an exit notice and exits.
+func (w *worker) leave() {
+	if leader := w.sim.leader; leader != nil && w.partitioned == 0 {
+		notice := &messages.FleetReport{Worker: w.id, Born: w.started, Left: true}
+		w.sim.spawn(func() {
+			// A notice that is not answered is not repeated; the lease ends the runs.
+			_, _ = leader.Report(context.Background(), notice)
+		})
+	}
+	w.exit()
+	w.sim.after(restartDelay, w.start)
+}
+
 // endFault removes a fault from the worker.
 func (w *worker) endFault(f Fault) {
 	switch f.Kind {
@@ -406,6 +434,8 @@
 		if !w.up {
 			w.start()
 		}
+	case Leave:
+		w.leave()
 	case Partition:
 		w.partitioned--
 	case Unreachable:
