replicator: a leader that has restarted is elected again without the voters' wait

Restarted voters refuse to vote for one election timeout, as they do not store which leader they followed and its lease may be valid.

A node now stores the last term that it led. With it in its requests, a voter that has followed no later leader knows that the lease in question is the candidate's own, and votes at once. The former leader asks at its first tick, and again each two ticks until the others have started. Builds without the field refuse as before, and the election takes its usual time.

--- a/internal/state/replicator/election.go
+++ b/internal/state/replicator/election.go
@@ -8,6 +8,15 @@
 	n.electionAt = n.tick + n.opts.ElectionTicks + n.rng.IntN(n.opts.ElectionTicks)
 }
 
+// resumeTicks is the interval between the pre-votes of a leader that has restarted.
+const resumeTicks = 2
+
+// isResuming reports whether this node led the current term until it restarted, and may ask to be elected again
+// before the other voters' election timeout. It stops after two timeouts, when other voters have campaigned.
+func (n *Node) isResuming() bool {
+	return n.resuming && n.led == n.term && n.tick < 2*n.opts.ElectionTicks
+}
+
 func (n *Node) becomeFollower(term uint64, leader string) {
 	if term > n.term {
 		n.term = term
@@ -15,6 +24,7 @@
 	}
 	n.role = Follower
 	n.leader = leader
+	n.resuming = false
 	n.transferee = ""
 	n.peers = map[string]*progress{}
 	n.resetElection()
@@ -35,6 +45,9 @@
 		term = n.term
 	}
 	n.resetElection()
+	if role == PreCandidate && n.isResuming() {
+		n.electionAt = n.tick + resumeTicks // other voters may not have started yet
+	}
 	if n.countVotes() {
 		return
 	}
@@ -44,7 +57,7 @@
 		}
 		n.sendAfterSync(&messages.Message{
 			Kind: kind, To: m.GetName(), Term: term, Transfer: transfer,
-			Index: n.log.last(), Logterm: n.log.lastTerm(),
+			Index: n.log.last(), Logterm: n.log.lastTerm(), Led: n.led,
 		})
 	}
 }
@@ -77,6 +90,8 @@
 func (n *Node) becomeLeader() {
 	n.role = Leader
 	n.leader = n.opts.Name
+	n.led = n.term
+	n.resuming = false
 	n.transferee = ""
 	n.peers = map[string]*progress{}
 	n.updatePeers()
@@ -130,7 +145,7 @@
 			return false
 		}
 	case messages.Kind_KIND_VOTE:
-		if n.leaderMayBeActive() && !m.GetTransfer() {
+		if n.leaderMayBeActive() && !m.GetTransfer() && !n.isFromFormerLeader(m) {
 			return false
 		}
 	default:
@@ -149,6 +164,13 @@
 	return n.leader != "" && n.tick-n.lastContact < n.opts.ElectionTicks
 }
 
+// isFromFormerLeader reports whether a vote is requested by the last leader that this node may have acknowledged.
+// A candidate holds no lease, and the leases of all leaders before it had expired when it was elected, so this
+// node need not wait until it may vote.
+func (n *Node) isFromFormerLeader(m *messages.Message) bool {
+	return m.GetLed() > 0 && m.GetLed() >= n.term
+}
+
 // replyStale replies to a message of an earlier term with the current term.
 func (n *Node) replyStale(m *messages.Message) {
 	switch m.GetKind() {
@@ -166,7 +188,7 @@
 	canGrant := n.vote == "" && n.leader == "" || n.vote == m.GetFrom()
 	if preVote {
 		kind = messages.Kind_KIND_PREVOTE_REPLY
-		canGrant = m.GetTerm() > n.term && !n.leaderMayBeActive()
+		canGrant = m.GetTerm() > n.term && (!n.leaderMayBeActive() || n.isFromFormerLeader(m))
 	}
 	if canGrant && n.log.upToDate(m.GetIndex(), m.GetLogterm()) {
 		if !preVote {
--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -80,12 +80,14 @@
 	leader  string
 	term    uint64
 	vote    string
+	led     uint64 // last term in which this node was the leader
 	log     entryLog
 	members *messages.Members
 	// pendingChanges holds the membership before each uncommitted change, to revert it on truncation.
 	pendingChanges []membershipChange
 
 	restarted        bool
+	resuming         bool // led the current term until it restarted, and asks to be elected again
 	tick             int
 	lastContact      int // tick at which the last message from the leader was received
 	electionAt       int // tick of the election timeout
@@ -118,9 +120,10 @@
 		hardState: &messages.HardState{},
 	}
 	if initial.HardState != nil {
-		n.term, n.vote = initial.HardState.GetTerm(), initial.HardState.GetVote()
+		n.term, n.vote, n.led = initial.HardState.GetTerm(), initial.HardState.GetVote(), initial.HardState.GetLed()
 		n.hardState = initial.HardState
 		n.restarted = n.term > 0
+		n.resuming = n.restarted && n.led == n.term
 	}
 	if initial.Snapshot != nil {
 		n.snapshot = initial.Snapshot
@@ -136,6 +139,9 @@
 	n.log.syncing, n.log.synced = n.log.last(), n.log.last()
 	n.log.committed = max(n.log.committed, min(initial.HardState.GetCommit(), n.log.last()))
 	n.resetElection()
+	if n.resuming {
+		n.electionAt = 1
+	}
 	return n
 }
 
@@ -356,9 +362,10 @@
 	o.Truncate, n.truncate = n.truncate, 0
 	o.Entries = n.log.takeUnsynced()
 	o.Committed = n.log.takeCommitted()
-	hard := &messages.HardState{Term: n.term, Vote: n.vote, Commit: n.log.committed}
+	hard := &messages.HardState{Term: n.term, Vote: n.vote, Commit: n.log.committed, Led: n.led}
+	changed := hard.GetTerm() != n.hardState.GetTerm() || hard.GetVote() != n.hardState.GetVote() || hard.GetLed() != n.hardState.GetLed()
 	// A new commit index alone does not need a sync: after a restart the leader sends it again.
-	if hard.GetTerm() != n.hardState.GetTerm() || hard.GetVote() != n.hardState.GetVote() || len(o.Entries) > 0 && hard.GetCommit() != n.hardState.GetCommit() {
+	if changed || len(o.Entries) > 0 && hard.GetCommit() != n.hardState.GetCommit() {
 		o.HardState = hard
 		n.hardState = hard
 	}
--- a/internal/state/replicator/schedule_test.go
+++ b/internal/state/replicator/schedule_test.go
@@ -254,7 +254,7 @@
 }
 
 // TestSchedules draws message loss, duplication and reordering, partitions, crashes that lose unsynced writes,
-// restarts, snapshots and leadership transfers, and checks safety after each step.
+// restarts of one or all nodes, snapshots and leadership transfers, and checks safety after each step.
 func TestSchedules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		voters := rapid.SampledFrom([]int{3, 5}).Draw(t, "voters")
@@ -297,8 +297,14 @@
 					c.blockLink(name, other)
 				}
 			},
-			"heal":     func(*rapid.T) { clear(c.blocked) },
-			"restart":  func(t *rapid.T) { c.t = t; c.start(c.drawNode(), rapid.Uint64().Draw(t, "seed")) },
+			"heal":    func(*rapid.T) { clear(c.blocked) },
+			"restart": func(t *rapid.T) { c.t = t; c.start(c.drawNode(), rapid.Uint64().Draw(t, "seed")) },
+			"restartall": func(t *rapid.T) {
+				c.t = t
+				for _, name := range c.names {
+					c.start(name, rapid.Uint64().Draw(t, "seed"))
+				}
+			},
 			"snapshot": func(t *rapid.T) { c.t = t; c.snapshot(c.drawNode()) },
 			"transfer": func(t *rapid.T) {
 				c.t = t
