pacer: the report interval follows the waits of reports, not the number of workers

Cause: the interval between two reports was 1.2 ms for each worker of the fleet, 1.3 s at 1100 workers, to protect a leader that was not busy (0.22 to 0.35 of 0.96 cores). A worker gets no order between two reports, so each start, each member of a gang and each stop waited for it.

The interval now starts at what the fleet's reports are expected to cost on the settings' cores, at 250 ms at least, is lengthened when reports wait more than 50 ms for the replica, shortened below 25 ms, and stays in between. A worker counts as out of contact by the interval that it was told, not by the fleet's.

A failed try: the processor time of the process by getrusage as the input, with a set-point of half of the cores.

--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -8,6 +8,7 @@
 	"hash/fnv"
 	"net/netip"
 	"os"
+	"runtime"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -111,6 +112,7 @@
 			return err
 		},
 		RedirectError: rep.server.RedirectError, Wait: coordinator.Wait, Now: time.Now, Wall: time.Now, Metrics: r.opts.Metrics.SubScope("queues"), Log: r.log,
+		Cores: cmp.Or(r.opts.Queues.Cores, float64(runtime.GOMAXPROCS(0))),
 	})
 	r.forwarder.SetLocalReplica(forwarder.LocalReplica{
 		Address: s.PeeringAddr(), Queues: queues,
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -60,7 +60,8 @@
 // QueueOptions are the parameters of queue coordination.
 type QueueOptions struct {
 	Timing  coordinator.Timing
-	Address string // at which queue workers should report while this daemon leads; "" for any replica
+	Address string  // at which queue workers should report while this daemon leads; "" for any replica
+	Cores   float64 // processor time per second that the daemon may use; 0 for all cores
 }
 
 // DefaultQueueOptions returns the queue parameters for production.
--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/job/estimator"
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/pacer"
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
@@ -25,14 +26,14 @@
 
 // Timing sets the lease duration and the report intervals of workers.
 type Timing struct {
-	Lease                   time.Duration // lease on a worker's runs, counted from the time its report was sent
-	MaxLease                time.Duration // longest lease that any leader may have granted
-	MinReportInterval       time.Duration // minimum time between two reports of a worker
-	MaxPollTime             time.Duration // longest time of a long poll for orders, 0 to disable long polls
-	ReportIntervalPerWorker time.Duration // time that each known worker adds to the report interval, to bound the leader's load
-	MaxStopTime             time.Duration // longest time from the receipt of a stop order to the end of the run
-	MaxContactTimeout       time.Duration // time without a report after which nothing is started on a worker
-	Retention               time.Duration // how long the phase of an ended job is kept
+	Lease             time.Duration // lease on a worker's runs, counted from the time its report was sent
+	MaxLease          time.Duration // longest lease that any leader may have granted
+	MinReportInterval time.Duration // minimum time between two reports of a worker
+	ReportCost        time.Duration // expected processor time of one report, before waits are observed
+	MaxPollTime       time.Duration // longest time of a long poll for orders, 0 to disable long polls
+	MaxStopTime       time.Duration // longest time from the receipt of a stop order to the end of the run
+	MaxContactTimeout time.Duration // time without a report after which nothing is started on a worker
+	Retention         time.Duration // how long the phase of an ended job is kept
 }
 
 // maxClockDriftPercent is an upper bound, with a margin, on how much slower a worker's clock may run.
@@ -41,10 +42,8 @@
 // leaseMargin covers the time between the receipt of a report and the start of the lease granted for it.
 const leaseMargin = 100 * time.Millisecond
 
-// reportInterval returns the time between two reports of a worker in a fleet of n.
-func (t Timing) reportInterval(n int) time.Duration {
-	return max(t.MinReportInterval, min(time.Duration(n)*t.ReportIntervalPerWorker, t.MaxContactTimeout*2/3))
-}
+// maxReportInterval returns the longest time between two reports of a worker. It leaves time for a late report.
+func (t Timing) maxReportInterval() time.Duration { return t.MaxContactTimeout * 2 / 3 }
 
 // nextPollDelay is the shortest delay between a long poll and the worker's next report, which starts the next
 // poll.
@@ -57,10 +56,10 @@
 // time it needs to report to another keeper.
 const contactMargin = 750 * time.Millisecond
 
-// contactTimeout returns the time without a report after which nothing is started on a worker in a fleet
-// of n.
-func (t Timing) contactTimeout(n int) time.Duration {
-	return min(t.MaxContactTimeout, max(t.reportInterval(n), t.MaxPollTime)+contactMargin)
+// contactTimeout returns the time without a report after which nothing is started on a worker that was told to
+// report after the given interval.
+func (t Timing) contactTimeout(interval time.Duration) time.Duration {
+	return min(t.MaxContactTimeout, max(interval, t.MaxPollTime)+contactMargin)
 }
 
 // responseMargin is how late a report may arrive after its due time. It exceeds the transmission time of a
@@ -87,8 +86,9 @@
 	// Wait returns at the limit, or earlier if wake receives or the context ends.
 	Wait func(ctx context.Context, wake <-chan struct{}, limit time.Duration)
 	// Now is the monotonic clock, Wall the wall clock.
-	Now  func() time.Time
-	Wall func() time.Time
+	Now   func() time.Time
+	Wall  func() time.Time
+	Cores float64 // processor time per second that the process may use, 0 for unknown
 	// Metrics receives the counts and durations of decisions and commits.
 	Metrics tally.Scope
 	Log     *zap.Logger
@@ -127,6 +127,7 @@
 	seenAt          map[string]time.Time // when this leader first saw a job
 	endedAt         map[string]time.Time // when this leader first saw a job as ended
 	estimator       *estimator.Estimator
+	pacer           *pacer.Pacer
 }
 
 var _ messages.Queues = (*Coordinator)(nil)
@@ -185,6 +186,10 @@
 	c.seenAt = map[string]time.Time{}
 	c.endedAt = map[string]time.Time{}
 	c.estimator = estimator.New()
+	c.pacer = pacer.New(pacer.Options{
+		Min: c.opts.Timing.MinReportInterval, Max: c.opts.Timing.maxReportInterval(), ReportCost: c.opts.Timing.ReportCost,
+		Cores: c.opts.Cores,
+	}, c.termStart)
 }
 
 // read calls f with the replicated state of the leader. It resets the in-memory data first if the term has
--- a/internal/queue/coordinator/coordinator_test.go
+++ b/internal/queue/coordinator/coordinator_test.go
@@ -226,7 +226,7 @@
 		})
 		is.True(!lost())
 	}
-	f.now = f.now.Add(f.opts.Timing.contactTimeout(1))
+	f.now = f.now.Add(f.opts.Timing.contactTimeout(f.workers["w"].interval))
 	is.True(lost())
 }
 
--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -17,6 +17,9 @@
 func (c *Coordinator) decide(state *tracker.Tracker) *messages.QueueChange {
 	change := &messages.QueueChange{Time: c.opts.Wall().UnixMilli()}
 	c.prune(state)
+	if c.pacer.Update(c.opts.Now(), len(c.workers)) {
+		c.opts.Log.Info("report interval", zap.Duration("interval", c.pacer.Interval()), zap.Int("workers", len(c.workers)), zap.Duration("wait", c.pacer.Wait()))
+	}
 	c.evacuate(state)
 	change.Ends = append(c.expiredWorkers(state), c.unsentStarts(state)...)
 	change.Forgets = c.expiredJobs(state)
@@ -46,7 +49,7 @@
 			expiry = w.leaseEnd
 		}
 		replaced := known && w.born == born && w.replaced
-		inContact := known && w.born == born && now.Sub(w.lastContact) < c.opts.Timing.contactTimeout(len(c.workers))
+		inContact := known && w.born == born && now.Sub(w.lastContact) < c.opts.Timing.contactTimeout(w.interval)
 		if !replaced && (inContact || now.Before(expiry)) {
 			return // a worker in contact reports its own ends
 		}
@@ -68,7 +71,7 @@
 	now := c.opts.Now()
 	var list []*messages.WorkerEnds
 	for id, w := range c.workers {
-		if w.expiring || now.Sub(w.lastContact) < c.opts.Timing.contactTimeout(len(c.workers)) {
+		if w.expiring || now.Sub(w.lastContact) < c.opts.Timing.contactTimeout(w.interval) {
 			continue
 		}
 		ends := &messages.WorkerEnds{Worker: id, Born: w.born}
@@ -228,7 +231,7 @@
 func (c *Coordinator) workerView(state *tracker.Tracker, w *worker, now time.Time) *placer.Worker {
 	v := &placer.Worker{
 		ID: w.id, Started: w.born, Pool: w.pool, Rack: w.rack, Labels: w.labels, Capacity: w.capacity, Free: w.capacity,
-		Usable:  !w.leaving && !w.unreachable && now.Sub(w.lastContact) < c.opts.Timing.contactTimeout(len(c.workers)) && now.Before(w.leaseEnd),
+		Usable:  !w.leaving && !w.unreachable && now.Sub(w.lastContact) < c.opts.Timing.contactTimeout(w.interval) && now.Before(w.leaseEnd),
 		Suspect: w.health.isSuspect(now), Proven: w.health.isProven(now) && !w.health.isSuspect(now),
 	}
 	runs := state.RunsOn(w.id)
--- a/internal/queue/coordinator/evacuate.go
+++ b/internal/queue/coordinator/evacuate.go
@@ -22,7 +22,7 @@
 // write checkpoints work on until there is just time to stop them; other ones would work for nothing.
 func (c *Coordinator) evacuate(state *tracker.Tracker) {
 	now := c.opts.Now()
-	stopTime := c.opts.Timing.MaxStopTime + 2*c.opts.Timing.reportInterval(len(c.workers)) + exitMargin
+	stopTime := c.opts.Timing.MaxStopTime + 2*c.pacer.Interval() + exitMargin
 	for _, id := range slices.Sorted(maps.Keys(c.workers)) {
 		w := c.workers[id]
 		if !w.leaving || w.left {
--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -30,6 +30,7 @@
 	expiring      bool          // its end is being committed; it gets no orders until then
 	lastContact   time.Time     // latest possible send time of its last report
 	clock         int64         // worker's clock in that report, in milliseconds, 0 for none
+	interval      time.Duration // that it was last told to wait before its next report
 	nextReportDue time.Time     // deadline of the next report if the last response arrived, zero for none
 	wake          chan struct{} // ends the long poll
 	unreachable   bool          // responses seem not to arrive
@@ -55,6 +56,7 @@
 	receiveCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), receiveTimeout)
 	defer cancel()
 	err := c.read(receiveCtx, func(state *tracker.Tracker) {
+		c.pacer.Observe(c.opts.Now().Sub(received))
 		if change, stale = c.receive(state, r); !stale {
 			wake = c.beginPoll(r)
 		}
@@ -203,7 +205,8 @@
 		return
 	}
 	now := c.opts.Now()
-	interval := c.opts.Timing.reportInterval(len(c.workers))
+	interval := c.pacer.Interval()
+	w.interval = interval
 	if polled := now.Sub(received); polled >= minPollTime && c.opts.Timing.MaxPollTime > 0 {
 		interval = max(interval-polled, nextPollDelay)
 	}
@@ -394,7 +397,7 @@
 // ordersFor returns the orders for a worker that follow from the replicated state.
 func (c *Coordinator) ordersFor(state *tracker.Tracker, r *messages.FleetReport) *messages.FleetOrders {
 	w := c.workers[r.GetWorker()]
-	o := &messages.FleetOrders{Term: c.term, Address: c.opts.Address, Again: c.opts.Timing.reportInterval(len(c.workers)).Milliseconds()}
+	o := &messages.FleetOrders{Term: c.term, Address: c.opts.Address, Again: c.pacer.Interval().Milliseconds()}
 	if w == nil || w.born != r.GetBorn() || w.sequence != r.GetSequence() || w.left || w.expiring {
 		// The worker no longer waits for this response, or must not get orders.
 		return o
