coordinator: a job waits for proven workers only after a run that failed as it started

Cause: the last attempt of any job that had just failed waited up to 8 s for a worker with a run that had started within 1.5 s. Runs that fail during their work are the job's own fault; they no longer count.

--- a/internal/queue/coordinator/health.go
+++ b/internal/queue/coordinator/health.go
@@ -12,7 +12,7 @@
 	maxQuarantine        = 16 * time.Second
 	probePeriod          = 6 * time.Second         // time to find a probe task; after it the worker is only a suspect
 	immediateFailureTime = 150 * time.Millisecond  // a run that fails within it did not begin its work
-	cautionPeriod        = 8 * time.Second         // after a failure, for which a job's last attempt needs proven workers
+	cautionPeriod        = 8 * time.Second         // after an immediate failure, for which a job's last attempt needs proven workers
 	provenPeriod         = 1500 * time.Millisecond // for which a started run speaks for its worker
 	quarantineDivisor    = 4                       // quarantine is ignored above one in this many workers, as failures then indicate faulty jobs
 )
@@ -70,24 +70,28 @@
 	return h.failureScore >= quarantineThreshold && !h.isQuarantined(now) && now.Before(h.quarantineUntil.Add(probePeriod))
 }
 
-// failedWorkers holds the workers on which each job has failed, with the time of the last failure, by job.
-type failedWorkers map[string]map[string]time.Time
+// failedWorkers holds the workers on which each job has failed, by job.
+type failedWorkers map[string]*jobFailures
+
+// jobFailures are the failures of the runs of a job.
+type jobFailures struct {
+	workers     map[string]bool
+	immediateAt time.Time // last failure of a run that did not begin its work
+}
 
 // record adds a failure. It reports whether the worker is more likely than the job to be the cause.
-func (s failedWorkers) record(now time.Time, job, worker string) bool {
+func (s failedWorkers) record(now time.Time, job, worker string, elapsed time.Duration) bool {
 	if s[job] == nil {
-		s[job] = map[string]time.Time{}
+		s[job] = &jobFailures{workers: map[string]bool{}}
 	}
-	s[job][worker] = now
-	return len(s[job]) < jobFaultThreshold
+	if elapsed < immediateFailureTime {
+		s[job].immediateAt = now
+	}
+	s[job].workers[worker] = true
+	return elapsed < immediateFailureTime || len(s[job].workers) < jobFaultThreshold
 }
 
-// failedLately reports whether a run of a job has failed within cautionPeriod.
+// failedLately reports whether a run of a job has failed immediately within cautionPeriod.
 func (s failedWorkers) failedLately(now time.Time, job string) bool {
-	for _, at := range s[job] {
-		if now.Sub(at) < cautionPeriod {
-			return true
-		}
-	}
-	return false
+	return s[job] != nil && now.Sub(s[job].immediateAt) < cautionPeriod
 }
--- a/internal/queue/coordinator/health_test.go
+++ b/internal/queue/coordinator/health_test.go
@@ -77,6 +77,20 @@
 	}
 }
 
+// TestCautionAfterImmediateFailures checks that only a job with a run that failed as soon as it started waits for
+// proven workers. A run that fails during its work is the job's own fault on any worker.
+func TestCautionAfterImmediateFailures(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	s := failedWorkers{}
+	is.True(s.record(now, "own fault", "w", time.Second))
+	is.True(s.record(now, "worker's fault", "w", 0))
+	is.True(!s.failedLately(now, "own fault"))
+	is.True(s.failedLately(now, "worker's fault"))
+	is.True(!s.failedLately(now, "other"))
+	is.True(!s.failedLately(now.Add(cautionPeriod), "worker's fault"))
+}
+
 // TestQuarantineIsLimited checks that quarantine is ignored when too many workers are in it. Jobs that always
 // fail do so on worker after worker, and must not quarantine the whole fleet.
 func TestQuarantineIsLimited(t *testing.T) {
--- a/internal/queue/coordinator/progress.go
+++ b/internal/queue/coordinator/progress.go
@@ -111,7 +111,7 @@
 	case tracker.EndFailed:
 		elapsed := now.Sub(t.began(now, ordered))
 		// A faulty job fails during its work, so an immediate failure counts against the worker.
-		if c.failedWorkers.record(now, key.Job, w.id) || elapsed < immediateFailureTime {
+		if c.failedWorkers.record(now, key.Job, w.id, elapsed) {
 			w.health.recordFailure(now, key.Job, elapsed)
 			if w.health.isQuarantined(now) {
 				c.opts.Log.Info("worker quarantined", zap.String("worker", w.id), zap.String("request", key.Job), zap.Duration("elapsed", t.elapsed(now)),
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -52,8 +52,8 @@
 	Due func(j *tracker.Job, occurrence int32) bool
 	// Pool returns the pool for a job's tasks, "" if there is none at present.
 	Pool func(*tracker.Job) string
-	// FailedLately reports whether a run of a job has just failed. Its last attempt then starts on proven workers
-	// only, as one that fails all that it starts would use the attempt up.
+	// FailedLately reports whether a run of a job has just failed as soon as it started. Its last attempt then starts on
+	// proven workers only, as one that fails all that it starts would use the attempt up.
 	FailedLately func(*tracker.Job) bool
 }
 
