--- a/internal/queue/tracker/snapshot.go
+++ b/internal/queue/tracker/snapshot.go
@@ -81,7 +81,28 @@
 	return t, nil
 }
 
+// maxTasks bounds the tasks of a job in a snapshot, so that damaged data is an error and does not exhaust the memory.
+const maxTasks = 1 << 20
+
+// checkWork returns an error if a job cannot be built from its description.
+func checkWork(w *messages.Work) error {
+	tasks := int64(0)
+	for i, step := range w.GetSteps() {
+		if step.GetCount() < 0 {
+			return fmt.Errorf("restore queues: job %s has %d tasks in step %d", w.GetId(), step.GetCount(), i)
+		}
+		tasks += int64(step.GetCount()) + 1
+	}
+	if occurrences := max(w.GetOccurrences(), 1); occurrences > maxTasks || tasks*occurrences > maxTasks {
+		return fmt.Errorf("restore queues: job %s has %d occurrences of %d steps and tasks", w.GetId(), occurrences, tasks)
+	}
+	return nil
+}
+
 func restoreJob(state *messages.JobState) (*Job, error) {
+	if err := checkWork(state.GetWork()); err != nil {
+		return nil, err
+	}
 	j := newJob(state.GetWork(), state.GetSequence())
 	j.Phase, j.EndedAt = Phase(state.GetPhase()), state.GetEnded()
 	if len(j.steps) != len(state.GetSteps()) {
@@ -113,7 +134,7 @@
 		return fmt.Errorf("restore queues: run on worker %s belongs to unknown job %s", r.GetWorker(), r.GetJob())
 	}
 	s := j.Step(r.GetOccurrence(), r.GetStep())
-	if s == nil || int(r.GetTask()) >= len(s.Tasks) {
+	if s == nil || r.GetTask() < 0 || int(r.GetTask()) >= len(s.Tasks) {
 		return fmt.Errorf("restore queues: job %s has no task %d in step %d", r.GetJob(), r.GetTask(), r.GetStep())
 	}
 	s.Tasks[r.GetTask()].Active++
--- a/internal/queue/tracker/tracker_test.go
+++ b/internal/queue/tracker/tracker_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
@@ -183,3 +185,68 @@
 		}
 	})
 }
+
+// TestDamagedSnapshot checks that a snapshot with indices or counts out of range is an error that names the job.
+func TestDamagedSnapshot(t *testing.T) {
+	job := func(change func(*messages.JobState)) *messages.QueueState {
+		j := &messages.JobState{
+			Work:  &messages.Work{Id: "j", Steps: []*messages.Step{{Count: 1}}},
+			Steps: []*messages.StepState{{Tasks: []*messages.TaskState{{}}}},
+		}
+		change(j)
+		return &messages.QueueState{Jobs: []*messages.JobState{j}}
+	}
+	run := func(r *messages.Run) *messages.QueueState {
+		s := job(func(*messages.JobState) {})
+		r.Job, r.Worker = "j", "w"
+		s.Runs = []*messages.Run{r}
+		return s
+	}
+	for _, c := range []struct {
+		name  string
+		state *messages.QueueState
+		valid bool
+	}{
+		{"a run of the task", run(&messages.Run{}), true},
+		{"a run of a negative task", run(&messages.Run{Task: -1}), false},
+		{"a run of a negative step", run(&messages.Run{Step: -1}), false},
+		{"a run of a negative occurrence", run(&messages.Run{Occurrence: -1}), false},
+		{"a run of a task that does not exist", run(&messages.Run{Task: 1}), false},
+		{"a negative number of tasks", job(func(j *messages.JobState) { j.Work.Steps[0].Count = -1 }), false},
+		{"too many occurrences", job(func(j *messages.JobState) { j.Work.Occurrences = 1 << 40 }), false},
+		{"a task is missing", job(func(j *messages.JobState) { j.Steps[0].Tasks = nil }), false},
+		{"a step is missing", job(func(j *messages.JobState) { j.Steps = nil }), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			data, err := proto.Marshal(c.state)
+			is.NoErr(err)
+			_, err = Restore(data)
+			is.Equal(err == nil, c.valid)
+			if err != nil {
+				is.True(strings.Contains(err.Error(), "job j "))
+			}
+		})
+	}
+}
+
+// FuzzRestore checks that no snapshot takes the process down, and that a restored state is consistent.
+func FuzzRestore(f *testing.F) {
+	tr := New()
+	tr.Apply(&messages.QueueChange{Submits: []*messages.Work{gangJob("j", 2, 2)}})
+	tr.Apply(&messages.QueueChange{Starts: []*messages.Run{start("j", 0, 1, "w1"), start("j", 1, 1, "w2")}})
+	data, err := tr.Save()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		restored, err := Restore(data)
+		if err != nil {
+			return
+		}
+		if err := restored.Check(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
