pacer: the interval is never shorter than the expected cost of the fleet's reports

Cause: with the interval led by waits alone, a fleet of 3000 workers overloaded its leader. The waits show it late: workers give up after a second and report to all keepers in turn, 354 new connections a second at each.

--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -29,7 +29,7 @@
 	Lease             time.Duration // lease on a worker's runs, counted from the time its report was sent
 	MaxLease          time.Duration // longest lease that any leader may have granted
 	MinReportInterval time.Duration // minimum time between two reports of a worker
-	ReportCost        time.Duration // expected processor time of one report, before waits are observed
+	ReportCost        time.Duration // expected processor time of one report, with its share of the decisions
 	MaxPollTime       time.Duration // longest time of a long poll for orders, 0 to disable long polls
 	MaxStopTime       time.Duration // longest time from the receipt of a stop order to the end of the run
 	MaxContactTimeout time.Duration // time without a report after which nothing is started on a worker
--- a/internal/queue/pacer/pacer.go
+++ b/internal/queue/pacer/pacer.go
@@ -6,7 +6,6 @@
 
 const (
 	period      = 500 * time.Millisecond // between two adaptations
-	settling    = 2 * time.Second        // from the start, while the fleet reports for the first time
 	targetUse   = 0.5                    // share of the processor that reports may be expected to take
 	highWait    = 50 * time.Millisecond  // mean wait of reports from which the interval is lengthened
 	lowWait     = 25 * time.Millisecond  // below which it is shortened; hysteresis keeps it steady in between
@@ -18,7 +17,7 @@
 // Options are the bounds of a pacer.
 type Options struct {
 	Min, Max   time.Duration // of the interval
-	ReportCost time.Duration // expected processor time of one report, before any wait is observed
+	ReportCost time.Duration // expected processor time of one report
 	Cores      float64       // processor time per second that the process may use, 0 for unknown
 }
 
@@ -26,7 +25,6 @@
 type Pacer struct {
 	opts      Options
 	interval  time.Duration
-	started   time.Time
 	adaptedAt time.Time
 	reports   int           // since adaptedAt
 	waited    time.Duration // by all of them
@@ -35,7 +33,7 @@
 
 // New returns a pacer for a leader that starts now.
 func New(opts Options, now time.Time) *Pacer {
-	return &Pacer{opts: opts, interval: opts.Min, started: now, adaptedAt: now}
+	return &Pacer{opts: opts, interval: opts.Min, adaptedAt: now}
 }
 
 // Interval returns the time between two reports of a worker.
@@ -51,13 +49,12 @@
 }
 
 // Update adapts the interval to the size of the fleet and to the waits observed. It reports whether the interval
-// changed.
+// changed. The interval is never shorter than the expected cost of the fleet's reports allows: an overload shows in
+// the waits only once workers give up and report to all replicas in turn.
 func (p *Pacer) Update(now time.Time, workers int) bool {
 	before := p.interval
-	if now.Sub(p.started) < settling {
-		// All workers report at once after a change of the leader, before any wait shows it.
-		p.interval = p.clamp(max(p.interval, p.expected(workers)))
-	}
+	shortest := p.clamp(p.expected(workers))
+	p.interval = max(p.interval, shortest)
 	if now.Sub(p.adaptedAt) < period {
 		return p.interval != before
 	}
@@ -68,8 +65,8 @@
 		p.interval = p.clamp(scale(p.interval, maxIncrease))
 	case p.wait > highWait:
 		p.interval = p.clamp(scale(p.interval, increase))
-	case p.wait < lowWait && now.Sub(p.started) >= settling:
-		p.interval = p.clamp(scale(p.interval, decrease))
+	case p.wait < lowWait:
+		p.interval = max(shortest, scale(p.interval, decrease))
 	}
 	return p.interval != before
 }
