coordinator: delayed reports at a new leader do not revoke starts of its predecessor

Cause: a run that a report does not list counts as not started, as a worker reports only after the response to its previous report has arrived or is void. That holds for the leader that ordered the start. A new leader knows nothing of the reports that its predecessor answered: two reports from before the start, held up by a partition, arrived at it first, and the second one passed for proof that the start had not been received. One was enough for a run that must stop.

Fix: starts that this leader has not committed itself are revoked only by a worker that is known to have received a response of this leader (it lists, or lists the end of, a run that only this leader can have ordered), or when the longest lease that a predecessor can have granted is over: a run that is alive then has been listed to this leader.

Evidence: TestDelayedReportsAtNewLeader failed on the code before (0 active runs, want 1, in two cases) and passes now.

--- a/internal/queue/coordinator/coordinator_test.go
+++ b/internal/queue/coordinator/coordinator_test.go
@@ -211,6 +211,68 @@
 	is.Equal(f.state.Job("a").Phase, tracker.Completed)
 }
 
+// TestDelayedReportsAtNewLeader guards against runs that are taken for not started, and start elsewhere while they go
+// on: reports from before their start that were held up by a partition arrive at a new leader first.
+func TestDelayedReportsAtNewLeader(t *testing.T) {
+	running := func(r *messages.FleetReport) {
+		r.Running = []*messages.Running{{Run: &messages.Run{Job: "a", Number: 1}}}
+	}
+	newLeader := func(t *testing.T) *fixture {
+		f := newFixture()
+		if status := f.submit(t, "/q/a", "k1"); status != StatusOK {
+			t.Fatal(status)
+		}
+		f.report(t, 1, nil)
+		f.Pass(context.Background())
+		if starts := f.report(t, 5, nil).GetStarts(); len(starts) != 1 {
+			t.Fatalf("%d starts, want 1", len(starts))
+		}
+		f.leaderTerm++
+		return f
+	}
+	t.Run("a run that goes on", func(t *testing.T) {
+		is := is.New(t)
+		f := newLeader(t)
+		f.report(t, 3, nil)
+		f.report(t, 4, nil)
+		is.Equal(f.state.Job("a").Active(), 1)
+		is.Equal(len(f.report(t, 6, running).GetStops()), 0)
+	})
+	t.Run("a run that must stop", func(t *testing.T) {
+		is := is.New(t)
+		f := newLeader(t)
+		_, err := f.Cancel(context.Background(), &messages.Lookup{Host: "h", Path: "/q/a", Key: "k1"})
+		is.NoErr(err)
+		f.report(t, 3, nil)
+		is.Equal(f.state.Job("a").Active(), 1) // its capacity is in use until it has stopped
+		is.Equal(len(f.report(t, 6, running).GetStops()), 1)
+	})
+	t.Run("a start that did not arrive is given up after the longest lease", func(t *testing.T) {
+		is := is.New(t)
+		f := newLeader(t)
+		_, err := f.Cancel(context.Background(), &messages.Lookup{Host: "h", Path: "/q/a", Key: "k1"})
+		is.NoErr(err)
+		f.report(t, 6, nil)
+		f.now = f.now.Add(f.opts.Timing.MaxLease + time.Second)
+		f.report(t, 7, nil)
+		is.Equal(f.state.Job("a").Active(), 0)
+	})
+	t.Run("a start that did not arrive is given up once a response of the new leader has arrived", func(t *testing.T) {
+		is := is.New(t)
+		f := newLeader(t)
+		_, err := f.Cancel(context.Background(), &messages.Lookup{Host: "h", Path: "/q/a", Key: "k1"})
+		is.NoErr(err)
+		f.report(t, 6, nil)
+		is.Equal(f.submit(t, "/q/b", "k1"), StatusOK)
+		f.Pass(context.Background())
+		is.Equal(len(f.report(t, 7, nil).GetStarts()), 1)
+		f.report(t, 8, func(r *messages.FleetReport) {
+			r.Running = []*messages.Running{{Run: &messages.Run{Job: "b", Number: 1}}}
+		})
+		is.Equal(f.state.Job("a").Active(), 0)
+	})
+}
+
 // TestReportingWorkerIsNotLost checks that a worker that reports is not lost when its lease expires because an
 // overloaded leader reads reports but responds too late to extend leases.
 func TestReportingWorkerIsNotLost(t *testing.T) {
--- a/internal/queue/coordinator/progress.go
+++ b/internal/queue/coordinator/progress.go
@@ -26,6 +26,7 @@
 	for _, l := range r.GetRunning() {
 		key := tracker.KeyOf(l.GetRun())
 		w.listed[key] = true
+		c.observeOrder(w, key)
 		t := c.progress[key]
 		if t == nil {
 			t = &runProgress{worker: w.id, firstListed: now, progressedAt: now, savedAt: now}
--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -38,7 +38,10 @@
 	listed        map[tracker.RunKey]bool
 	// startOrders holds, by run, the sequence number of the report whose response last ordered its start.
 	startOrders map[tracker.RunKey]uint64
-	health      health
+	// answered is true once a report has shown that a response of this leader arrived. Responses of earlier leaders
+	// are void from then on, and no report that was sent before can pass for a current one.
+	answered bool
+	health   health
 }
 
 // receiveTimeout limits the processing of a report and the commit of the ends in it. It covers an election and
@@ -343,6 +346,7 @@
 		}
 		ends.Sequence = max(ends.Sequence, e.GetSequence())
 		key := tracker.EndKeyOf(e.GetEnd())
+		c.observeOrder(w, key)
 		if run := runs[key]; run != nil && run.GetBorn() == w.born {
 			ends.Ends = append(ends.Ends, e.GetEnd())
 			c.recordEnd(state, w, key, e.GetEnd())
@@ -368,7 +372,8 @@
 // unstartedRuns returns the ends of runs whose orders did not reach the worker, and of runs that have not
 // started and must not start any more. A worker sends a report only after the response to the previous one
 // has arrived or is void, so a run that a later report does not list has not started and does not start
-// without a further order. A worker reports no end for a run that was stopped before its start order arrived.
+// without a further order. For runs that an earlier leader may have ordered, this holds for current reports
+// only. A worker reports no end for a run that was stopped before its start order arrived.
 func (c *Coordinator) unstartedRuns(state *tracker.Tracker, w *worker, listed []*messages.End) []*messages.End {
 	ended := make(map[tracker.RunKey]bool, len(listed))
 	for _, e := range listed {
@@ -381,6 +386,8 @@
 			continue
 		case !c.mustStop(state.Job(key.Job), key) && w.startOrders[key] == 0:
 			continue
+		case !c.committedStarts[key] && !c.isCurrent(w):
+			continue
 		}
 		w.unreachable = w.unreachable || w.startOrders[key] > 0
 		c.stopping[key] = true // the start must not be ordered again before the end is committed
@@ -394,6 +401,18 @@
 	return ends
 }
 
+// observeOrder records that a report names a run whose start only this leader can have ordered.
+func (c *Coordinator) observeOrder(w *worker, key tracker.RunKey) {
+	w.answered = w.answered || c.committedStarts[key] && w.startOrders[key] > 0
+}
+
+// isCurrent reports whether the worker's reports are known to follow the last response of an earlier leader. Reports
+// from before it may arrive late, and do not list the runs that it started. After the longest lease such a run has
+// ended, unless it was listed to this leader, whose responses have kept it alive.
+func (c *Coordinator) isCurrent(w *worker) bool {
+	return w.answered || c.opts.Now().After(c.opts.Timing.leaseExpiry(c.termStart, c.opts.Timing.MaxLease))
+}
+
 // ordersFor returns the orders for a worker that follow from the replicated state.
 func (c *Coordinator) ordersFor(state *tracker.Tracker, r *messages.FleetReport) *messages.FleetOrders {
 	w := c.workers[r.GetWorker()]
