simulator: tasks that crash their workers

A share of a queue's jobs, Queue.Deadly, has one task (single or a member of a gang) that crashes its worker within 10 ms of each start. The worker restarts under the same ID after 2 to 8 s, in a fifth of the cases later than the lease. A worker that several faults keep down restarts once all of them allow it.

Checked while it runs: after three workers have crashed under a deadly task, it starts at most twice more; a job that cannot fail is never shown as failed; a job with a deadly task is shown as failed only after two crashes under it, and ends. Fault.AfterCrashes starts a fault at the n-th crash under one task, to change the leader between two.

--- a/internal/queue/simulator/job.go
+++ b/internal/queue/simulator/job.go
@@ -20,6 +20,7 @@
 	work             *messages.Work
 	durations        [][]time.Duration // by step and task, on a worker of speed 1
 	alwaysFails      bool              // each run fails
+	deadly           *deadlyTask       // nil for none
 	willCancel       bool              // the caller cancels the job after it is accepted
 	cancelSent       bool
 	submitted        time.Time
@@ -99,6 +100,7 @@
 		}
 		j.durations = append(j.durations, tasks)
 	}
+	j.deadly = s.drawDeadlyTask(j)
 	s.jobs = append(s.jobs, j)
 	s.jobsByID[j.id] = j
 	return j
@@ -193,12 +195,15 @@
 	s.after(pollInterval, func() { s.poll(j) })
 }
 
-// checkFinalPhase checks that a job reported as cancelled was cancelled by its caller, and that all tasks of
-// a job reported as completed are done.
+// checkFinalPhase checks that a job reported as cancelled was cancelled by its caller, that one reported as
+// failed could fail, and that all tasks of a job reported as completed are done.
 func (s *Simulator) checkFinalPhase(j *job) {
 	if j.phase == tracker.Cancelled && !j.cancelSent {
 		s.recordViolation("job %s is reported as cancelled without a cancellation", j.id)
 	}
+	if j.phase == tracker.Failed {
+		s.checkFailedPhase(j)
+	}
 	if j.phase != tracker.Completed {
 		return
 	}
--- a/internal/queue/simulator/simulator.go
+++ b/internal/queue/simulator/simulator.go
@@ -93,6 +93,7 @@
 	FailureRate      float64 // share of runs that fail because of the job
 	AlwaysFailing    float64 // share of jobs whose runs all fail
 	Cancelled        float64 // share of jobs that their callers cancel
+	Deadly           float64 // share of jobs with one task that crashes each worker on which it starts
 }
 
 // Fault is a fault injected into some workers, or into the leader, for some time.
@@ -103,6 +104,9 @@
 	Share    float64 // of the workers, chosen at random
 	Slowdown float64 // factor on run times, for Slow
 	Workers  []int   // indices of the workers, in place of Share
+	// AfterCrashes is a number of crashes. If it is not 0, Start counts from the moment at which so many workers
+	// have first crashed under one deadly task.
+	AfterCrashes int
 }
 
 // FaultKind is a kind of fault.
@@ -154,6 +158,7 @@
 	finishedTasks     map[tracker.TaskKey]bool // done on a worker
 	acknowledgedTasks map[tracker.TaskKey]bool // done and acknowledged by the leader
 	catalog           *messages.Catalog
+	triggered         []bool // faults with AfterCrashes that have been scheduled, by index
 	result            Result
 }
 
@@ -167,6 +172,7 @@
 		finishedTasks: map[tracker.TaskKey]bool{}, acknowledgedTasks: map[tracker.TaskKey]bool{},
 	}
 	s.now = s.start
+	s.triggered = make([]bool, len(opts.Faults))
 	s.electLeader()
 	s.installCatalog()
 	s.addWorkers()
@@ -437,10 +443,12 @@
 	hostName = "host"
 )
 
-// scheduleFaults schedules the starts of all faults.
+// scheduleFaults schedules the starts of the faults that do not follow a crash.
 func (s *Simulator) scheduleFaults() {
 	for _, f := range s.opts.Faults {
-		s.after(f.Start, func() { s.startFault(f) })
+		if f.AfterCrashes == 0 {
+			s.after(f.Start, func() { s.startFault(f) })
+		}
 	}
 }
 
