simulator: capacities that shrink and grow

The fault Resize multiplies the capacity of workers for some time, also by 0. The result has the time from the report of a grown capacity to the next start on the worker.

--- a/internal/queue/simulator/result.go
+++ b/internal/queue/simulator/result.go
@@ -21,11 +21,13 @@
 	LostWork                  float64 // core-seconds
 	Work                      float64 // core-seconds of all jobs that were not cancelled
 	Runs                      int
-	Ends                      map[string]int // runs by how they ended
-	GangTimeouts              int            // members ended by gangTimeout on connected workers
-	DeadlyCrashes             int            // crashes of workers by deadly tasks
-	LostBeside                float64        // core-seconds of other runs lost by these crashes
-	GivenUp                   int            // jobs with a deadly task that were reported as failed
+	Ends                      map[string]int  // runs by how they ended
+	GangTimeouts              int             // members ended by gangTimeout on connected workers
+	DeadlyCrashes             int             // crashes of workers by deadly tasks
+	LostBeside                float64         // core-seconds of other runs lost by these crashes
+	GivenUp                   int             // jobs with a deadly task that were reported as failed
+	Growths                   int             // growths of a worker's capacity that were reported
+	GrowthDelays              []time.Duration // from these reports to the next start on the worker, if there was one
 	Queues                    []QueueResult
 	LateReclaims              int      // accepted jobs of priority 0 that started later than maxReclaimTime
 	Unfinished                []string // accepted jobs that have not ended drainTime after the last arrival
--- a/internal/queue/simulator/simulator.go
+++ b/internal/queue/simulator/simulator.go
@@ -103,6 +103,7 @@
 	Duration time.Duration
 	Share    float64 // of the workers, chosen at random
 	Slowdown float64 // factor on run times, for Slow
+	Capacity float64 // factor on the capacity, for Resize
 	Workers  []int   // indices of the workers, in place of Share
 	// AfterCrashes is a number of crashes. If it is not 0, Start counts from the moment at which so many workers
 	// have first crashed under one deadly task.
@@ -120,6 +121,7 @@
 	Slow           FaultKind = "slow"    // runs take longer
 	Failing        FaultKind = "failing" // runs fail as soon as they start
 	Stuck          FaultKind = "stuck"   // runs make no progress
+	Resize         FaultKind = "resize"  // the capacity of the worker shrinks, or grows, until the end of the fault
 	Leave          FaultKind = "leave"   // the worker announces its exit, exits after Duration and restarts later
 	LeaderChange   FaultKind = "depose"  // the leader steps down, a new one is elected at the end of the fault
 	UnknownOutcome FaultKind = "unsure"  // commits return an error and may or may not be applied
@@ -462,7 +464,7 @@
 		s.outcomeUnknown = true
 		s.after(f.Duration, func() { s.outcomeUnknown = false })
 		return
-	case Crash, Partition, Unreachable, Slow, Failing, Stuck, Leave:
+	case Crash, Partition, Unreachable, Slow, Failing, Stuck, Resize, Leave:
 	}
 	chosen := f.Workers
 	if chosen == nil {
