coordinator, placer, tracker: a task that crashes its workers is given up

Cause: a run that ends with its worker counts as lost, not as failed, as most lost runs are innocent. So nothing limited the restarts of a task that is itself the reason, and nothing kept its restarts away from other work. The class of fault: a retry without a limit, of work whose failure takes its executor along.

Design: - Evidence. When an incarnation is lost, the leader names in the same log entry the runs that had just started: never listed in a report, or listed for less than half a second. An earlier run cannot be the cause. A crash counts as explained by one task alone if nothing else was starting there, the worker is known to have restarted (a later incarnation, or a successor at its address), had not announced its exit, was older than 10 s, and this leader had ordered the start. It is cleared when the task has been at work. - Trials. A suspect task starts on the worker where a crash would lose least, and nothing else starts there until it has been seen alive after it. One trial a job, few at a time in a busy fleet, more on idle workers. After two crashes the task waits for a worker that has not started lately, and the rest of its step waits for it. - A task is given up after three crashes of which two have no other explanation, or five of any kind. Its job fails, with the crashes in the log. Builds before this one cancel the job instead of failing it: the state of a mixed fleet differs in the phase's name only.

--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -211,7 +211,7 @@
 	}
 }
 
-// Pass runs one scheduling pass: it commits lease expiries, starts and the removal of old jobs. It returns how
+// Pass runs one scheduling pass: it commits lease expiries, starts, jobs that are given up and the removal of old jobs. It returns how
 // long the decisions took.
 func (c *Coordinator) Pass(ctx context.Context) (took time.Duration) {
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -230,8 +230,11 @@
 		c.opts.Log.Warn("scheduling decisions not committed", zap.Int("starts", len(change.GetStarts())), zap.Int("ends", len(change.GetEnds())), zap.Error(err))
 		return took
 	}
-	err = c.read(ctx, func(*tracker.Tracker) {
+	err = c.read(ctx, func(state *tracker.Tracker) {
 		c.clearExpiring(change.GetEnds())
+		for _, id := range change.GetFailures() {
+			c.wakeJobWorkers(state.Job(id))
+		}
 		for _, r := range change.GetStarts() {
 			c.committedStarts[tracker.KeyOf(r)] = true
 			c.wakeWorker(r.GetWorker())
--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -23,11 +23,16 @@
 	c.evacuate(state)
 	change.Ends = append(c.expiredWorkers(state), c.unsentStarts(state)...)
 	change.Forgets = c.expiredJobs(state)
-	if len(change.Ends) == 0 {
+	change.Failures = c.giveUps(state)
+	change.Cancels = change.Failures
+	if len(change.Ends)+len(change.Failures) == 0 {
 		// Ends free capacity that is not visible before they are applied, so starts wait for the next pass.
 		change.Starts = c.planStarts(state)
 	}
-	if len(change.Ends)+len(change.Forgets)+len(change.Starts) == 0 {
+	for _, r := range change.Starts {
+		r.Started = change.Time
+	}
+	if len(change.Ends)+len(change.Forgets)+len(change.Failures)+len(change.Starts) == 0 {
 		return nil
 	}
 	return change
@@ -35,36 +40,47 @@
 
 // expiredWorkers returns the worker incarnations whose leases have expired or that have been replaced.
 func (c *Coordinator) expiredWorkers(state *tracker.Tracker) []*messages.WorkerEnds {
-	now := c.opts.Now()
 	var list []*messages.WorkerEnds
 	state.EachWorker(func(id string, runs map[tracker.RunKey]*messages.Run) {
-		w := c.workers[id]
 		born := int64(0)
 		for _, r := range runs {
 			born = max(born, r.GetBorn())
 		}
-		known := w != nil && w.born >= born
-		expiry := c.opts.Timing.leaseExpiry(c.termStart, c.opts.Timing.MaxLease)
-		if known && w.leaseEnd.After(expiry) {
-			expiry = w.leaseEnd
-		}
-		replaced := known && w.born == born && w.replaced
-		inContact := known && w.born == born && now.Sub(w.lastContact) < c.opts.Timing.contactTimeout(w.interval)
-		if !replaced && (inContact || now.Before(expiry)) {
-			return // a worker in contact reports its own ends
+		expiry, replaced, lost := c.isLost(id, born)
+		if !lost {
+			return
 		}
 		c.metrics.lost.Inc(1)
 		c.opts.Log.Info("worker lost", zap.String("worker", id), zap.Int64("born", born), zap.Int("runs", len(runs)),
 			zap.Time("lease", expiry), zap.Bool("replaced", replaced))
-		if w != nil && w.born == born {
+		w := c.workers[id]
+		if w != nil && w.born != born {
+			w = nil
+		}
+		list = append(list, &messages.WorkerEnds{Worker: id, Born: born, Over: true, Crashes: c.crashes(state, id, born, w, replaced)})
+		if w != nil {
 			w.expiring = true
 		}
-		list = append(list, &messages.WorkerEnds{Worker: id, Born: born, Over: true})
 	})
 	slices.SortFunc(list, func(a, b *messages.WorkerEnds) int { return strings.Compare(a.GetWorker(), b.GetWorker()) })
 	return list
 }
 
+// isLost reports whether the runs of an incarnation have ended with it, because its leases have expired or because
+// another worker has replaced it. A worker in contact reports its own ends.
+func (c *Coordinator) isLost(id string, born int64) (expiry time.Time, replaced, lost bool) {
+	now := c.opts.Now()
+	w := c.workers[id]
+	known := w != nil && w.born >= born
+	expiry = c.opts.Timing.leaseExpiry(c.termStart, c.opts.Timing.MaxLease)
+	if known && w.leaseEnd.After(expiry) {
+		expiry = w.leaseEnd
+	}
+	replaced = known && w.born == born && w.replaced
+	inContact := known && w.born == born && now.Sub(w.lastContact) < c.opts.Timing.contactTimeout(w.interval)
+	return expiry, replaced, replaced || !inContact && !now.Before(expiry)
+}
+
 // unsentStarts returns the ends of starts whose orders were not sent because the worker stopped reporting.
 // Only this leader could have sent them, so the tasks may be started elsewhere without waiting for a lease.
 func (c *Coordinator) unsentStarts(state *tracker.Tracker) []*messages.WorkerEnds {
@@ -233,6 +249,7 @@
 		ID: w.id, Started: w.born, Pool: w.pool, Rack: w.rack, Labels: w.labels, Capacity: w.capacity, Free: w.capacity,
 		Usable:  !w.leaving && !w.unreachable && now.Sub(w.lastContact) < c.opts.Timing.contactTimeout(w.interval) && now.Before(w.leaseEnd),
 		Suspect: w.health.isSuspect(now), Proven: w.health.isProven(now) && !w.health.isSuspect(now),
+		Young: c.opts.Wall().Sub(time.UnixMilli(w.born)) < minWorkerAge,
 	}
 	runs := state.RunsOn(w.id)
 	for key, r := range runs {
@@ -250,7 +267,7 @@
 		}
 		v.Runs = append(v.Runs, &placer.ActiveRun{
 			Key: key, Job: j, Step: s, Need: need, Stopping: c.mustStop(j, key),
-			Unsaved: t.unsaved(now, s.Spec.GetCheckpoints()), Remaining: remaining,
+			Unsaved: t.unsaved(now, s.Spec.GetCheckpoints()), Remaining: remaining, Starting: !t.hasSurvived(),
 		})
 	}
 	for key := range w.listed {
--- a/internal/queue/coordinator/metrics.go
+++ b/internal/queue/coordinator/metrics.go
@@ -16,6 +16,8 @@
 	evicted   tally.Counter // runs preempted by urgent work
 	evacuated tally.Counter // runs moved from leaving workers
 	lost      tally.Counter // worker incarnations that were replaced or whose leases expired
+	crashes   tally.Counter // runs that had just started when their worker was lost
+	givenUp   tally.Counter // jobs with a task that crashes its workers
 	reports   tally.Counter
 	pass      tally.Histogram
 	commit    tally.Histogram
@@ -30,7 +32,8 @@
 	m := metrics{
 		submits: map[string]tally.Counter{}, ends: map[string]tally.Counter{},
 		starts: scope.Counter("starts"), evicted: scope.Counter("evicted"), evacuated: scope.Counter("evacuated"), lost: scope.Counter("lost_workers"),
-		reports: scope.Counter("reports"), pass: scope.Histogram("pass_seconds", buckets()), commit: scope.Histogram("commit_seconds", buckets()),
+		crashes: scope.Counter("crashes"), givenUp: scope.Counter("given_up"), reports: scope.Counter("reports"),
+		pass: scope.Histogram("pass_seconds", buckets()), commit: scope.Histogram("commit_seconds", buckets()),
 	}
 	for _, status := range []string{StatusOK, StatusRefused, StatusNoQueue, StatusNoKey, StatusUnknown, StatusEmpty, StatusMismatch} {
 		m.submits[status] = scope.Tagged(map[string]string{"status": status}).Counter("submits")
--- a/internal/queue/coordinator/progress.go
+++ b/internal/queue/coordinator/progress.go
@@ -13,6 +13,8 @@
 type runProgress struct {
 	worker       string
 	firstListed  time.Time // when the run was first listed
+	lastListed   time.Time // when the last report that lists it was sent, at the latest
+	inherited    bool      // an earlier leader ordered the start
 	percent      int32
 	progressedAt time.Time // when the percentage last changed
 	saved        string
@@ -29,12 +31,14 @@
 		c.observeOrder(w, key)
 		t := c.progress[key]
 		if t == nil {
-			t = &runProgress{worker: w.id, firstListed: now, progressedAt: now, savedAt: now}
+			_, ordered := w.startOrders[key]
+			t = &runProgress{worker: w.id, firstListed: now, progressedAt: now, savedAt: now, inherited: !ordered}
 			c.progress[key] = t
-			if _, ordered := w.startOrders[key]; ordered {
+			if ordered {
 				w.health.provenAt = now
 			}
 		}
+		t.lastListed = w.lastContact
 		if l.GetPercent() != t.percent {
 			t.percent, t.progressedAt = l.GetPercent(), now
 		}
--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -26,6 +26,8 @@
 	leaving       bool
 	exitAt        time.Time // earliest exit of a leaving worker
 	left          bool
+	exitNotice    bool          // it has sent a notice that it is about to exit
+	previous      *worker       // the incarnation before it, nil if this leader did not know it
 	replaced      bool          // a later worker reports from its address, so this one has ended
 	expiring      bool          // its end is being committed; it gets no orders until then
 	lastContact   time.Time     // latest possible send time of its last report
@@ -44,6 +46,17 @@
 	health   health
 }
 
+// hasAnnouncedExit reports whether the end of the worker is planned.
+func (w *worker) hasAnnouncedExit() bool { return w.leaving || w.exitNotice }
+
+// previousAt returns the incarnation before this one if it began at the given time and is known, or nil.
+func (w *worker) previousAt(born int64) *worker {
+	if w.previous == nil || w.previous.born != born {
+		return nil
+	}
+	return w.previous
+}
+
 // receiveTimeout limits the processing of a report and the commit of the ends in it. It covers an election and
 // a commit after it.
 const receiveTimeout = 4 * time.Second
@@ -253,6 +266,9 @@
 // addIncarnation adds a worker that is new or has restarted.
 func (c *Coordinator) addIncarnation(r *messages.FleetReport) *worker {
 	w := &worker{id: r.GetWorker(), born: r.GetBorn(), startOrders: map[tracker.RunKey]uint64{}}
+	if w.previous = c.workers[w.id]; w.previous != nil {
+		w.previous.previous = nil
+	}
 	c.workers[r.GetWorker()] = w
 	c.opts.Log.Info("worker reports", zap.String("worker", w.id), zap.Int64("born", w.born),
 		zap.String("address", r.GetAddress()), zap.String("pool", r.GetPool()), zap.Strings("labels", r.GetLabels()))
@@ -302,6 +318,7 @@
 	w.exitAt = w.lastContact.Add(time.Duration(r.GetRemaining()) * time.Millisecond)
 	w.address = r.GetAddress()
 	w.left = w.left && w.leaving // not leaving: the exit notice was from an earlier incarnation
+	w.exitNotice = w.exitNotice && w.leaving
 }
 
 // latestSendTime returns the latest time at which a report that arrives now can have been sent. A network
@@ -328,7 +345,7 @@
 	if w == nil || r.GetBorn() != 0 && r.GetBorn() != w.born {
 		return
 	}
-	w.left = true
+	w.left, w.exitNotice = true, true
 	c.opts.Log.Info("worker sent exit notice", zap.String("worker", w.id), zap.Int("runs", len(state.RunsOn(w.id))))
 }
 
@@ -352,19 +369,29 @@
 			c.recordEnd(state, w, key, e.GetEnd())
 		}
 	}
-	earlier := false
-	for _, run := range runs {
-		earlier = earlier || run.GetBorn() < w.born
+	earlier, crashed := earlierIncarnation(runs, w.born)
+	if crashed {
+		ends.Crashes = c.crashes(state, w.id, earlier, w.previousAt(earlier), true)
 	}
 	if len(r.GetEnds()) < splitEndsThreshold {
 		ends.Ends = append(ends.Ends, c.unstartedRuns(state, w, ends.Ends)...)
 	}
-	if ends.Sequence == incarnation.Sequence && !earlier && len(ends.Ends) == 0 {
+	if ends.Sequence == incarnation.Sequence && !crashed && len(ends.Ends) == 0 {
 		return nil
 	}
 	return &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Ends: []*messages.WorkerEnds{ends}}
 }
 
+// earlierIncarnation returns the last incarnation before the given one that has runs, whose ends it could not report.
+func earlierIncarnation(runs map[tracker.RunKey]*messages.Run, born int64) (earlier int64, ok bool) {
+	for _, r := range runs {
+		if r.GetBorn() < born {
+			earlier, ok = max(earlier, r.GetBorn()), true
+		}
+	}
+	return earlier, ok
+}
+
 // splitEndsThreshold is the number of ends from which a worker may split them over several reports. A run
 // that such a report does not list may have ended.
 const splitEndsThreshold = 500
@@ -440,12 +467,7 @@
 			w.startOrders[key] = r.GetSequence()
 		}
 	}
-	for key := range w.listed {
-		if run := runs[key]; run == nil || run.GetBorn() != w.born {
-			// The run is committed as ended, or was not committed at all.
-			o.Stops = append(o.Stops, &messages.Run{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number})
-		}
-	}
+	o.Stops = append(o.Stops, w.unexpectedRuns(runs)...)
 	slices.SortFunc(o.Stops, func(a, b *messages.Run) int { return tracker.CompareKeys(tracker.KeyOf(a), tracker.KeyOf(b)) })
 	slices.SortFunc(o.Starts, func(a, b *messages.StartOrder) int {
 		return tracker.CompareKeys(tracker.KeyOf(a.GetRun()), tracker.KeyOf(b.GetRun()))
@@ -453,6 +475,17 @@
 	return o
 }
 
+// unexpectedRuns returns the listed runs that are committed as ended, or were not committed at all.
+func (w *worker) unexpectedRuns(runs map[tracker.RunKey]*messages.Run) []*messages.Run {
+	var list []*messages.Run
+	for key := range w.listed {
+		if run := runs[key]; run == nil || run.GetBorn() != w.born {
+			list = append(list, &messages.Run{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number})
+		}
+	}
+	return list
+}
+
 // mustStop reports whether a run that has not ended must be stopped.
 func (c *Coordinator) mustStop(j *tracker.Job, key tracker.RunKey) bool {
 	switch j.Phase {
--- a/internal/queue/placer/evict.go
+++ b/internal/queue/placer/evict.go
@@ -86,9 +86,9 @@
 	})
 }
 
-// excludesMoreThan reports whether canRunOn excludes workers for u that it allows for v, because of their health.
+// excludesMoreThan reports whether canRunOn excludes workers for u that it allows for v, because of their health or age.
 func (u *unit) excludesMoreThan(v *unit) bool {
-	return u.provenOnly && !v.provenOnly || u.lastAttempt && !v.lastAttempt || u.step.Spec.GetGang() && !v.step.Spec.GetGang()
+	return u.needsOldWorker() && !v.needsOldWorker() || u.provenOnly && !v.provenOnly || u.lastAttempt && !v.lastAttempt || u.step.Spec.GetGang() && !v.step.Spec.GetGang()
 }
 
 // stop adds a run to the plan's stops and counts its resources as projected capacity.
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -24,6 +24,7 @@
 	Suspect  bool   // used only if no other worker fits, and never for a last attempt
 	Probed   bool   // used for one task at a time, never for a gang or a last attempt
 	Proven   bool   // a run that started lately is at work on it
+	Young    bool   // it has started lately
 	Runs     []*ActiveRun
 }
 
@@ -36,8 +37,12 @@
 	Stopping  bool          // a stop order was sent
 	Unsaved   time.Duration // work that would be lost by a stop
 	Remaining time.Duration // estimated time until it completes
+	Starting  bool          // the worker has not been seen alive some time after the start
 }
 
+// isTrial reports whether the run is the first one of a suspect task since it may have crashed a worker.
+func (a *ActiveRun) isTrial() bool { return a.Starting && a.Step.Tasks[a.Key.Task].IsSuspect() }
+
 // Input holds the data for one pass.
 type Input struct {
 	Workers []*Worker
@@ -76,6 +81,7 @@
 	late        bool // its objective can no longer be met
 	lastAttempt bool // one more failure fails the job
 	provenOnly  bool // starts on proven workers only
+	crashes     int  // most crashes under one of its tasks; more than 0 for a trial
 	estimate    time.Duration
 	objective   time.Duration
 	age         time.Duration
@@ -93,6 +99,8 @@
 	costs        map[*ActiveRun]int64 // of evicting a run together with its gang
 	infeasible   []*unit              // units that no eviction could fit
 	reservations int
+	trials       map[string]int        // trials that may still start, by pool
+	tried        map[*tracker.Job]bool // jobs with a trial
 }
 
 // candidate is a worker with its capacity during a pass.
@@ -108,12 +116,20 @@
 	reservedIn time.Duration
 }
 
+// close leaves no capacity of the worker to later units of the pass.
+func (c *candidate) close() { c.free, c.projected = Vector{}, Vector{} }
+
+// hosts reports whether a run starts on the worker.
+func (c *candidate) hosts(r *messages.Run) bool { return r.GetWorker() == c.ID }
+
 // NewPlan runs one pass and returns its plan.
 func NewPlan(in *Input) Plan {
 	p := &pass{
 		input: in, racks: map[string][]*candidate{}, pools: map[string][]*candidate{},
 		gangs: map[*tracker.Step][]*ActiveRun{}, workerOf: map[*ActiveRun]*candidate{}, costs: map[*ActiveRun]int64{},
+		trials: map[string]int{}, tried: map[*tracker.Job]bool{},
 	}
+	p.planTrials()
 	for _, w := range in.Workers {
 		c := &candidate{Worker: w, free: w.Free, projected: w.Free}
 		for _, a := range w.Runs {
@@ -126,6 +142,9 @@
 			}
 		}
 		p.workers = append(p.workers, c)
+		if w.hasTrial() {
+			c.close()
+		}
 		if w.Usable {
 			p.pools[w.Pool] = append(p.pools[w.Pool], c)
 			p.racks[w.Pool+"\x00"+w.Rack] = append(p.racks[w.Pool+"\x00"+w.Rack], c)
@@ -159,7 +178,7 @@
 			if u := p.newUnit(j, &steps[i], pool); u != nil {
 				org := j.Work.GetOrganisation()
 				u.guaranteed = u.urgent && demand[org] <= p.input.Guarantee(org)
-				units = append(units, u)
+				units = append(units, p.separateTrials(u)...)
 			}
 		}
 	}
@@ -231,6 +250,10 @@
 
 // place starts a gang, or as many single tasks as fit. A unit that does not fit may reserve capacity.
 func (p *pass) place(u *unit) {
+	if u.crashes > 0 {
+		p.placeTrial(u)
+		return
+	}
 	if u.step.Spec.GetGang() {
 		p.placeGang(u)
 		return
@@ -240,7 +263,7 @@
 
 // canRunOn reports whether the unit may use the worker, regardless of free capacity.
 func (u *unit) canRunOn(w *Worker) bool {
-	if u.provenOnly && !w.Proven || w.Suspect && u.lastAttempt || w.Probed && (u.step.Spec.GetGang() || u.lastAttempt || len(w.Runs) > 0) {
+	if u.needsOldWorker() && w.Young || u.provenOnly && !w.Proven || w.Suspect && u.lastAttempt || w.Probed && (u.step.Spec.GetGang() || u.lastAttempt || len(w.Runs) > 0) {
 		return false
 	}
 	label := u.step.Spec.GetLabel()
--- /dev/null
+++ b/internal/queue/placer/trial_test.go
@@ -0,0 +1,157 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+)
+
+// crash records crashes of workers under a task of a job.
+func crash(tr *tracker.Tracker, id string, task int32, crashes int, alone bool) {
+	for range crashes {
+		number, _ := tr.Job(id).Step(0, 0).NextRun(task)
+		tr.Apply(&messages.QueueChange{Starts: []*messages.Run{{Job: id, Task: task, Number: number, Worker: "x", Born: 1}}})
+		tr.Apply(&messages.QueueChange{Ends: []*messages.WorkerEnds{{
+			Worker: "x", Born: 1, Over: true, Crashes: []*messages.Crash{{Job: id, Task: task, Number: number, Alone: alone}},
+		}}})
+	}
+}
+
+func workersOf(plan Plan, id string) []string {
+	var list []string
+	for _, r := range plan.Starts {
+		if r.GetJob() == id {
+			list = append(list, r.GetWorker())
+		}
+	}
+	return list
+}
+
+// TestTrialEndangersLittleWork guards against a crash that takes work of others along: a task under which a worker may
+// have crashed starts where least would be lost, and nothing starts beside it until its worker is seen alive.
+func TestTrialEndangersLittleWork(t *testing.T) {
+	small := func() *messages.Step { return &messages.Step{Count: 1, Processors: 1000} }
+	t.Run("on an idle worker, alone", func(t *testing.T) {
+		is := is.New(t)
+		tr := tracker.New()
+		workers := fleet(2)
+		submit(tr, "old", 1, small())
+		occupy(tr, "old", workers[0])
+		submit(tr, "suspect", 1, small())
+		crash(tr, "suspect", 0, 1, true)
+		submit(tr, "later", 1, &messages.Step{Count: 4, Processors: 1000})
+		plan := NewPlan(input(workers, tr))
+		is.Equal(workersOf(plan, "suspect"), []string{"w01"})
+		is.Equal(workersOf(plan, "later"), []string{"w00", "w00", "w00", "w00"})
+	})
+	t.Run("not on a worker that has started lately", func(t *testing.T) {
+		is := is.New(t)
+		tr := tracker.New()
+		workers := fleet(2)
+		submit(tr, "old", 1, small())
+		occupy(tr, "old", workers[0])
+		workers[1].Young = true
+		submit(tr, "suspect", 1, small())
+		crash(tr, "suspect", 0, 1, true)
+		is.Equal(workersOf(NewPlan(input(workers, tr)), "suspect"), []string{"w00"})
+	})
+	t.Run("not beside a run that is starting", func(t *testing.T) {
+		is := is.New(t)
+		tr := tracker.New()
+		workers := fleet(1)
+		submit(tr, "new", 1, small())
+		occupy(tr, "new", workers[0])
+		workers[0].Runs[0].Starting = true
+		submit(tr, "suspect", 1, small())
+		crash(tr, "suspect", 0, 1, true)
+		submit(tr, "later", 1, small())
+		plan := NewPlan(input(workers, tr))
+		is.Equal(len(plan.Starts), 0) // the worker is kept free of starts for the trial
+		workers[0].Runs[0].Starting = false
+		is.Equal(workersOf(NewPlan(input(workers, tr)), "suspect"), []string{"w00"})
+	})
+	t.Run("nothing starts beside a trial", func(t *testing.T) {
+		is := is.New(t)
+		tr := tracker.New()
+		workers := fleet(1)
+		submit(tr, "suspect", 1, small())
+		crash(tr, "suspect", 0, 1, true)
+		run := NewPlan(input(workers, tr)).Starts[0]
+		tr.Apply(&messages.QueueChange{Starts: []*messages.Run{run}})
+		j := tr.Job("suspect")
+		workers[0].Runs = []*ActiveRun{{Key: tracker.KeyOf(run), Job: j, Step: j.Step(0, 0), Need: Need(small()), Starting: true}}
+		submit(tr, "later", 1, small())
+		is.Equal(len(NewPlan(input(workers, tr)).Starts), 0)
+		workers[0].Runs[0].Starting = false
+		is.Equal(len(NewPlan(input(workers, tr)).Starts), 1)
+	})
+	t.Run("a gang", func(t *testing.T) {
+		is := is.New(t)
+		tr := tracker.New()
+		submit(tr, "suspect", 1, &messages.Step{Count: 2, Processors: 1000, Gang: true, Spread: 1})
+		crash(tr, "suspect", 1, 1, true)
+		submit(tr, "later", 1, &messages.Step{Count: 2, Processors: 1000})
+		plan := NewPlan(input(fleet(3), tr))
+		gang := workersOf(plan, "suspect")
+		is.Equal(len(gang), 2)
+		for _, w := range workersOf(plan, "later") {
+			is.True(w != gang[0] && w != gang[1])
+		}
+	})
+}
+
+// TestTrialsAreFew guards against many deadly tasks that take down a large part of a busy fleet at once: few are tried
+// at a time, while other tasks go on starting, and more where workers are idle.
+func TestTrialsAreFew(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		busy int // of 64 workers
+		want int
+	}{
+		{"a busy fleet", 64, 4},
+		{"an idle fleet", 0, 32},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			tr := tracker.New()
+			workers := fleet(64)
+			submit(tr, "old", 1, &messages.Step{Count: 64, Processors: 1000})
+			occupy(tr, "old", workers[:c.busy]...)
+			for i := range 100 {
+				id := fmt.Sprintf("suspect%d", i)
+				submit(tr, id, 1, &messages.Step{Count: 1, Processors: 1000})
+				crash(tr, id, 0, 1, true)
+			}
+			submit(tr, "sound", 1, &messages.Step{Count: 16, Processors: 1000})
+			plan := NewPlan(input(workers, tr))
+			trials := 0
+			for _, r := range plan.Starts {
+				if r.GetJob() != "sound" && r.GetJob() != "old" {
+					trials++
+				}
+			}
+			is.Equal(trials, c.want)
+			is.Equal(len(workersOf(plan, "sound")), 16)
+		})
+	}
+}
+
+// TestDoomedStepStartsNothing guards against work for a job that is about to be given up: the other tasks of its step
+// wait for the result of the trial.
+func TestDoomedStepStartsNothing(t *testing.T) {
+	is := is.New(t)
+	tr := tracker.New()
+	workers := fleet(4)
+	submit(tr, "array", 1, &messages.Step{Count: 8, Processors: 1000})
+	crash(tr, "array", 3, 1, true)
+	is.Equal(len(NewPlan(input(workers, tr)).Starts), 8) // one crash says little
+	crash(tr, "array", 3, 1, true)
+	is.Equal(len(NewPlan(input(workers, tr)).Starts), 1)
+	is.True(!tr.Job("array").Step(0, 0).Tasks[3].CrashesWorkers())
+	crash(tr, "array", 3, 1, false)
+	is.True(tr.Job("array").Step(0, 0).Tasks[3].CrashesWorkers())
+}
--- a/internal/queue/tracker/job.go
+++ b/internal/queue/tracker/job.go
@@ -12,7 +12,7 @@
 	Pending   Phase = "pending" // no task has started
 	Running   Phase = "running"
 	Completed Phase = "completed"
-	Failed    Phase = "failed" // a task or gang has used up its attempts
+	Failed    Phase = "failed" // a task or gang has used up its attempts, or a task crashes its workers
 	Cancelled Phase = "cancelled"
 )
 
@@ -50,10 +50,46 @@
 	Done       bool
 	Active     int    // runs that have not ended
 	Worker     string // of its last run
+	Crashes    []Crash
 	failures   uint32
 	checkpoint string
 }
 
+// Crash is the loss of a worker on which a run of a task had just started.
+type Crash struct {
+	Worker string
+	Time   int64 // of its commit, Unix milliseconds
+	// Alone is true if the worker crashed and no other run can be the cause.
+	Alone bool
+}
+
+const (
+	// A task is given up after this many crashes of which at least minAloneCrashes have no other explanation, or
+	// after maxCrashes of any kind.
+	minCrashes      = 3
+	minAloneCrashes = 2
+	maxCrashes      = 5
+)
+
+// IsSuspect reports whether a run of the task may have crashed its worker.
+func (t *Task) IsSuspect() bool { return len(t.Crashes) > 0 }
+
+// CrashesWorkers reports whether the task crashes the workers that start it.
+func (t *Task) CrashesWorkers() bool {
+	return len(t.Crashes) >= maxCrashes || len(t.Crashes) >= minCrashes && t.AloneCrashes() >= minAloneCrashes
+}
+
+// AloneCrashes returns the number of crashes that no other run can have caused.
+func (t *Task) AloneCrashes() int {
+	n := 0
+	for _, c := range t.Crashes {
+		if c.Alone {
+			n++
+		}
+	}
+	return n
+}
+
 func newJob(w *messages.Work, sequence uint64) *Job {
 	j := &Job{Work: w, Sequence: sequence, Phase: Pending}
 	for k := range max(w.GetOccurrences(), 1) {
--- a/internal/queue/tracker/snapshot.go
+++ b/internal/queue/tracker/snapshot.go
@@ -40,7 +40,11 @@
 		step := &messages.StepState{Number: s.number, Done: s.Done, Failures: s.failures, Failed: s.lastFailed, Saved: s.checkpoint}
 		for k := range s.Tasks {
 			t := &s.Tasks[k]
-			step.Tasks = append(step.Tasks, &messages.TaskState{Number: t.Number, Done: t.Done, Failures: t.failures, Saved: t.checkpoint})
+			task := &messages.TaskState{Number: t.Number, Done: t.Done, Failures: t.failures, Saved: t.checkpoint}
+			for _, c := range t.Crashes {
+				task.Crashes = append(task.Crashes, &messages.CrashState{Worker: c.Worker, Time: c.Time, Alone: c.Alone})
+			}
+			step.Tasks = append(step.Tasks, task)
 		}
 		state.Steps = append(state.Steps, step)
 	}
@@ -67,6 +71,7 @@
 			return nil, err
 		}
 		t.jobs[j.Work.GetId()] = j
+		t.restoreSuspects(j)
 	}
 	for _, r := range s.GetRuns() {
 		if err := t.restoreRun(r); err != nil {
@@ -116,6 +121,9 @@
 		}
 		for k, task := range step.GetTasks() {
 			s.Tasks[k] = Task{Number: task.GetNumber(), Done: task.GetDone(), failures: task.GetFailures(), checkpoint: task.GetSaved()}
+			for _, c := range task.GetCrashes()[:min(len(task.GetCrashes()), maxCrashes)] {
+				s.Tasks[k].Crashes = append(s.Tasks[k].Crashes, Crash{Worker: c.GetWorker(), Time: c.GetTime(), Alone: c.GetAlone()})
+			}
 			if task.GetDone() {
 				s.remaining--
 			}
@@ -128,6 +136,17 @@
 	return j, nil
 }
 
+func (t *Tracker) restoreSuspects(j *Job) {
+	for i := range j.steps {
+		s := &j.steps[i]
+		for k := range s.Tasks {
+			if s.Tasks[k].IsSuspect() {
+				t.suspects[TaskKey{j.Work.GetId(), s.Occurrence, s.Index, int32(k)}] = true
+			}
+		}
+	}
+}
+
 func (t *Tracker) restoreRun(r *messages.Run) error {
 	j := t.jobs[r.GetJob()]
 	if j == nil {
--- a/internal/queue/tracker/tracker.go
+++ b/internal/queue/tracker/tracker.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
@@ -18,7 +19,8 @@
 	open         []*Job // not ended or with active runs, in the order of acceptance
 	runs         map[string]map[RunKey]*messages.Run
 	incarnations map[string]Incarnation
-	sequence     uint64 // of the last accepted job
+	suspects     map[TaskKey]bool // tasks with crashes
+	sequence     uint64           // of the last accepted job
 }
 
 // Incarnation is the committed state of the current incarnation of a worker.
@@ -51,6 +53,11 @@
 	return RunKey{TaskKey{e.GetJob(), e.GetOccurrence(), e.GetStep(), e.GetTask()}, e.GetNumber()}
 }
 
+// CrashKeyOf returns the key of the run that may have crashed its worker.
+func CrashKeyOf(c *messages.Crash) RunKey {
+	return RunKey{TaskKey{c.GetJob(), c.GetOccurrence(), c.GetStep(), c.GetTask()}, c.GetNumber()}
+}
+
 // CompareKeys orders runs by job, occurrence, step, task and number.
 func CompareKeys(a, b RunKey) int {
 	return cmp.Or(
@@ -74,7 +81,7 @@
 func New() *Tracker {
 	return &Tracker{
 		jobs: map[string]*Job{}, runs: map[string]map[RunKey]*messages.Run{}, incarnations: map[string]Incarnation{},
-		index: newIndex(nil),
+		suspects: map[TaskKey]bool{}, index: newIndex(nil),
 	}
 }
 
@@ -133,11 +140,9 @@
 	for _, w := range c.GetSubmits() {
 		t.submit(w)
 	}
-	for _, id := range c.GetCancels() {
-		if j := t.jobs[id]; j != nil {
-			j.finish(Cancelled, c.GetTime())
-		}
-	}
+	// The first final phase stays.
+	t.finishJobs(c.GetFailures(), Failed, c.GetTime())
+	t.finishJobs(c.GetCancels(), Cancelled, c.GetTime())
 	for _, r := range c.GetStarts() {
 		t.startRun(r)
 	}
@@ -147,6 +152,7 @@
 	for _, id := range c.GetForgets() {
 		if j := t.jobs[id]; j != nil && j.Ended() && j.active == 0 {
 			delete(t.jobs, id)
+			maps.DeleteFunc(t.suspects, func(key TaskKey, _ bool) bool { return key.Job == id })
 		}
 	}
 	if len(c.GetEnds()) > 0 || len(c.GetCancels()) > 0 {
@@ -154,6 +160,14 @@
 	}
 }
 
+func (t *Tracker) finishJobs(ids []string, p Phase, time int64) {
+	for _, id := range ids {
+		if j := t.jobs[id]; j != nil {
+			j.finish(p, time)
+		}
+	}
+}
+
 // install puts a catalog in force unless the present one has the same or a later version.
 func (t *Tracker) install(c *messages.Catalog) {
 	if t.catalog != nil && c.GetVersion() <= t.catalog.GetVersion() {
@@ -208,10 +222,12 @@
 		}
 		delete(runs, key)
 		t.jobs[key.Job].endRun(r, end.GetHow(), end.GetSaved(), time)
+		t.clearCrashes(key, end.GetHow())
 	}
+	t.recordCrashes(e, runs, time)
 	for key, r := range runs {
 		// The runs of an earlier incarnation ended with it.
-		if r.GetBorn() < e.GetBorn() || e.GetOver() && r.GetBorn() == e.GetBorn() {
+		if isLost(r, e) {
 			delete(runs, key)
 			t.jobs[key.Job].endRun(r, EndExpired, "", time)
 		}
@@ -224,6 +240,47 @@
 	}
 }
 
+// isLost reports whether a run ended with the incarnation of its worker.
+func isLost(r *messages.Run, e *messages.WorkerEnds) bool {
+	return r.GetBorn() < e.GetBorn() || e.GetOver() && r.GetBorn() == e.GetBorn()
+}
+
+// recordCrashes records which tasks may have caused the loss of their worker.
+func (t *Tracker) recordCrashes(e *messages.WorkerEnds, runs map[RunKey]*messages.Run, time int64) {
+	for _, c := range e.GetCrashes() {
+		key := CrashKeyOf(c)
+		r := runs[key]
+		if r == nil || !isLost(r, e) {
+			continue
+		}
+		task := &t.jobs[key.Job].Step(key.Occurrence, key.Step).Tasks[key.Task]
+		if len(task.Crashes) < maxCrashes {
+			task.Crashes = append(task.Crashes, Crash{Worker: e.GetWorker(), Time: time, Alone: c.GetAlone()})
+		}
+		t.suspects[key.TaskKey] = true
+	}
+}
+
+// clearCrashes clears a task of suspicion after a run that did not crash its worker. A failure proves nothing, as a
+// faulty worker may fail runs that it has not started.
+func (t *Tracker) clearCrashes(key RunKey, how string) {
+	switch how {
+	case EndDone, EndStopped, EndExpired:
+		t.jobs[key.Job].Step(key.Occurrence, key.Step).Tasks[key.Task].Crashes = nil
+		delete(t.suspects, key.TaskKey)
+	}
+}
+
+// EachSuspect calls visit for each task whose runs may have crashed their workers, in no particular order. Jobs that
+// have ended are left out.
+func (t *Tracker) EachSuspect(visit func(key TaskKey, j *Job, task *Task)) {
+	for key := range t.suspects {
+		if j := t.jobs[key.Job]; !j.Ended() {
+			visit(key, j, &j.Step(key.Occurrence, key.Step).Tasks[key.Task])
+		}
+	}
+}
+
 // Queue returns the queue for a host and path, and the path without the prefix of the queue. ok is false if
 // there is none.
 func (t *Tracker) Queue(host, path string) (q *messages.Queue, rest string, ok bool) {
--- a/internal/queue/tracker/tracker_test.go
+++ b/internal/queue/tracker/tracker_test.go
@@ -250,3 +250,56 @@
 		}
 	})
 }
+
+// TestCrashesAreKept guards against crashes that a snapshot forgets, and against crashes that stay with a task that has
+// been at work since.
+func TestCrashesAreKept(t *testing.T) {
+	is := is.New(t)
+	tr := New()
+	tr.Apply(&messages.QueueChange{Submits: []*messages.Work{{Id: "j", Attempts: 2, Steps: []*messages.Step{{Count: 2}}}}})
+	tr.Apply(&messages.QueueChange{Starts: []*messages.Run{start("j", 1, 1, "w1")}})
+	lost := &messages.WorkerEnds{Worker: "w1", Born: 1, Over: true, Crashes: []*messages.Crash{
+		{Job: "j", Task: 1, Number: 1, Alone: true},
+		{Job: "j", Task: 0, Number: 1}, // was not running
+	}}
+	tr.Apply(&messages.QueueChange{Time: 7, Ends: []*messages.WorkerEnds{lost}})
+	data, err := tr.Save()
+	is.NoErr(err)
+	tr, err = Restore(data)
+	is.NoErr(err)
+	suspects := func() int {
+		n := 0
+		tr.EachSuspect(func(key TaskKey, _ *Job, task *Task) {
+			is.Equal(key, TaskKey{Job: "j", Task: 1})
+			is.Equal(task.Crashes, []Crash{{Worker: "w1", Time: 7, Alone: true}})
+			n++
+		})
+		return n
+	}
+	is.Equal(suspects(), 1)
+	for n, how := range []string{EndRefused, EndFailed} {
+		number := uint32(n) + 2
+		tr.Apply(&messages.QueueChange{Starts: []*messages.Run{start("j", 1, number, "w2")}})
+		tr.Apply(ended("w2", uint64(number), end("j", 1, number, how)))
+		is.Equal(suspects(), 1) // the task may not have started
+	}
+	tr.Apply(&messages.QueueChange{Starts: []*messages.Run{start("j", 1, 4, "w2")}})
+	tr.Apply(ended("w2", 4, end("j", 1, 4, EndStopped)))
+	is.Equal(suspects(), 0)
+}
+
+// TestFailureEndsJobInEachBuild guards against a job that is given up and yet goes on in daemons of the build before,
+// which do not know the field: they cancel it.
+func TestFailureEndsJobInEachBuild(t *testing.T) {
+	for _, c := range []struct {
+		failures []string
+		want     Phase
+	}{{[]string{"j"}, Failed}, {nil, Cancelled}} {
+		is := is.New(t)
+		tr := New()
+		tr.Apply(&messages.QueueChange{Submits: []*messages.Work{gangJob("j", 1, 2)}})
+		tr.Apply(&messages.QueueChange{Failures: c.failures, Cancels: []string{"j", "unknown"}})
+		is.Equal(tr.Job("j").Phase, c.want)
+		is.Equal(len(tr.Open()), 0)
+	}
+}
