coordinator: starts are withheld from workers whose capacity has shrunk

What was seen: a start brings a worker over its capacity (LIMIT). The order follows seconds after the worker has reported less capacity.

Cause: the placer uses the reported capacity, but a start that is committed and not ordered yet was ordered with the next response whatever that report said.

Fix: a start that this leader has not ordered and that does not fit any more is withheld, and revoked as soon as it is certain that no earlier leader's order for it has arrived. Runs that no longer fit are not stopped.

--- a/internal/queue/coordinator/coordinator_test.go
+++ b/internal/queue/coordinator/coordinator_test.go
@@ -448,6 +448,46 @@
 	is.True(f.workers["later"].replaced)
 }
 
+// TestStartsFitLessCapacity guards against starts that bring a worker over its capacity: they were decided before it
+// reported that its capacity has shrunk. Starts that still fit go on, and runs that do not fit any more are not stopped.
+func TestStartsFitLessCapacity(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		processors int64
+		starts     int
+	}{{"unchanged", 8000, 2}, {"room for one more", 2500, 1}, {"full", 1500, 0}, {"none", 0, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			f.startRun(t)
+			runs := []*messages.Run{{Job: "a", Number: 1}}
+			running := func(processors int64) func(r *messages.FleetReport) {
+				return func(r *messages.FleetReport) {
+					r.Processors = processors
+					listing(runs)(r)
+				}
+			}
+			f.report(t, 3, running(8000))
+			is.Equal(f.submit(t, "/q/b", "k1"), StatusOK)
+			is.Equal(f.submit(t, "/q/c", "k1"), StatusOK)
+			f.Pass(context.Background())
+			o := f.report(t, 4, running(c.processors))
+			is.Equal(len(o.GetStarts()), c.starts)
+			is.Equal(len(o.GetStops()), 0)
+			is.Equal(f.state.Job("a").Active(), 1)
+			is.Equal(f.state.Job("b").Active()+f.state.Job("c").Active(), c.starts)
+			f.Pass(context.Background())
+			is.Equal(f.state.Job("b").Active()+f.state.Job("c").Active(), c.starts) // nothing starts again there
+			for _, order := range o.GetStarts() {
+				runs = append(runs, order.GetRun())
+			}
+			f.report(t, 5, running(8000))
+			f.Pass(context.Background())
+			is.Equal(f.state.Job("b").Active()+f.state.Job("c").Active(), 2) // more capacity is used at once
+		})
+	}
+}
+
 // TestOversizedJobsAreRefused checks that a job that exceeds the capacity of the fleet is refused at once with
 // a retry delay, and does not wait forever.
 func TestOversizedJobsAreRefused(t *testing.T) {
--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -40,6 +40,7 @@
 	listed        map[tracker.RunKey]bool
 	// startOrders holds, by run, the sequence number of the report whose response last ordered its start.
 	startOrders map[tracker.RunKey]uint64
+	oversized   map[tracker.RunKey]bool // starts that no longer fit into the reported capacity
 	// answered is true once a report has shown that a response of this leader arrived. Responses of earlier leaders
 	// are void from then on, and no report that was sent before can pass for a current one.
 	answered bool
@@ -355,6 +356,7 @@
 	if !known || incarnation.Started != w.born {
 		incarnation = tracker.Incarnation{Started: w.born}
 	}
+	w.oversized = c.oversizedStarts(state, w)
 	ends := &messages.WorkerEnds{Worker: w.id, Born: w.born, Sequence: incarnation.Sequence}
 	runs := state.RunsOn(w.id)
 	for _, e := range r.GetEnds() {
@@ -411,7 +413,7 @@
 		switch {
 		case run.GetBorn() != w.born, w.listed[key], ended[key], w.startOrders[key] >= w.sequence:
 			continue
-		case !c.mustStop(state.Job(key.Job), key) && w.startOrders[key] == 0:
+		case !c.mustStop(state.Job(key.Job), key) && w.startOrders[key] == 0 && !w.oversized[key]:
 			continue
 		case !c.committedStarts[key] && !c.isCurrent(w):
 			continue
@@ -428,6 +430,39 @@
 	return ends
 }
 
+// oversizedStarts returns the starts that this leader has not ordered yet and that do not fit: the worker has reported
+// less capacity since they were decided.
+func (c *Coordinator) oversizedStarts(state *tracker.Tracker, w *worker) map[tracker.RunKey]bool {
+	free := w.capacity
+	var unsent []tracker.RunKey
+	for key, run := range state.RunsOn(w.id) {
+		switch {
+		case run.GetBorn() != w.born:
+		case w.listed[key] || w.startOrders[key] > 0:
+			free = free.Sub(needOf(state, key))
+		default:
+			unsent = append(unsent, key)
+		}
+	}
+	slices.SortFunc(unsent, tracker.CompareKeys)
+	oversized := map[tracker.RunKey]bool{}
+	for _, key := range unsent {
+		need := needOf(state, key)
+		if free.Fits(need, 1) > 0 {
+			free = free.Sub(need)
+			continue
+		}
+		oversized[key] = true
+		c.opts.Log.Info("start withheld: the worker has less capacity now", zap.String("request", key.Job), zap.Int32("occurrence", key.Occurrence),
+			zap.Int32("step", key.Step), zap.Int32("task", key.Task), zap.Uint32("run", key.Number), zap.String("worker", w.id), zap.Uint64("report", w.sequence))
+	}
+	return oversized
+}
+
+func needOf(state *tracker.Tracker, key tracker.RunKey) placer.Vector {
+	return placer.Need(state.Job(key.Job).Step(key.Occurrence, key.Step).Spec)
+}
+
 // observeOrder records that a report names a run whose start only this leader can have ordered.
 func (c *Coordinator) observeOrder(w *worker, key tracker.RunKey) {
 	w.answered = w.answered || c.committedStarts[key] && w.startOrders[key] > 0
@@ -462,7 +497,7 @@
 		switch {
 		case c.mustStop(j, key):
 			o.Stops = append(o.Stops, run)
-		case !w.listed[key]:
+		case !w.listed[key] && !w.oversized[key]:
 			o.Starts = append(o.Starts, &messages.StartOrder{Run: run, Body: j.Work.GetBody()})
 			w.startOrders[key] = r.GetSequence()
 		}
