replicator: a new leader's state is read only once it holds its predecessor's entries

What callers and workers may see: a task whose end was acknowledged runs again (TWICE); an accepted job is unknown (410); a read of the configuration returns an older version (CONFIG).

Cause: a leader's lease began when the first entry of its term was committed, not when it was applied. An input that commits it and reads that are queued behind it are handled in one turn, and the outputs, which apply entries, only after them. Such a read lacks what the predecessor committed last. The coordinator then finds no run for an end that a worker lists, moves the worker's acknowledged sequence over it, and the end is lost: when the start is applied, the run counts as active, is not listed by its worker, and the task starts again.

Fix: the lease needs the entries up to the first of the term to be handed out for application, which happens before the next input is handled.

Evidence: TestNewLeaderReadsCommittedState failed before ("the leader reads a state without the committed job") and passes.

--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -200,10 +200,11 @@
 }
 
 // HasLease reports whether the node is the leader and no other leader can have been elected, so that its state
-// may be read. A lease lasts one election timeout, less the allowance for clock drift, from the sending of the
-// last heartbeat that a quorum acknowledged.
+// may be read. The entries of earlier terms must have been handed out to be applied: until then the state lacks
+// changes that an earlier leader has confirmed. A lease lasts one election timeout, less the allowance for clock
+// drift, from the sending of the last heartbeat that a quorum acknowledged.
 func (n *Node) HasLease() bool {
-	return n.role == Leader && n.transferee == "" && n.log.committed >= n.termStart &&
+	return n.role == Leader && n.transferee == "" && n.log.applying >= n.termStart &&
 		n.tick-n.quorumTick() < n.opts.ElectionTicks-n.opts.DriftTicks
 }
 
