coordinator: each acknowledged end is in the log

What callers may see: a finished task runs again (TWICE), as its end was acknowledged and never recorded.

Cause: the acknowledged sequence of a worker moved over all ends in a report, while the log entry listed only those whose runs the leader found when it read the state. The two are now the same list, and the state machine, which ignores ends of runs that it doesn't hold, decides when the entry is applied.

Two kinds of line that hypotheses on TWICE could not be told apart without: `end of an unknown run` (with the counter unknown_ends) and `start revoked`, which says whether this leader had committed the start.

TestAcknowledgedEndIsRecorded failed before. TestEndsOfUnknownRuns: such ends reached a lookup of their step, which now expects none.

--- /dev/null
+++ b/internal/queue/coordinator/ends_test.go
@@ -0,0 +1,109 @@
+package coordinator
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+)
+
+// TestAcknowledgedEndIsRecorded guards against an end that is acknowledged and not recorded, after which its task runs
+// again: the start of the run was committed by the predecessor, but the read that handled the report did not show it.
+func TestAcknowledgedEndIsRecorded(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	is.Equal(f.submit(t, "/q/a", "k1"), StatusOK)
+	f.report(t, 1, nil)
+	commit := f.opts.Commit
+	f.opts.Commit = func(ctx context.Context, c *messages.QueueChange) error {
+		f.state.Apply(&messages.QueueChange{Starts: []*messages.Run{{Job: "a", Number: 1, Worker: "w", Born: 5}}})
+		return commit(ctx, c)
+	}
+	o := f.report(t, 2, func(r *messages.FleetReport) {
+		r.Ends = []*messages.NumberedEnd{{Sequence: 1, End: &messages.End{Job: "a", Number: 1, How: tracker.EndDone}}}
+	})
+	is.True(o.GetAcknowledged() == 0 || f.state.Job("a").Phase == tracker.Completed)
+}
+
+// TestEndsOfUnknownRuns guards against a report that ends the process: it lists ends of a job, a step or a task that do
+// not exist.
+func TestEndsOfUnknownRuns(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.startRun(t)
+	o := f.report(t, 3, func(r *messages.FleetReport) {
+		for i, end := range []*messages.End{{Job: "none"}, {Job: "a", Step: 9}, {Job: "a", Step: -1}, {Job: "a", Task: 9}, {Job: "a", Occurrence: 9}} {
+			r.Ends = append(r.Ends, &messages.NumberedEnd{Sequence: uint64(i) + 1, End: end})
+		}
+		r.Running = []*messages.Running{{Run: &messages.Run{Job: "a", Number: 1}}}
+	})
+	is.Equal(o.GetAcknowledged(), uint64(5))
+	is.Equal(f.state.Job("a").Active(), 1)
+}
+
+// TestProofOfCurrentReports guards against delayed reports that pass for current ones at a new leader: only a run that
+// the new leader alone can have ordered, or the end of the longest lease, proves that a start has not arrived.
+func TestProofOfCurrentReports(t *testing.T) {
+	lists := func(job string) func(r *messages.FleetReport) {
+		return func(r *messages.FleetReport) {
+			r.Running = []*messages.Running{{Run: &messages.Run{Job: job, Number: 1}}}
+		}
+	}
+	// The predecessor starts "a" in its response to report 3 and "b" in that to report 5.
+	newLeader := func(t *testing.T) *fixture {
+		f := newFixture()
+		is := is.New(t)
+		is.Equal(f.submit(t, "/q/a", "k1"), StatusOK)
+		f.report(t, 2, nil)
+		f.Pass(context.Background())
+		is.Equal(len(f.report(t, 3, nil).GetStarts()), 1)
+		is.Equal(f.submit(t, "/q/b", "k1"), StatusOK)
+		f.report(t, 4, lists("a"))
+		f.Pass(context.Background())
+		is.Equal(len(f.report(t, 5, lists("a")).GetStarts()), 1)
+		f.leaderTerm++
+		return f
+	}
+	cancelB := func(t *testing.T, f *fixture) {
+		if _, err := f.Cancel(context.Background(), &messages.Lookup{Host: "h", Path: "/q/b", Key: "k1"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Run("a listed run of the predecessor is no proof", func(t *testing.T) {
+		is := is.New(t)
+		f := newLeader(t)
+		is.Equal(f.state.Job("a").Active()+f.state.Job("b").Active(), 2)
+		is.Equal(len(f.report(t, 3, nil).GetStarts()), 2)
+		f.report(t, 4, lists("a"))
+		is.Equal(f.state.Job("b").Active(), 1)
+		cancelB(t, f)
+		f.report(t, 5, lists("a"))
+		is.Equal(f.state.Job("b").Active(), 1)
+	})
+	t.Run("a lease on a slow clock is not over", func(t *testing.T) {
+		is := is.New(t)
+		f := newLeader(t)
+		cancelB(t, f)
+		f.report(t, 3, nil)
+		f.now = f.now.Add(f.opts.Timing.MaxLease * 102 / 100)
+		f.report(t, 4, lists("a"))
+		is.Equal(f.state.Job("b").Active(), 1)
+	})
+	t.Run("the end of a run of the new leader is a proof", func(t *testing.T) {
+		is := is.New(t)
+		f := newLeader(t)
+		cancelB(t, f)
+		f.report(t, 6, lists("a"))
+		is.Equal(f.submit(t, "/q/c", "k1"), StatusOK)
+		f.Pass(context.Background())
+		is.Equal(len(f.report(t, 7, lists("a")).GetStarts()), 1)
+		f.report(t, 8, func(r *messages.FleetReport) {
+			lists("a")(r)
+			r.Ends = []*messages.NumberedEnd{{Sequence: 1, End: &messages.End{Job: "c", Number: 1, How: tracker.EndDone}}}
+		})
+		is.Equal(f.state.Job("b").Active(), 0)
+	})
+}
--- a/internal/queue/coordinator/metrics.go
+++ b/internal/queue/coordinator/metrics.go
@@ -18,9 +18,11 @@
 	lost      tally.Counter // worker incarnations that were replaced or whose leases expired
 	crashes   tally.Counter // runs that had just started when their worker was lost
 	givenUp   tally.Counter // jobs with a task that crashes its workers
-	reports   tally.Counter
-	pass      tally.Histogram
-	commit    tally.Histogram
+	// unknownEnds counts reported ends of runs that are not in the replicated state, such as those that were lost before.
+	unknownEnds tally.Counter
+	reports     tally.Counter
+	pass        tally.Histogram
+	commit      tally.Histogram
 }
 
 // buckets range from a pass over an idle fleet to the longest limit for an acknowledgement.
@@ -32,7 +34,7 @@
 	m := metrics{
 		submits: map[string]tally.Counter{}, ends: map[string]tally.Counter{},
 		starts: scope.Counter("starts"), evicted: scope.Counter("evicted"), evacuated: scope.Counter("evacuated"), lost: scope.Counter("lost_workers"),
-		crashes: scope.Counter("crashes"), givenUp: scope.Counter("given_up"), reports: scope.Counter("reports"),
+		crashes: scope.Counter("crashes"), givenUp: scope.Counter("given_up"), reports: scope.Counter("reports"), unknownEnds: scope.Counter("unknown_ends"),
 		pass: scope.Histogram("pass_seconds", buckets()), commit: scope.Histogram("commit_seconds", buckets()),
 	}
 	for _, status := range []string{StatusOK, StatusRefused, StatusNoQueue, StatusNoKey, StatusUnknown, StatusEmpty, StatusMismatch} {
--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -181,7 +181,7 @@
 				c.wakeJobWorkers(j)
 				continue
 			}
-			if s := j.Step(e.GetOccurrence(), e.GetStep()); s.Spec.GetGang() {
+			if s := j.Step(e.GetOccurrence(), e.GetStep()); s != nil && s.Spec.GetGang() {
 				c.wakeStepWorkers(s)
 			}
 		}
@@ -366,10 +366,17 @@
 		ends.Sequence = max(ends.Sequence, e.GetSequence())
 		key := tracker.EndKeyOf(e.GetEnd())
 		c.observeOrder(w, key)
-		if run := runs[key]; run != nil && run.GetBorn() == w.born {
-			ends.Ends = append(ends.Ends, e.GetEnd())
-			c.recordEnd(state, w, key, e.GetEnd())
+		// An end of a run that is not in the state is committed too: what is acknowledged is recorded if the run is in
+		// the state by then.
+		ends.Ends = append(ends.Ends, e.GetEnd())
+		if run := runs[key]; run == nil || run.GetBorn() != w.born {
+			c.metrics.unknownEnds.Inc(1)
+			c.opts.Log.Info("end of an unknown run", zap.String("request", key.Job), zap.Int32("occurrence", key.Occurrence), zap.Int32("step", key.Step),
+				zap.Int32("task", key.Task), zap.Uint32("run", key.Number), zap.String("worker", w.id), zap.String("how", e.GetEnd().GetHow()),
+				zap.Uint64("end", e.GetSequence()), zap.Uint64("report", w.sequence))
+			continue
 		}
+		c.recordEnd(state, w, key, e.GetEnd())
 	}
 	earlier, crashed := earlierIncarnation(runs, w.born)
 	if crashed {
@@ -418,6 +425,9 @@
 		case !c.committedStarts[key] && !c.isCurrent(w):
 			continue
 		}
+		c.opts.Log.Info("start revoked", zap.String("request", key.Job), zap.Int32("occurrence", key.Occurrence), zap.Int32("step", key.Step),
+			zap.Int32("task", key.Task), zap.Uint32("run", key.Number), zap.String("worker", w.id), zap.Uint64("ordered", w.startOrders[key]),
+			zap.Uint64("report", w.sequence), zap.Bool("own", c.committedStarts[key]))
 		w.unreachable = w.unreachable || w.startOrders[key] > 0
 		c.stopping[key] = true // the start must not be ordered again before the end is committed
 		ends = append(ends, &messages.End{
