coordinator: a pass observes its last commit though the read after it failed

What operators may see: a worker that returns after it was lost gets neither a lease nor work until the next change of leader; jobs wait beside idle workers (LOST).

Cause: a worker gets no orders while its loss is being committed. That mark was cleared by the read that follows the commit, and when this read failed, as in a gap of the leader's read lease, nothing cleared it. The same read also records the starts that this leader has committed. The next pass of the term now catches up.

Evidence: TestReturnedWorkerGetsLease failed before and passes.

--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -110,6 +110,8 @@
 	opts    Options
 	metrics metrics
 
+	committed passCommit // used by passes, which do not overlap
+
 	wake      chan struct{}
 	cancel    context.CancelFunc
 	waitGroup sync.WaitGroup
@@ -211,15 +213,23 @@
 	}
 }
 
+// passCommit is the change that a pass has committed and the leader has not observed yet.
+type passCommit struct {
+	term   uint64
+	change *messages.QueueChange
+}
+
 // Pass runs one scheduling pass: it commits lease expiries, starts, jobs that are given up and the removal of old jobs. It returns how
 // long the decisions took.
 func (c *Coordinator) Pass(ctx context.Context) (took time.Duration) {
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	var change *messages.QueueChange
+	var term uint64
 	err := c.read(readCtx, func(state *tracker.Tracker) {
 		start := time.Now()
-		change = c.decide(state)
+		c.observeCommit(state) // if the read after the last commit failed
+		term, change = c.term, c.decide(state)
 		took = time.Since(start)
 		c.metrics.pass.RecordDuration(took)
 	})
@@ -230,22 +240,30 @@
 		c.opts.Log.Warn("scheduling decisions not committed", zap.Int("starts", len(change.GetStarts())), zap.Int("ends", len(change.GetEnds())), zap.Error(err))
 		return took
 	}
-	err = c.read(ctx, func(state *tracker.Tracker) {
-		c.clearExpiring(change.GetEnds())
-		for _, id := range change.GetFailures() {
-			c.wakeJobWorkers(state.Job(id))
-		}
-		for _, r := range change.GetStarts() {
-			c.committedStarts[tracker.KeyOf(r)] = true
-			c.wakeWorker(r.GetWorker())
-		}
-	})
-	if err != nil {
-		c.opts.Log.Info("leader state not updated after commit", zap.Error(err))
+	c.committed = passCommit{term, change}
+	if err := c.read(ctx, c.observeCommit); err != nil {
+		c.opts.Log.Info("leader state not updated after commit", zap.Error(err)) // the next pass does it
 	}
 	return took
 }
 
+// observeCommit updates the in-memory data after the last change of a pass has been committed.
+func (c *Coordinator) observeCommit(state *tracker.Tracker) {
+	change := c.committed.change
+	if c.committed.term != c.term {
+		change = nil // its term has ended, and with it the in-memory data
+	}
+	c.committed = passCommit{}
+	c.clearExpiring(change.GetEnds())
+	for _, id := range change.GetFailures() {
+		c.wakeJobWorkers(state.Job(id))
+	}
+	for _, r := range change.GetStarts() {
+		c.committedStarts[tracker.KeyOf(r)] = true
+		c.wakeWorker(r.GetWorker())
+	}
+}
+
 // commit commits a change and records how long that took.
 func (c *Coordinator) commit(ctx context.Context, change *messages.QueueChange) error {
 	start := time.Now()
--- a/internal/queue/coordinator/ends_test.go
+++ b/internal/queue/coordinator/ends_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -44,6 +46,32 @@
 	is.Equal(f.state.Job("a").Active(), 1)
 }
 
+// TestReturnedWorkerGetsLease guards against a worker that returns after its loss and gets neither a lease nor orders
+// until the term ends: the read after the commit of the loss failed, as the leader's lease had a gap.
+func TestReturnedWorkerGetsLease(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.startRun(t)
+	f.now = f.now.Add(time.Minute)
+	read, commit := f.opts.Read, f.opts.Commit
+	f.opts.Commit = func(ctx context.Context, c *messages.QueueChange) error {
+		f.opts.Read = func(context.Context, func(uint64, *tracker.Tracker)) error {
+			f.opts.Read = read
+			return errors.New("no lease")
+		}
+		return commit(ctx, c)
+	}
+	f.Pass(context.Background())
+	f.opts.Commit = commit
+	is.Equal(f.state.Job("a").Active(), 0)
+	for sequence := range uint64(3) {
+		f.now = f.now.Add(250 * time.Millisecond)
+		f.report(t, 3+sequence, nil)
+		f.Pass(context.Background())
+	}
+	is.True(f.report(t, 6, nil).GetLease() > 0)
+}
+
 // TestProofOfCurrentReports guards against delayed reports that pass for current ones at a new leader: only a run that
 // the new leader alone can have ordered, or the end of the longest lease, proves that a start has not arrived.
 func TestProofOfCurrentReports(t *testing.T) {
