forwarder: a report follows a change of leader

What callers may see: finished work of a worker that exits runs again.

Cause: when a daemon finds another leader, it cancels the calls that are under way to the former one, as they are sent again to the new leader. Reports were sent once only, as workers retry; a worker that exits does not. The same holds for a reply that names another leader. A report is now sent to at most three daemons in turn, within its time limit, and still fails at once where no leader is known, so that a leaderless time brings no more calls than before.

Evidence: TestReportMovesToNewLeader failed before and passes.

--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -193,10 +193,14 @@
 	f.mu.Unlock()
 	// A call that was cancelled, by its caller or on a change of leader, gives no information about the
 	// replica.
-	if !errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(callCtx), errLeaderChanged) {
+	moved := errors.Is(context.Cause(callCtx), errLeaderChanged)
+	if !errors.Is(ctx.Err(), context.Canceled) && !moved {
 		f.recordResult(address, err)
 	}
 	cancelCall(nil)
+	if err != nil && moved {
+		err = fmt.Errorf("%w: %w", errLeaderChanged, err)
+	}
 	return reply, err
 }
 
--- a/internal/entry/forwarder/queues.go
+++ b/internal/entry/forwarder/queues.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 
+	"github.com/twitchtv/twirp"
+
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
 
@@ -66,16 +69,30 @@
 	})
 }
 
-// Report forwards a worker's report to the leader without retries, as the worker itself retries through
-// another entry. A replica without a known leader fails immediately, because all workers report at the same time
-// while there is none.
+// maxReportAttempts bounds the daemons to which a report is sent in turn.
+const maxReportAttempts = 3
+
+// Report forwards a worker's report to the leader. It follows a change of leader, as a worker that exits does not send
+// its report again; otherwise the worker itself retries through another entry. A replica without a known leader fails
+// immediately, because all workers report at the same time while there is none.
 func (f *Forwarder) Report(ctx context.Context, r *messages.FleetReport) (*messages.FleetOrders, error) {
-	if !f.hasLeader() {
-		return nil, ErrNoLeader
+	for n := 1; ; n++ {
+		if !f.hasLeader() {
+			return nil, ErrNoLeader
+		}
+		orders, err := attempt(ctx, f, callTimeout, func(ctx context.Context, a netip.AddrPort) (*messages.FleetOrders, error) {
+			return f.queues(a).Report(ctx, r)
+		})
+		if err == nil || n == maxReportAttempts || !isRedirect(err) {
+			return orders, err
+		}
 	}
-	return attempt(ctx, f, callTimeout, func(ctx context.Context, a netip.AddrPort) (*messages.FleetOrders, error) {
-		return f.queues(a).Report(ctx, r)
-	})
+}
+
+// isRedirect reports whether an error names another replica as the leader.
+func isRedirect(err error) bool {
+	var te twirp.Error
+	return errors.Is(err, errLeaderChanged) || errors.As(err, &te) && te.Meta(leaderMeta) != ""
 }
 
 func (f *Forwarder) hasLeader() bool {
