coordinator: ends of workers whose pool has left the catalog are recorded

What callers may see: finished work runs again after a change of the configuration. Cause: a report that names a pool that the catalog does not hold was ignored as one of another writer, though the leader knew the worker from that pool; its ends were dropped, and its leases ran out. Such a worker is now kept, and nothing starts on it. TestEndsOfRemovedPool failed before; the report of an unknown pool in TestStaleReportsAreIgnored is ignored as before.

--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -247,7 +247,7 @@
 func (c *Coordinator) workerView(state *tracker.Tracker, w *worker, now time.Time) *placer.Worker {
 	v := &placer.Worker{
 		ID: w.id, Started: w.born, Pool: w.pool, Rack: w.rack, Labels: w.labels, Capacity: w.capacity, Free: w.capacity,
-		Usable:  !w.leaving && !w.unreachable && now.Sub(w.lastContact) < c.opts.Timing.contactTimeout(w.interval) && now.Before(w.leaseEnd),
+		Usable:  !w.leaving && !w.unreachable && state.Pools()[w.pool] != nil && now.Sub(w.lastContact) < c.opts.Timing.contactTimeout(w.interval) && now.Before(w.leaseEnd),
 		Suspect: w.health.isSuspect(now), Proven: w.health.isProven(now) && !w.health.isSuspect(now),
 		Young: c.opts.Wall().Sub(time.UnixMilli(w.born)) < minWorkerAge,
 	}
--- a/internal/queue/coordinator/ends_test.go
+++ b/internal/queue/coordinator/ends_test.go
@@ -46,6 +46,23 @@
 	is.Equal(f.state.Job("a").Active(), 1)
 }
 
+// TestEndsOfRemovedPool guards against a repetition of finished work: a worker whose pool is removed from the catalog
+// lists the end of its run, gets a response, and the end is dropped.
+func TestEndsOfRemovedPool(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.startRun(t)
+	f.state.Apply(&messages.QueueChange{Catalog: &messages.Catalog{
+		Version: 2, Pools: []*messages.Pool{{Name: "p2"}},
+		Queues: []*messages.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p2", Attempts: 2, Priority: 1}},
+	}})
+	f.report(t, 3, func(r *messages.FleetReport) {
+		r.Ends = []*messages.NumberedEnd{{Sequence: 1, End: &messages.End{Job: "a", Number: 1, How: tracker.EndDone}}}
+	})
+	is.Equal(f.state.Job("a").Phase, tracker.Completed)
+	is.True(!f.workerView(f.state, f.workers["w"], f.now).Usable)
+}
+
 // TestReturnedWorkerGetsLease guards against a worker that returns after its loss and gets neither a lease nor orders
 // until the term ends: the read after the commit of the loss failed, as the leader's lease had a gap.
 func TestReturnedWorkerGetsLease(t *testing.T) {
--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -241,7 +241,7 @@
 		c.receiveExitNotice(state, r, w)
 		return nil, false
 	}
-	if state.Catalog() != nil && state.Pools()[r.GetPool()] == nil {
+	if state.Catalog() != nil && state.Pools()[r.GetPool()] == nil && !isKnown(w, r) {
 		c.opts.Log.Warn("report names an unknown pool", zap.String("worker", r.GetWorker()), zap.String("pool", r.GetPool()))
 		return nil, true
 	}
@@ -256,6 +256,12 @@
 	return c.newEnds(state, w, r), false
 }
 
+// isKnown reports whether a report is of a worker that this leader knows from the same pool. Its runs go on after the
+// pool has left the catalog.
+func isKnown(w *worker, r *messages.FleetReport) bool {
+	return w != nil && w.born == r.GetBorn() && w.pool == r.GetPool()
+}
+
 // isStale reports whether a later incarnation of the worker, or a later report of the same one, is known.
 func isStale(state *tracker.Tracker, w *worker, r *messages.FleetReport) bool {
 	if incarnation, known := state.Incarnation(r.GetWorker()); known && r.GetBorn() < incarnation.Started {
