coordinator: runs that may end in the last moments of a leaving worker are stopped in time

Cause: a worker that leaves ends its reports with its exit notice, which carries no list. A run that ends as done in the 0.1 s or so before the notice, or while a report is being answered, is in no report. The task waits for the lease of the worker and runs again. Runs were moved from leaving workers for that, but by an estimate that was wrong in two ways: a run whose estimate left it 250 ms was taken for safe until it was late, when a stop takes longer than the worker has left; and the progress that a run had made before this leader first saw it, under an earlier leader or before its checkpoint, counted as made since, so that it seemed nearly done.

Evidence, 20 reported tasks, one shape: traced with a line for each report (trial), the last report before the end lists percent 99 and no end, 15 ms before the run ends; the notice follows 99 ms after, with no report between. Last contact to end 6 to 946 ms, end to notice -1 to 129 ms in all cases with figures. 135 notices answered late or refused (trial) brought no report, so nothing can be gained after the notice.

Fix: the rate counts from the first listing. From the last moment for a stop on, every run is stopped whose end is not sure to be reported: measured rate, a quarter more than the remaining time, two report intervals and the margin.

TestEndsInTheLastMomentsOfAWorker failed in three cases before.

--- a/internal/queue/coordinator/evacuate.go
+++ b/internal/queue/coordinator/evacuate.go
@@ -10,19 +10,26 @@
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
 )
 
-// exitMargin is how long before a worker's exit a run must end for its end to be reported in time.
+// exitMargin is how long before a worker's exit a run must end for its end to be reported in time: a report may be under
+// way when it ends, and the worker sends no further one until that has been answered.
 const exitMargin = 250 * time.Millisecond
 
+// extrapolationErrorPercent is the error of a remaining time that is extrapolated from the progress of a run.
+const extrapolationErrorPercent = 25
+
 // hopelessPercent is the share of a run's estimated remaining time that must exceed the time left on a leaving
 // worker for the run to be stopped at once. It allows for the error of the estimate.
 const hopelessPercent = 80
 
 // evacuate stops the runs on leaving workers that will not end before the worker exits. They can then start
 // elsewhere as soon as their ends are reported, and not only after the lease of a worker that is gone. Runs that
-// write checkpoints work on until there is just time to stop them; other ones would work for nothing.
+// write checkpoints work on until there is just time to stop them; other ones would work for nothing. From that time
+// on, only runs whose ends are sure to be reported work on: the worker does not report an end in its last moments, and
+// finished work would be repeated.
 func (c *Coordinator) evacuate(state *tracker.Tracker) {
 	now := c.opts.Now()
-	stopTime := c.opts.Timing.MaxStopTime + 2*c.pacer.Interval() + exitMargin
+	reportTime := 2*c.pacer.Interval() + exitMargin
+	stopTime := c.opts.Timing.MaxStopTime + reportTime
 	for _, id := range slices.Sorted(maps.Keys(c.workers)) {
 		w := c.workers[id]
 		if !w.leaving || w.left {
@@ -35,12 +42,10 @@
 				continue
 			}
 			s := j.Step(key.Occurrence, key.Step)
-			remaining := c.progress[key].remaining(now, c.estimate(j, s))
-			if s.Spec.GetLasting() || remaining+exitMargin <= left {
-				continue
-			}
+			remaining, measured := c.progress[key].extrapolate(now, c.estimate(j, s))
 			hopeless := !s.Spec.GetCheckpoints() && remaining*hopelessPercent/100 > left
-			if !hopeless && left > stopTime {
+			ends := measured && remaining+remaining*extrapolationErrorPercent/100+reportTime <= left
+			if s.Spec.GetLasting() || ends || !hopeless && left > stopTime {
 				continue
 			}
 			c.stopping[key] = true
--- a/internal/queue/coordinator/progress.go
+++ b/internal/queue/coordinator/progress.go
@@ -15,6 +15,7 @@
 	firstListed  time.Time // when the run was first listed
 	lastListed   time.Time // when the last report that lists it was sent, at the latest
 	inherited    bool      // an earlier leader ordered the start
+	firstPercent int32     // when the run was first listed, 0 for one that had just begun
 	percent      int32
 	progressedAt time.Time // when the percentage last changed
 	saved        string
@@ -33,6 +34,9 @@
 		if t == nil {
 			_, ordered := w.startOrders[key]
 			t = &runProgress{worker: w.id, firstListed: now, progressedAt: now, savedAt: now, inherited: !ordered}
+			if !ordered || l.GetRun().GetSaved() != "" {
+				t.firstPercent, t.percent = l.GetPercent(), l.GetPercent() // it has not begun just now
+			}
 			c.progress[key] = t
 			if ordered {
 				w.health.provenAt = now
@@ -73,16 +77,24 @@
 
 // remaining estimates the time until a run completes.
 func (t *runProgress) remaining(now time.Time, estimate time.Duration) time.Duration {
+	remaining, _ := t.extrapolate(now, estimate)
+	return remaining
+}
+
+// extrapolate estimates the time until a run completes. measured is true if the estimate follows from the rate at which
+// the run has progressed since it was first listed: an inherited run, or one that resumed from a checkpoint, had
+// progressed before.
+func (t *runProgress) extrapolate(now time.Time, estimate time.Duration) (remaining time.Duration, measured bool) {
 	if t == nil {
-		return estimate
+		return estimate, false
 	}
 	elapsed := t.elapsed(now)
-	if t.percent >= minProgressPercent {
-		progressTime := t.progressedAt.Sub(t.firstListed)
-		total := progressTime * 100 / time.Duration(t.percent)
-		return max(total-elapsed, 0)
+	if progress := t.percent - t.firstPercent; progress >= minProgressPercent {
+		perPercent := t.progressedAt.Sub(t.firstListed) / time.Duration(progress)
+		return max(perPercent*time.Duration(100-t.percent)-now.Sub(t.progressedAt), 0), true
 	}
-	return max(estimate-elapsed, estimate/10)
+	total := estimate * time.Duration(100-t.firstPercent) / 100
+	return max(total-elapsed, total/10), false
 }
 
 // unsaved returns the work time that would be lost if the run were stopped.
