coordinator, placer, tracker: crashes that other events explain speak against no task

Cause: a crash was taken to be explained by the one run that was starting there, whatever else was happening, and only the end of a run cleared its task.

Changes: - A worker that is lost while it was starting nothing, without notice, is a sign of another event. For 10 s after it no crash speaks against a task alone; a job is given up only when 2 s have passed after the crash without such a loss; a task with several crashes waits until there was none for 3 s, for at most 30 s. - A run that has survived clears its task, by a field of the log entry, as soon as this leader has seen it. - The age of a worker is what its own clock or the leader's has counted, not a difference of wall clocks. - Only a task that a crash speaks against, or with two of them, keeps other trials of its job waiting. Old workers are waited for only where there are any, and never by lasting tasks. - A gang with two crashes waits for workers on which nothing is starting; closed workers are left out of evictions and for fillers; a done gang is not given up; what a crash would lose is computed once a worker and pass, and at most 32 trials start in a pass. - Simulator: a worker that is down sends no exit notice.

A gang's trial is held to workers without starts from the second crash on, not from the first: a gang that was lost beside a deadly task would wait for a free moment of each worker.

--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -126,6 +126,8 @@
 	committedStarts map[tracker.RunKey]bool // starts committed in this term
 	failedWorkers   failedWorkers
 	stopping        map[tracker.RunKey]bool
+	unexplainedAt   time.Time // of the last loss of a worker that was starting nothing, zero for none
+	verdicts        map[tracker.TaskKey]verdict
 	seenAt          map[string]time.Time // when this leader first saw a job
 	endedAt         map[string]time.Time // when this leader first saw a job as ended
 	estimator       *estimator.Estimator
@@ -185,6 +187,8 @@
 	c.committedStarts = map[tracker.RunKey]bool{}
 	c.failedWorkers = failedWorkers{}
 	c.stopping = map[tracker.RunKey]bool{}
+	c.unexplainedAt = time.Time{}
+	c.verdicts = map[tracker.TaskKey]verdict{}
 	c.seenAt = map[string]time.Time{}
 	c.endedAt = map[string]time.Time{}
 	c.estimator = estimator.New()
--- a/internal/queue/coordinator/crash.go
+++ b/internal/queue/coordinator/crash.go
@@ -21,20 +21,72 @@
 	minWorkerAge = 10 * time.Second
 )
 
-// hasSurvived reports whether the worker has been seen alive some time after it started a run. A run that an earlier
-// leader ordered had started before it was first listed to this one.
+// verdictDelay is the time from the crash that shows that a task crashes its workers until its job is given up. Losses of
+// other workers that belong to the same event become known meanwhile.
+const verdictDelay = 2 * time.Second
+
+const (
+	quietPeriod = 3 * time.Second  // without such losses, after which a task with several crashes is tried again
+	maxHoldTime = 30 * time.Second // for which a task waits for that
+)
+
+// eventPeriod is the time around the loss of a worker that no start explains, during which other crashes say nothing.
+const eventPeriod = 10 * time.Second
+
+// hasSurvived reports whether the worker has been seen alive some time after it started a run.
 func (t *runProgress) hasSurvived() bool {
-	return t != nil && (t.inherited || t.lastListed.Sub(t.firstListed) >= survivalTime)
+	return t != nil && t.lastListed.Sub(t.firstListed) >= survivalTime
+}
+
+// age returns a lower bound on the time from the start of the worker to its last contact. It takes the time from the
+// worker's own clock, which starts with it, or from this leader's, as wall clocks may be wrong.
+func (w *worker) age() time.Duration {
+	return max(time.Duration(w.clock)*time.Millisecond, w.lastContact.Sub(w.firstContact))
+}
+
+// recordLoss records the loss of a worker that had not announced its exit and was starting nothing.
+func (c *Coordinator) recordLoss(id string, w *worker) {
+	if w != nil && w.hasAnnouncedExit() {
+		return
+	}
+	c.unexplainedAt = c.opts.Now()
+	c.opts.Log.Info("worker lost while no run started", zap.String("worker", id))
 }
 
 // crashes returns the runs of a lost incarnation that may have crashed their worker: those that had just started. w is
 // the worker as this leader knew it, or nil. crashed is false if the worker may be alive but out of reach. A crash speaks
-// against a run alone if this leader ordered its start; how long a run of an earlier leader was at work is not known.
+// against a run alone if this leader ordered its start, as it is not known how long a run of an earlier leader was at
+// work, and if no other worker was lately lost for a reason that no start explains.
 func (c *Coordinator) crashes(state *tracker.Tracker, id string, born int64, w *worker, crashed bool) []*messages.Crash {
 	if w != nil && w.hasAnnouncedExit() {
 		return nil
 	}
-	runs := state.RunsOn(id)
+	starting := c.startingRuns(state.RunsOn(id), born, w)
+	if len(starting) == 0 {
+		c.recordLoss(id, w)
+		return nil
+	}
+	age := time.Duration(0)
+	if w != nil {
+		age = w.age()
+	}
+	calm := c.unexplainedAt.IsZero() || c.opts.Now().Sub(c.unexplainedAt) >= eventPeriod
+	var list []*messages.Crash
+	for _, key := range starting {
+		alone := crashed && calm && c.committedStarts[key] && age >= minWorkerAge && isOneUnit(state, starting)
+		list = append(list, &messages.Crash{
+			Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number, Alone: alone,
+		})
+		c.metrics.crashes.Inc(1)
+		c.opts.Log.Info("worker lost as a run started", zap.String("request", key.Job), zap.Int32("occurrence", key.Occurrence),
+			zap.Int32("step", key.Step), zap.Int32("task", key.Task), zap.Uint32("run", key.Number), zap.String("worker", id),
+			zap.Bool("crashed", crashed), zap.Bool("calm", calm), zap.Duration("age", age), zap.Int("starting", len(starting)), zap.Bool("alone", alone))
+	}
+	return list
+}
+
+// startingRuns returns the runs of a lost incarnation that may have been starting when the worker was last alive.
+func (c *Coordinator) startingRuns(runs map[tracker.RunKey]*messages.Run, born int64, w *worker) []tracker.RunKey {
 	youngest := int64(0)
 	for _, r := range runs {
 		if r.GetBorn() == born {
@@ -48,19 +100,7 @@
 		}
 	}
 	slices.SortFunc(starting, tracker.CompareKeys)
-	var list []*messages.Crash
-	for _, key := range starting {
-		age := time.Duration(runs[key].GetStarted()-born) * time.Millisecond
-		alone := crashed && c.committedStarts[key] && age >= minWorkerAge && isOneUnit(state, starting)
-		list = append(list, &messages.Crash{
-			Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number, Alone: alone,
-		})
-		c.metrics.crashes.Inc(1)
-		c.opts.Log.Info("worker lost as a run started", zap.String("request", key.Job), zap.Int32("occurrence", key.Occurrence),
-			zap.Int32("step", key.Step), zap.Int32("task", key.Task), zap.Uint32("run", key.Number), zap.String("worker", id),
-			zap.Bool("crashed", crashed), zap.Duration("age", age), zap.Int("starting", len(starting)), zap.Bool("alone", alone))
-	}
-	return list
+	return starting
 }
 
 // isOneUnit reports whether runs are just one, or members of one gang, which can only start together.
@@ -87,24 +127,77 @@
 	return time.Duration(youngest-r.GetStarted())*time.Millisecond < maxStartGap
 }
 
-// giveUps returns the jobs with a task that crashes the workers that start it.
+// verdict is the state of a task with several crashes.
+type verdict struct {
+	crashes int
+	since   time.Time // when this leader first saw so many
+}
+
+// updateVerdicts notes which tasks have several crashes, and since when.
+func (c *Coordinator) updateVerdicts(state *tracker.Tracker) {
+	state.EachSuspect(func(key tracker.TaskKey, _ *tracker.Job, t *tracker.Task) {
+		if n := len(t.Crashes); n > 1 && c.verdicts[key].crashes != n {
+			c.verdicts[key] = verdict{n, c.opts.Now()}
+		}
+	})
+}
+
+// giveUps returns the jobs with a task that crashes the workers that start it. A task is tried again if another worker
+// was lost at the time of the last crash for a reason that no start explains, unless it has used up all trials.
 func (c *Coordinator) giveUps(state *tracker.Tracker) []string {
+	c.updateVerdicts(state)
 	var list []string
 	state.EachSuspect(func(key tracker.TaskKey, j *tracker.Job, t *tracker.Task) {
-		if !t.CrashesWorkers() {
+		v := c.verdicts[key]
+		if !t.CrashesWorkers() || c.opts.Now().Sub(v.since) < verdictDelay || c.isDoubtful(v) && !t.IsExhausted() {
 			return
 		}
-		var workers []string
-		var times []time.Time
-		for _, e := range t.Crashes {
-			workers, times = append(workers, e.Worker), append(times, time.UnixMilli(e.Time))
-		}
-		c.metrics.givenUp.Inc(1)
-		c.opts.Log.Warn("job given up: a task crashes its workers", zap.String("request", key.Job), zap.Int32("occurrence", key.Occurrence),
-			zap.Int32("step", key.Step), zap.Int32("task", key.Task), zap.Strings("workers", workers), zap.Times("crashes", times),
-			zap.Int("alone", t.AloneCrashes()))
+		c.logGiveUp(key, t)
 		list = append(list, j.Work.GetId())
 	})
 	slices.Sort(list)
 	return slices.Compact(list)
 }
+
+// isDoubtful reports whether a worker was lost after the last crash for a reason that no start explains.
+func (c *Coordinator) isDoubtful(v verdict) bool { return c.unexplainedAt.After(v.since) }
+
+// isHeld reports whether a suspect task must not start: it is about to be given up, or workers are being lost for reasons
+// that no start explains, as while an operator restarts one after the other, and a trial would say nothing. A task with
+// one crash does not wait.
+func (c *Coordinator) isHeld(key tracker.TaskKey, t *tracker.Task) bool {
+	now, v := c.opts.Now(), c.verdicts[key]
+	switch {
+	case len(t.Crashes) < 2:
+		return false
+	case t.CrashesWorkers() && (now.Sub(v.since) < verdictDelay || !c.isDoubtful(v) || t.IsExhausted()):
+		return true
+	}
+	return !c.unexplainedAt.IsZero() && now.Sub(c.unexplainedAt) < quietPeriod && now.Sub(v.since) < maxHoldTime
+}
+
+func (c *Coordinator) logGiveUp(key tracker.TaskKey, t *tracker.Task) {
+	var workers []string
+	var times []time.Time
+	for _, e := range t.Crashes {
+		workers, times = append(workers, e.Worker), append(times, time.UnixMilli(e.Time))
+	}
+	c.metrics.givenUp.Inc(1)
+	c.opts.Log.Warn("job given up: a task crashes its workers", zap.String("request", key.Job), zap.Int32("occurrence", key.Occurrence),
+		zap.Int32("step", key.Step), zap.Int32("task", key.Task), zap.Strings("workers", workers), zap.Times("crashes", times),
+		zap.Int("alone", t.AloneCrashes()))
+}
+
+// survivals returns the active runs of suspect tasks that have not crashed their workers.
+func (c *Coordinator) survivals(state *tracker.Tracker) []*messages.Crash {
+	var list []*messages.Crash
+	state.EachSuspect(func(key tracker.TaskKey, _ *tracker.Job, t *tracker.Task) {
+		if t.Active > 0 && c.progress[tracker.RunKey{TaskKey: key, Number: t.Number}].hasSurvived() {
+			list = append(list, &messages.Crash{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: t.Number})
+		}
+	})
+	slices.SortFunc(list, func(a, b *messages.Crash) int {
+		return tracker.CompareKeys(tracker.CrashKeyOf(a), tracker.CrashKeyOf(b))
+	})
+	return list
+}
--- a/internal/queue/coordinator/crash_test.go
+++ b/internal/queue/coordinator/crash_test.go
@@ -33,6 +33,7 @@
 	f.sequence++
 	return f.report(t, f.sequence, func(r *messages.FleetReport) {
 		r.Worker, r.Born, r.Address = worker, born.UnixMilli(), "10.0.0.1:"+worker[1:2]
+		r.Clock = max(f.now.Sub(born).Milliseconds(), 0)
 		if change != nil {
 			change(r)
 		}
@@ -120,8 +121,15 @@
 		{"a new leader that has heard of the run", []string{"a"}, age, func(t *testing.T, f *crashFixture, runs []*messages.Run, born time.Time) {
 			f.leaderTerm++
 			f.reportFrom(t, "w1", born, listing(runs))
+			f.now = f.now.Add(survivalTime)
+			f.reportFrom(t, "w1", born, listing(runs))
 			f.reportFrom(t, "w1", f.now, nil)
 		}, 0, false},
+		{"another worker was lost while it was starting nothing", []string{"a"}, age, func(t *testing.T, f *crashFixture, _ []*messages.Run, born time.Time) {
+			f.reportFrom(t, "w2", born, nil)
+			f.reportFrom(t, "w2", f.now, nil)
+			f.reportFrom(t, "w1", f.now, nil)
+		}, 1, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := newCrashFixture(t, c.jobs...)
@@ -183,6 +191,31 @@
 	}
 	f.is.Equal(len(f.crashesOf("a")), 3)
 	f.Pass(context.Background())
+	f.is.Equal(f.state.Job("a").Phase, tracker.Running) // other losses may become known
+	f.now = f.now.Add(verdictDelay)
+	f.Pass(context.Background())
 	f.is.Equal(f.state.Job("a").Phase, tracker.Failed)
 	f.is.Equal(len(f.state.Open()), 0)
 }
+
+// TestDoubtfulCrashIsTriedAgain guards against a job that is given up for a crash that was one of several: another worker
+// is found lost, with nothing starting on it, shortly after the third crash. All trials used up, the job fails.
+func TestDoubtfulCrashIsTriedAgain(t *testing.T) {
+	f := newCrashFixture(t, "a")
+	old := f.now.Add(-time.Minute)
+	f.reportFrom(t, "w9", old, func(r *messages.FleetReport) { r.Processors = 0 })
+	for i := range 5 {
+		f.now = f.now.Add(quietPeriod)
+		worker := fmt.Sprintf("w%d", i)
+		f.is.Equal(len(f.begin(t, worker, f.now.Add(-time.Minute))), 1)
+		f.now = f.now.Add(eventPeriod)
+		f.reportFrom(t, worker, f.now, func(r *messages.FleetReport) { r.Processors = 0 })
+		f.is.Equal(len(f.crashesOf("a")), i+1)
+		f.Pass(context.Background())
+		f.now = f.now.Add(verdictDelay / 2)
+		f.reportFrom(t, "w9", f.now, func(r *messages.FleetReport) { r.Processors = 0 })
+		f.now = f.now.Add(verdictDelay / 2)
+		f.Pass(context.Background())
+		f.is.Equal(f.state.Job("a").Ended(), i == 4)
+	}
+}
--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -25,6 +25,7 @@
 	change.Forgets = c.expiredJobs(state)
 	change.Failures = c.giveUps(state)
 	change.Cancels = change.Failures
+	change.Survivals = c.survivals(state)
 	if len(change.Ends)+len(change.Failures) == 0 {
 		// Ends free capacity that is not visible before they are applied, so starts wait for the next pass.
 		change.Starts = c.planStarts(state)
@@ -32,7 +33,7 @@
 	for _, r := range change.Starts {
 		r.Started = change.Time
 	}
-	if len(change.Ends)+len(change.Forgets)+len(change.Failures)+len(change.Starts) == 0 {
+	if len(change.Ends)+len(change.Forgets)+len(change.Failures)+len(change.Survivals)+len(change.Starts) == 0 {
 		return nil
 	}
 	return change
@@ -129,6 +130,10 @@
 	maps.DeleteFunc(c.progress, func(key tracker.RunKey, _ *runProgress) bool { return ended(key) })
 	maps.DeleteFunc(c.committedStarts, func(key tracker.RunKey, _ bool) bool { return ended(key) })
 	maps.DeleteFunc(c.stopping, func(key tracker.RunKey, _ bool) bool { return ended(key) })
+	maps.DeleteFunc(c.verdicts, func(key tracker.TaskKey, _ verdict) bool {
+		j := state.Job(key.Job)
+		return j == nil || j.Ended()
+	})
 	for _, w := range c.workers {
 		maps.DeleteFunc(w.startOrders, func(key tracker.RunKey, _ uint64) bool { return ended(key) })
 	}
@@ -193,6 +198,7 @@
 				wall.UnixMilli() >= j.Work.GetFirst()+int64(occurrence)*j.Work.GetInterval()
 		},
 		Pool:         func(j *tracker.Job) string { return c.poolOf(state, j) },
+		Held:         c.isHeld,
 		FailedLately: func(j *tracker.Job) bool { return c.failedWorkers.failedLately(now, j.Work.GetId()) },
 	}
 	quarantined := map[string]int{} // number of workers by pool
@@ -249,7 +255,7 @@
 		ID: w.id, Started: w.born, Pool: w.pool, Rack: w.rack, Labels: w.labels, Capacity: w.capacity, Free: w.capacity,
 		Usable:  !w.leaving && !w.unreachable && state.Pools()[w.pool] != nil && now.Sub(w.lastContact) < c.opts.Timing.contactTimeout(w.interval) && now.Before(w.leaseEnd),
 		Suspect: w.health.isSuspect(now), Proven: w.health.isProven(now) && !w.health.isSuspect(now),
-		Young: c.opts.Wall().Sub(time.UnixMilli(w.born)) < minWorkerAge,
+		Young: w.age() < minWorkerAge,
 	}
 	runs := state.RunsOn(w.id)
 	for key, r := range runs {
--- a/internal/queue/coordinator/progress.go
+++ b/internal/queue/coordinator/progress.go
@@ -14,7 +14,6 @@
 	worker       string
 	firstListed  time.Time // when the run was first listed
 	lastListed   time.Time // when the last report that lists it was sent, at the latest
-	inherited    bool      // an earlier leader ordered the start
 	firstPercent int32     // when the run was first listed, 0 for one that had just begun
 	percent      int32
 	progressedAt time.Time // when the percentage last changed
@@ -33,7 +32,7 @@
 		t := c.progress[key]
 		if t == nil {
 			_, ordered := w.startOrders[key]
-			t = &runProgress{worker: w.id, firstListed: now, progressedAt: now, savedAt: now, inherited: !ordered}
+			t = &runProgress{worker: w.id, firstListed: now, progressedAt: now, savedAt: now}
 			if !ordered || l.GetRun().GetSaved() != "" {
 				t.firstPercent, t.percent = l.GetPercent(), l.GetPercent() // it has not begun just now
 			}
@@ -90,8 +89,8 @@
 	}
 	elapsed := t.elapsed(now)
 	if progress := t.percent - t.firstPercent; progress >= minProgressPercent {
-		perPercent := t.progressedAt.Sub(t.firstListed) / time.Duration(progress)
-		return max(perPercent*time.Duration(100-t.percent)-now.Sub(t.progressedAt), 0), true
+		total := t.progressedAt.Sub(t.firstListed) * time.Duration(100-t.firstPercent) / time.Duration(progress)
+		return max(total-elapsed, 0), true
 	}
 	total := estimate * time.Duration(100-t.firstPercent) / 100
 	return max(total-elapsed, total/10), false
--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -30,6 +30,7 @@
 	previous      *worker       // the incarnation before it, nil if this leader did not know it
 	replaced      bool          // a later worker reports from its address, so this one has ended
 	expiring      bool          // its end is being committed; it gets no orders until then
+	firstContact  time.Time     // when this leader first heard of it
 	lastContact   time.Time     // latest possible send time of its last report
 	clock         int64         // worker's clock in that report, in milliseconds, 0 for none
 	interval      time.Duration // that it was last told to wait before its next report
@@ -245,11 +246,11 @@
 		c.opts.Log.Warn("report names an unknown pool", zap.String("worker", r.GetWorker()), zap.String("pool", r.GetPool()))
 		return nil, true
 	}
-	if isStale(state, w, r) || c.isReplaced(r) {
+	if isStale(state, w, r) || c.isReplaced(state, r) {
 		return nil, true
 	}
 	if w == nil || r.GetBorn() > w.born {
-		w = c.addIncarnation(r)
+		w = c.addIncarnation(state, r)
 	}
 	c.updateWorker(w, r, now)
 	c.updateProgress(w, r)
@@ -271,10 +272,14 @@
 }
 
 // addIncarnation adds a worker that is new or has restarted.
-func (c *Coordinator) addIncarnation(r *messages.FleetReport) *worker {
+func (c *Coordinator) addIncarnation(state *tracker.Tracker, r *messages.FleetReport) *worker {
 	w := &worker{id: r.GetWorker(), born: r.GetBorn(), startOrders: map[tracker.RunKey]uint64{}}
+	w.firstContact = c.opts.Now()
 	if w.previous = c.workers[w.id]; w.previous != nil {
 		w.previous.previous = nil
+		if len(state.RunsOn(w.id)) == 0 {
+			c.recordLoss(w.id, w.previous)
+		}
 	}
 	c.workers[r.GetWorker()] = w
 	c.opts.Log.Info("worker reports", zap.String("worker", w.id), zap.Int64("born", w.born),
@@ -286,7 +291,7 @@
 // isReplaced reports whether a worker that started later uses the address of a report. If instead the sender
 // is the later one, it marks the earlier worker as replaced. An address belongs to one process at a time, so
 // the earlier process has ended, and its runs need not wait for the lease to expire.
-func (c *Coordinator) isReplaced(r *messages.FleetReport) bool {
+func (c *Coordinator) isReplaced(state *tracker.Tracker, r *messages.FleetReport) bool {
 	if r.GetAddress() == "" {
 		return false
 	}
@@ -299,6 +304,9 @@
 		if previous.born == r.GetBorn() {
 			return false // the order of the two is unknown
 		}
+		if !previous.replaced && len(state.RunsOn(previous.id)) == 0 {
+			c.recordLoss(previous.id, previous)
+		}
 		previous.replaced, previous.left = true, true
 		c.opts.Log.Info("worker replaced", zap.String("worker", previous.id), zap.Int64("born", previous.born),
 			zap.String("address", r.GetAddress()), zap.String("successor", r.GetWorker()), zap.Int64("later", r.GetBorn()))
--- a/internal/queue/placer/evict.go
+++ b/internal/queue/placer/evict.go
@@ -61,7 +61,7 @@
 	for _, d := range domains {
 		r := ranked{domain: d}
 		for _, c := range d {
-			if u.canRunOn(c.Worker) {
+			if u.mayUse(c) {
 				r.fits += c.projected.Fits(u.need, u.maxPerWorker(len(u.tasks)))
 			}
 		}
@@ -88,7 +88,8 @@
 
 // excludesMoreThan reports whether canRunOn excludes workers for u that it allows for v, because of their health or age.
 func (u *unit) excludesMoreThan(v *unit) bool {
-	return u.needsOldWorker() && !v.needsOldWorker() || u.provenOnly && !v.provenOnly || u.lastAttempt && !v.lastAttempt || u.step.Spec.GetGang() && !v.step.Spec.GetGang()
+	return u.needsOldWorker && !v.needsOldWorker || u.startsAlone() && !v.startsAlone() || u.provenOnly && !v.provenOnly ||
+		u.lastAttempt && !v.lastAttempt || u.step.Spec.GetGang() && !v.step.Spec.GetGang()
 }
 
 // stop adds a run to the plan's stops and counts its resources as projected capacity.
@@ -126,7 +127,7 @@
 	fits := 0
 	limit := u.maxPerWorker(len(u.tasks))
 	for _, c := range domain {
-		if u.canRunOn(c.Worker) {
+		if u.mayUse(c) {
 			e.free[c] = c.projected
 			fits += c.projected.Fits(u.need, limit)
 		}
--- a/internal/queue/placer/gang.go
+++ b/internal/queue/placer/gang.go
@@ -131,7 +131,7 @@
 func (u *unit) pack(domain []*candidate, free func(*candidate) Vector) ([]allocation, bool) {
 	var allocations []allocation
 	for _, c := range domain {
-		if !u.canRunOn(c.Worker) {
+		if !u.mayUse(c) {
 			continue
 		}
 		if n := free(c).Fits(u.need, u.maxPerWorker(len(u.tasks))); n > 0 {
@@ -197,7 +197,7 @@
 	var releases []release
 	free := map[*candidate]Vector{}
 	for _, c := range domain {
-		if !u.canRunOn(c.Worker) || c.reservedIn > 0 {
+		if !u.mayUse(c) || c.reservedIn > 0 {
 			continue
 		}
 		free[c] = c.projected
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -57,6 +57,8 @@
 	Due func(j *tracker.Job, occurrence int32) bool
 	// Pool returns the pool for a job's tasks, "" if there is none at present.
 	Pool func(*tracker.Job) string
+	// Held reports whether a suspect task must not start.
+	Held func(key tracker.TaskKey, t *tracker.Task) bool
 	// FailedLately reports whether a run of a job has just failed as soon as it started. Its last attempt then starts on
 	// proven workers only, as one that fails all that it starts would use the attempt up.
 	FailedLately func(*tracker.Job) bool
@@ -82,9 +84,13 @@
 	lastAttempt bool // one more failure fails the job
 	provenOnly  bool // starts on proven workers only
 	crashes     int  // most crashes under one of its tasks; more than 0 for a trial
-	estimate    time.Duration
-	objective   time.Duration
-	age         time.Duration
+	blamed      bool // one of its tasks alone explains a crash
+	// needsOldWorker: it waits for workers that have not started lately. Two crashes may be by chance; a third one must
+	// say something about the task.
+	needsOldWorker bool
+	estimate       time.Duration
+	objective      time.Duration
+	age            time.Duration
 }
 
 // pass holds the working state of one pass.
@@ -100,6 +106,7 @@
 	infeasible   []*unit              // units that no eviction could fit
 	reservations int
 	trials       map[string]int        // trials that may still start, by pool
+	old          map[string]int        // usable workers that have not started lately, by pool
 	tried        map[*tracker.Job]bool // jobs with a trial
 }
 
@@ -110,14 +117,17 @@
 	// projected is the free capacity once all pending stops are complete, minus what is reserved for earlier
 	// units.
 	projected Vector
-	assigned  bool // a task was started on it in this pass
+	assigned  bool  // a task was started on it in this pass
+	closed    bool  // nothing may start on it
+	starting  bool  // a run is starting on it
+	loss      int64 // cost of the work that its crash would lose, negative until it is computed
 	// reservedIn is the estimated time until a waiting gang starts here. Later units may use the worker only
 	// if they end by then. 0 means not reserved.
 	reservedIn time.Duration
 }
 
-// close leaves no capacity of the worker to later units of the pass.
-func (c *candidate) close() { c.free, c.projected = Vector{}, Vector{} }
+// close lets no later unit of the pass use the worker.
+func (c *candidate) close() { c.closed, c.free, c.projected = true, Vector{}, Vector{} }
 
 // hosts reports whether a run starts on the worker.
 func (c *candidate) hosts(r *messages.Run) bool { return r.GetWorker() == c.ID }
@@ -127,11 +137,11 @@
 	p := &pass{
 		input: in, racks: map[string][]*candidate{}, pools: map[string][]*candidate{},
 		gangs: map[*tracker.Step][]*ActiveRun{}, workerOf: map[*ActiveRun]*candidate{}, costs: map[*ActiveRun]int64{},
-		trials: map[string]int{}, tried: map[*tracker.Job]bool{},
+		trials: map[string]int{}, old: map[string]int{}, tried: map[*tracker.Job]bool{},
 	}
 	p.planTrials()
 	for _, w := range in.Workers {
-		c := &candidate{Worker: w, free: w.Free, projected: w.Free}
+		c := &candidate{Worker: w, free: w.Free, projected: w.Free, starting: w.hasStarts(), loss: -1}
 		for _, a := range w.Runs {
 			p.workerOf[a] = c
 			if a.Step.Spec.GetGang() {
@@ -261,9 +271,17 @@
 	p.placeTasks(u)
 }
 
-// canRunOn reports whether the unit may use the worker, regardless of free capacity.
+// mayUse reports whether the unit may use the worker in this pass, regardless of free capacity.
+func (u *unit) mayUse(c *candidate) bool {
+	if c.closed || u.startsAlone() && (c.assigned || c.starting) {
+		return false
+	}
+	return u.canRunOn(c.Worker)
+}
+
+// canRunOn reports whether the unit may use the worker, regardless of free capacity and of other starts.
 func (u *unit) canRunOn(w *Worker) bool {
-	if u.needsOldWorker() && w.Young || u.provenOnly && !w.Proven || w.Suspect && u.lastAttempt || w.Probed && (u.step.Spec.GetGang() || u.lastAttempt || len(w.Runs) > 0) {
+	if u.needsOldWorker && w.Young || u.provenOnly && !w.Proven || w.Suspect && u.lastAttempt || w.Probed && (u.step.Spec.GetGang() || u.lastAttempt || len(w.Runs) > 0) {
 		return false
 	}
 	label := u.step.Spec.GetLabel()
--- a/internal/queue/placer/placer_test.go
+++ b/internal/queue/placer/placer_test.go
@@ -37,6 +37,7 @@
 		Pool: func(*tracker.Job) string { return "p" },
 
 		FailedLately: func(*tracker.Job) bool { return false },
+		Held:         func(tracker.TaskKey, *tracker.Task) bool { return false },
 	}
 }
 
--- a/internal/queue/placer/trial.go
+++ b/internal/queue/placer/trial.go
@@ -12,6 +12,7 @@
 const (
 	workersPerTrial = 16
 	idlePerTrial    = 2
+	maxTrials       = 32 // that start in one pass in a pool
 )
 
 // hasTrial reports whether a suspect task is starting on the worker. Nothing else may start there meanwhile, so that a
@@ -36,6 +37,9 @@
 			continue // a trial that has crashed its worker is over
 		}
 		usable[w.Pool]++
+		if !w.Young {
+			p.old[w.Pool]++
+		}
 		if len(w.Runs) == 0 {
 			idle[w.Pool]++
 		}
@@ -44,7 +48,7 @@
 		}
 	}
 	for pool, n := range usable {
-		p.trials[pool] = max(n/workersPerTrial, idle[pool]/idlePerTrial, 1) - running[pool]
+		p.trials[pool] = min(max(n/workersPerTrial, idle[pool]/idlePerTrial, 1)-running[pool], maxTrials)
 	}
 }
 
@@ -53,20 +57,27 @@
 func (p *pass) separateTrials(u *unit) []*unit {
 	if u.step.Spec.GetGang() {
 		for _, task := range u.tasks {
-			u.crashes = max(u.crashes, len(u.step.Tasks[task].Crashes))
+			if u.suspect(&u.step.Tasks[task]); p.isHeld(u, task) {
+				return nil
+			}
 		}
+		u.needsOldWorker = u.needsOldWorker && p.old[u.pool] > 0
 		return []*unit{u}
 	}
 	var units []*unit
 	var rest []int32
 	for _, task := range u.tasks {
-		t := &u.step.Tasks[task]
-		if !t.IsSuspect() {
+		if !u.step.Tasks[task].IsSuspect() {
 			rest = append(rest, task)
 			continue
 		}
+		if p.isHeld(u, task) {
+			continue
+		}
 		trial := *u
-		trial.tasks, trial.crashes = []int32{task}, len(t.Crashes)
+		trial.tasks = []int32{task}
+		trial.suspect(&u.step.Tasks[task])
+		trial.needsOldWorker = trial.needsOldWorker && p.old[u.pool] > 0
 		units = append(units, &trial)
 	}
 	if u.tasks = rest; len(rest) > 0 && !p.isDoomed(u) {
@@ -75,10 +86,31 @@
 	return units
 }
 
-// isDoomed reports whether a task of the unit's step is likely to be given up. A task that has survived its trial is not.
+// suspect adds the crashes of one of the unit's tasks to the unit.
+func (u *unit) suspect(t *tracker.Task) {
+	u.crashes = max(u.crashes, len(t.Crashes))
+	u.blamed = u.blamed || t.AloneCrashes() > 0
+	u.needsOldWorker = u.crashes > 1 && !u.step.Spec.GetLasting()
+}
+
+// startsAlone reports whether a gang waits for workers on which nothing else is starting. Single tasks do so always.
+func (u *unit) startsAlone() bool { return u.crashes > 1 && u.step.Spec.GetGang() }
+
+// isOneAtATime reports whether no other trial of its job may be under way. A task that no crash speaks against alone is
+// likely to be innocent.
+func (u *unit) isOneAtATime() bool { return u.crashes > 1 || u.blamed }
+
+func (p *pass) isHeld(u *unit, task int32) bool {
+	t := &u.step.Tasks[task]
+	key := tracker.TaskKey{Job: u.job.Work.GetId(), Occurrence: u.step.Occurrence, Step: u.step.Index, Task: task}
+	return t.IsSuspect() && p.input.Held(key, t)
+}
+
+// isDoomed reports whether a task of the unit's step is likely to be given up. A task that has survived its trial is no
+// suspect any more. A lasting task must not wait for another one.
 func (p *pass) isDoomed(u *unit) bool {
-	return slices.ContainsFunc(u.step.Tasks, func(t tracker.Task) bool {
-		return !t.Done && isLikelyGivenUp(&t) && (t.Active == 0 || p.tried[u.job])
+	return !u.step.Spec.GetLasting() && slices.ContainsFunc(u.step.Tasks, func(t tracker.Task) bool {
+		return !t.Done && isLikelyGivenUp(&t)
 	})
 }
 
@@ -87,7 +119,7 @@
 
 // placeTrial starts a suspect task or gang. Nothing else starts on its workers until they are seen alive after it.
 func (p *pass) placeTrial(u *unit) {
-	if p.trials[u.pool] <= 0 || p.tried[u.job] {
+	if p.trials[u.pool] <= 0 || u.isOneAtATime() && p.tried[u.job] {
 		return
 	}
 	before := len(p.plan.Starts)
@@ -98,7 +130,7 @@
 			p.evictForTask(u, p.runsPerWorker(u))
 		}
 	} else {
-		if !c.assigned && !c.hasStarts() {
+		if !c.assigned && !c.starting {
 			p.start(u, u.tasks[0], c)
 		}
 		c.close() // also while the trial waits for starts on the worker to succeed
@@ -133,7 +165,7 @@
 		loss := p.lossOf(c)
 		if best == nil || cmp.Or(
 			compareBool(c.Suspect, best.Suspect), compareBool(c.Young, best.Young),
-			compareBool(c.assigned || c.hasStarts(), best.assigned || best.hasStarts()), cmp.Compare(loss, bestLoss),
+			compareBool(c.assigned || c.starting, best.assigned || best.starting), cmp.Compare(loss, bestLoss),
 			cmp.Compare(len(c.Runs), len(best.Runs)), cmp.Compare(c.free.Weight(), best.free.Weight()),
 		) < 0 {
 			best, bestLoss = c, loss
@@ -142,15 +174,13 @@
 	return best
 }
 
-// needsOldWorker reports whether the unit waits for workers that have not started lately. Two crashes may be by chance;
-// a third one must say something about the task.
-func (u *unit) needsOldWorker() bool { return u.crashes > 1 }
-
 // lossOf returns the cost of the work that a crash of the worker would lose.
 func (p *pass) lossOf(c *candidate) int64 {
-	loss := int64(0)
-	for _, a := range c.Runs {
-		loss += p.costOf(a)
+	if c.loss < 0 {
+		c.loss = 0
+		for _, a := range c.Runs {
+			c.loss += p.costOf(a)
+		}
 	}
-	return loss
+	return c.loss
 }
--- a/internal/queue/placer/trial_test.go
+++ b/internal/queue/placer/trial_test.go
@@ -155,3 +155,87 @@
 	crash(tr, "array", 3, 1, false)
 	is.True(tr.Job("array").Step(0, 0).Tasks[3].CrashesWorkers())
 }
+
+// TestTrialOfFillerStartsAlone guards against a task that starts beside a trial as it needs no resource that is counted.
+func TestTrialOfFillerStartsAlone(t *testing.T) {
+	is := is.New(t)
+	tr := tracker.New()
+	workers := fleet(1)
+	submit(tr, "suspect", 1, &messages.Step{Count: 1, Processors: 1000})
+	crash(tr, "suspect", 0, 1, true)
+	run := NewPlan(input(workers, tr)).Starts[0]
+	tr.Apply(&messages.QueueChange{Starts: []*messages.Run{run}})
+	j := tr.Job("suspect")
+	workers[0].Runs = []*ActiveRun{{Key: tracker.KeyOf(run), Job: j, Step: j.Step(0, 0), Need: Vector{Processors: 1000}, Starting: true}}
+	submit(tr, "filler", 1, &messages.Step{Count: 1, Processors: 1000, Filler: true})
+	is.Equal(len(NewPlan(input(workers, tr)).Starts), 0)
+}
+
+// TestGangTrialStartsAlone guards against a gang with two crashes that starts on a worker beside a run that is starting:
+// the crash of that worker would have two explanations.
+func TestGangTrialStartsAlone(t *testing.T) {
+	is := is.New(t)
+	tr := tracker.New()
+	workers := fleet(1)
+	submit(tr, "new", 1, &messages.Step{Count: 1, Processors: 1000})
+	occupy(tr, "new", workers[0])
+	workers[0].Runs[0].Starting = true
+	submit(tr, "suspect", 1, &messages.Step{Count: 2, Processors: 1000, Gang: true})
+	crash(tr, "suspect", 0, 2, true)
+	is.Equal(len(NewPlan(input(workers, tr)).Starts), 0)
+}
+
+// TestGangTrialIsNotBesideStartsOfItsPass is the same for runs that start in the same pass.
+func TestGangTrialIsNotBesideStartsOfItsPass(t *testing.T) {
+	is := is.New(t)
+	tr := tracker.New()
+	workers := fleet(1)
+	submit(tr, "new", 0, &messages.Step{Count: 1, Processors: 1000})
+	submit(tr, "suspect", 1, &messages.Step{Count: 2, Processors: 1000, Gang: true})
+	crash(tr, "suspect", 0, 2, true)
+	is.Equal(len(NewPlan(input(workers, tr)).Starts), 1)
+}
+
+// TestUrgentSuspectDoesNotEvictBesideTrial guards against runs that are evicted from a worker on which nothing may
+// start.
+func TestUrgentSuspectDoesNotEvictBesideTrial(t *testing.T) {
+	is := is.New(t)
+	tr := tracker.New()
+	workers := fleet(1)
+	submit(tr, "suspect", 1, &messages.Step{Count: 1, Processors: 30_000})
+	crash(tr, "suspect", 0, 1, true)
+	run := NewPlan(input(workers, tr)).Starts[0]
+	tr.Apply(&messages.QueueChange{Starts: []*messages.Run{run}})
+	j := tr.Job("suspect")
+	workers[0].Runs = []*ActiveRun{{Key: tracker.KeyOf(run), Job: j, Step: j.Step(0, 0), Need: Vector{Processors: 30_000}, Starting: true, Remaining: 1 << 40}}
+	workers[0].Free.Processors -= 30_000
+	submit(tr, "urgent", 0, &messages.Step{Count: 1, Processors: 30_000})
+	is.Equal(len(NewPlan(input(workers, tr)).Stops), 0) // the worker has free capacity once the trial has survived
+}
+
+// BenchmarkTrials measures a pass with many suspect tasks.
+func BenchmarkTrials(b *testing.B) {
+	for _, n := range []int{1100, 6600} {
+		for _, suspects := range []int{0, 100, 2000} {
+			for _, busy := range []int{0, 14} {
+				tr := tracker.New()
+				workers := fleet(n)
+				submit(tr, "old", 1, &messages.Step{Count: int32(n*busy + 1), Processors: 1000})
+				for range busy {
+					occupy(tr, "old", workers...)
+				}
+				tr.Apply(&messages.QueueChange{Cancels: []string{"old"}})
+				for i := range suspects {
+					id := fmt.Sprintf("suspect%d", i)
+					submit(tr, id, 1, &messages.Step{Count: 1, Processors: 1000})
+					crash(tr, id, 0, 1, true)
+				}
+				b.Run(fmt.Sprintf("workers=%d/suspects=%d/runs=%d", n, suspects, busy), func(b *testing.B) {
+					for b.Loop() {
+						NewPlan(input(workers, tr))
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/queue/simulator/worker.go
+++ b/internal/queue/simulator/worker.go
@@ -436,6 +436,9 @@
 
 // leave sends an exit notice and exits.
 func (w *worker) leave() {
+	if !w.up {
+		return // it has crashed
+	}
 	if leader := w.sim.leader; leader != nil && w.partitioned == 0 {
 		notice := &messages.FleetReport{Worker: w.id, Born: w.started, Left: true}
 		w.sim.spawn(func() {
--- a/internal/queue/tracker/job.go
+++ b/internal/queue/tracker/job.go
@@ -79,6 +79,9 @@
 	return len(t.Crashes) >= maxCrashes || len(t.Crashes) >= minCrashes && t.AloneCrashes() >= minAloneCrashes
 }
 
+// IsExhausted reports whether the task must not be tried again.
+func (t *Task) IsExhausted() bool { return len(t.Crashes) >= maxCrashes }
+
 // AloneCrashes returns the number of crashes that no other run can have caused.
 func (t *Task) AloneCrashes() int {
 	n := 0
--- a/internal/queue/tracker/tracker.go
+++ b/internal/queue/tracker/tracker.go
@@ -149,6 +149,11 @@
 	for _, e := range c.GetEnds() {
 		t.endRuns(e, c.GetTime())
 	}
+	for _, survival := range c.GetSurvivals() {
+		if key := CrashKeyOf(survival); t.IsActive(key) {
+			t.clearCrashes(key)
+		}
+	}
 	for _, id := range c.GetForgets() {
 		if j := t.jobs[id]; j != nil && j.Ended() && j.active == 0 {
 			delete(t.jobs, id)
@@ -222,7 +227,9 @@
 		}
 		delete(runs, key)
 		t.jobs[key.Job].endRun(r, end.GetHow(), end.GetSaved(), time)
-		t.clearCrashes(key, end.GetHow())
+		if hasRun(end.GetHow()) {
+			t.clearCrashes(key)
+		}
 	}
 	t.recordCrashes(e, runs, time)
 	for key, r := range runs {
@@ -253,7 +260,11 @@
 		if r == nil || !isLost(r, e) {
 			continue
 		}
-		task := &t.jobs[key.Job].Step(key.Occurrence, key.Step).Tasks[key.Task]
+		s := t.jobs[key.Job].Step(key.Occurrence, key.Step)
+		task := &s.Tasks[key.Task]
+		if s.Done || task.Done {
+			continue
+		}
 		if len(task.Crashes) < maxCrashes {
 			task.Crashes = append(task.Crashes, Crash{Worker: e.GetWorker(), Time: time, Alone: c.GetAlone()})
 		}
@@ -261,22 +272,30 @@
 	}
 }
 
-// clearCrashes clears a task of suspicion after a run that did not crash its worker. A failure proves nothing, as a
-// faulty worker may fail runs that it has not started.
-func (t *Tracker) clearCrashes(key RunKey, how string) {
+// hasRun reports whether the end of a run shows that the run did not crash its worker. A failure does not, as a faulty
+// worker may fail runs that it has not started.
+func hasRun(how string) bool {
 	switch how {
 	case EndDone, EndStopped, EndExpired:
-		t.jobs[key.Job].Step(key.Occurrence, key.Step).Tasks[key.Task].Crashes = nil
-		delete(t.suspects, key.TaskKey)
+		return true
 	}
+	return false
+}
+
+// clearCrashes clears the task of an active run, or of one that has just ended, of suspicion.
+func (t *Tracker) clearCrashes(key RunKey) {
+	t.jobs[key.Job].Step(key.Occurrence, key.Step).Tasks[key.Task].Crashes = nil
+	delete(t.suspects, key.TaskKey)
 }
 
 // EachSuspect calls visit for each task whose runs may have crashed their workers, in no particular order. Jobs that
-// have ended are left out.
+// have ended, and steps that are done, are left out.
 func (t *Tracker) EachSuspect(visit func(key TaskKey, j *Job, task *Task)) {
 	for key := range t.suspects {
-		if j := t.jobs[key.Job]; !j.Ended() {
-			visit(key, j, &j.Step(key.Occurrence, key.Step).Tasks[key.Task])
+		j := t.jobs[key.Job]
+		s := j.Step(key.Occurrence, key.Step)
+		if !j.Ended() && !s.Done {
+			visit(key, j, &s.Tasks[key.Task])
 		}
 	}
 }
