coordinator: lost orders and runs that are being stopped count when a capacity has shrunk

Found by a review of the change that withholds starts: a new leader that had ordered a start of its predecessor ordered it again with each report, though the worker had reported no capacity since (20 orders in 5 s), and a start was ordered beside a listed run that is being stopped, which still uses its share (LIMIT). A start that a later report does not list is now judged as one that was not ordered, and runs that are listed and not in the state count; while one of them is unknown, nothing is ordered. TestLostOrderIsNotRepeatedBeyondCapacity failed in both cases before.

--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -454,20 +454,27 @@
 	return ends
 }
 
-// oversizedStarts returns the starts that this leader has not ordered yet and that do not fit: the worker has reported
-// less capacity since they were decided.
+// oversizedStarts returns the starts that the worker has not carried out and that do not fit: it has reported less
+// capacity since they were decided.
 func (c *Coordinator) oversizedStarts(state *tracker.Tracker, w *worker) map[tracker.RunKey]bool {
 	free := w.capacity
 	var unsent []tracker.RunKey
 	for key, run := range state.RunsOn(w.id) {
 		switch {
 		case run.GetBorn() != w.born:
-		case w.listed[key] || w.startOrders[key] > 0:
+		case w.listed[key] || w.startOrders[key] >= w.sequence:
 			free = free.Sub(needOf(state, key))
 		default:
 			unsent = append(unsent, key)
 		}
 	}
+	for _, run := range w.unexpectedRuns(state.RunsOn(w.id)) { // they use their share until they have stopped
+		if j := state.Job(run.GetJob()); j != nil && j.Step(run.GetOccurrence(), run.GetStep()) != nil {
+			free = free.Sub(needOf(state, tracker.KeyOf(run)))
+			continue
+		}
+		free = placer.Vector{Processors: -1} // how much it uses is not known
+	}
 	slices.SortFunc(unsent, tracker.CompareKeys)
 	oversized := map[tracker.RunKey]bool{}
 	for _, key := range unsent {
