coordinator, placer: a last attempt needs a worker that has proven sound since the last failure

What callers saw: a sound job fails, as workers that fail all that they start use up its attempts.

Cause: after an immediate failure, a job's last attempt goes to a worker on which a run has just been seen at work. The sight now has to be later than the failure.

--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -197,9 +197,9 @@
 			return j.Work.GetOccurrences() == 0 ||
 				wall.UnixMilli() >= j.Work.GetFirst()+int64(occurrence)*j.Work.GetInterval()
 		},
-		Pool:         func(j *tracker.Job) string { return c.poolOf(state, j) },
-		Held:         c.isHeld,
-		FailedLately: func(j *tracker.Job) bool { return c.failedWorkers.failedLately(now, j.Work.GetId()) },
+		Pool:     func(j *tracker.Job) string { return c.poolOf(state, j) },
+		Held:     c.isHeld,
+		FailedAt: func(j *tracker.Job) time.Time { return c.failedWorkers.failedAt(now, j.Work.GetId()) },
 	}
 	quarantined := map[string]int{} // number of workers by pool
 	total := map[string]int{}
@@ -254,8 +254,7 @@
 	v := &placer.Worker{
 		ID: w.id, Started: w.born, Pool: w.pool, Rack: w.rack, Labels: w.labels, Capacity: w.capacity, Free: w.capacity,
 		Usable:  !w.leaving && !w.unreachable && state.Pools()[w.pool] != nil && now.Sub(w.lastContact) < c.opts.Timing.contactTimeout(w.interval) && now.Before(w.leaseEnd),
-		Suspect: w.health.isSuspect(now), Proven: w.health.isProven(now) && !w.health.isSuspect(now),
-		Young: w.age() < minWorkerAge,
+		Suspect: w.health.isSuspect(now), ProvenAt: w.health.provenLately(now), Young: w.age() < minWorkerAge,
 	}
 	runs := state.RunsOn(w.id)
 	for key, r := range runs {
--- a/internal/queue/coordinator/health.go
+++ b/internal/queue/coordinator/health.go
@@ -57,8 +57,13 @@
 	}
 }
 
-// isProven reports whether a run that started lately did not fail at once.
-func (h *health) isProven(now time.Time) bool { return now.Sub(h.provenAt) < provenPeriod }
+// provenLately returns when a run that this leader ordered was last seen at work, zero if that is too long ago.
+func (h *health) provenLately(now time.Time) time.Time {
+	if now.Sub(h.provenAt) >= provenPeriod {
+		return time.Time{}
+	}
+	return h.provenAt
+}
 
 func (h *health) isSuspect(now time.Time) bool { return now.Before(h.suspectUntil) }
 
@@ -91,7 +96,10 @@
 	return elapsed < immediateFailureTime || len(s[job].workers) < jobFaultThreshold
 }
 
-// failedLately reports whether a run of a job has failed immediately within cautionPeriod.
-func (s failedWorkers) failedLately(now time.Time, job string) bool {
-	return s[job] != nil && now.Sub(s[job].immediateAt) < cautionPeriod
+// failedAt returns when a run of a job last failed immediately, zero if not within cautionPeriod.
+func (s failedWorkers) failedAt(now time.Time, job string) time.Time {
+	if s[job] == nil || now.Sub(s[job].immediateAt) >= cautionPeriod {
+		return time.Time{}
+	}
+	return s[job].immediateAt
 }
--- a/internal/queue/coordinator/health_test.go
+++ b/internal/queue/coordinator/health_test.go
@@ -85,10 +85,10 @@
 	s := failedWorkers{}
 	is.True(s.record(now, "own fault", "w", time.Second))
 	is.True(s.record(now, "worker's fault", "w", 0))
-	is.True(!s.failedLately(now, "own fault"))
-	is.True(s.failedLately(now, "worker's fault"))
-	is.True(!s.failedLately(now, "other"))
-	is.True(!s.failedLately(now.Add(cautionPeriod), "worker's fault"))
+	is.True(s.failedAt(now, "own fault").IsZero())
+	is.Equal(s.failedAt(now, "worker's fault"), now)
+	is.True(s.failedAt(now, "other").IsZero())
+	is.True(s.failedAt(now.Add(cautionPeriod), "worker's fault").IsZero())
 }
 
 // TestQuarantineIsLimited checks that quarantine is ignored when too many workers are in it. Jobs that always
--- a/internal/queue/placer/evict.go
+++ b/internal/queue/placer/evict.go
@@ -88,7 +88,7 @@
 
 // excludesMoreThan reports whether canRunOn excludes workers for u that it allows for v, because of their health or age.
 func (u *unit) excludesMoreThan(v *unit) bool {
-	return u.needsOldWorker && !v.needsOldWorker || u.startsAlone() && !v.startsAlone() || u.provenOnly && !v.provenOnly ||
+	return u.needsOldWorker && !v.needsOldWorker || u.startsAlone() && !v.startsAlone() || u.provenSince.After(v.provenSince) ||
 		u.lastAttempt && !v.lastAttempt || u.step.Spec.GetGang() && !v.step.Spec.GetGang()
 }
 
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -19,12 +19,12 @@
 	Rack     string
 	Labels   []string
 	Capacity Vector
-	Free     Vector // capacity minus all runs that have not ended
-	Usable   bool   // new tasks may start on it
-	Suspect  bool   // used only if no other worker fits, and never for a last attempt
-	Probed   bool   // used for one task at a time, never for a gang or a last attempt
-	Proven   bool   // a run that started lately is at work on it
-	Young    bool   // it has started lately
+	Free     Vector    // capacity minus all runs that have not ended
+	Usable   bool      // new tasks may start on it
+	Suspect  bool      // used only if no other worker fits, and never for a last attempt
+	Probed   bool      // used for one task at a time, never for a gang or a last attempt
+	ProvenAt time.Time // when a run that had just started was last seen at work on it, zero if not lately
+	Young    bool      // it has started lately
 	Runs     []*ActiveRun
 }
 
@@ -59,9 +59,9 @@
 	Pool func(*tracker.Job) string
 	// Held reports whether a suspect task must not start.
 	Held func(key tracker.TaskKey, t *tracker.Task) bool
-	// FailedLately reports whether a run of a job has just failed as soon as it started. Its last attempt then starts on
-	// proven workers only, as one that fails all that it starts would use the attempt up.
-	FailedLately func(*tracker.Job) bool
+	// FailedAt returns when a run of a job last failed as soon as it started, zero if not lately. Its last attempt then
+	// starts on workers that have proven sound since, as one that fails all that it starts would use the attempt up.
+	FailedAt func(*tracker.Job) time.Time
 }
 
 // Plan holds the decisions of one pass.
@@ -79,12 +79,12 @@
 	pool        string
 	tasks       []int32
 	urgent      bool
-	guaranteed  bool // within its organisation's guarantee
-	late        bool // its objective can no longer be met
-	lastAttempt bool // one more failure fails the job
-	provenOnly  bool // starts on proven workers only
-	crashes     int  // most crashes under one of its tasks; more than 0 for a trial
-	blamed      bool // one of its tasks alone explains a crash
+	guaranteed  bool      // within its organisation's guarantee
+	late        bool      // its objective can no longer be met
+	lastAttempt bool      // one more failure fails the job
+	provenSince time.Time // starts on workers only that have proven sound since then, zero for all workers
+	crashes     int       // most crashes under one of its tasks; more than 0 for a trial
+	blamed      bool      // one of its tasks alone explains a crash
 	// needsOldWorker: it waits for workers that have not started lately. Two crashes may be by chance; a third one must
 	// say something about the task.
 	needsOldWorker bool
@@ -230,7 +230,9 @@
 		failures = max(failures, s.Failures(task))
 	}
 	u.lastAttempt = failures > 0 && failures+1 >= uint32(max(j.Work.GetAttempts(), 1))
-	u.provenOnly = u.lastAttempt && p.input.FailedLately(j)
+	if u.lastAttempt {
+		u.provenSince = p.input.FailedAt(j)
+	}
 	u.late = u.objective > 0 && u.age+u.estimate > u.objective
 	return u
 }
@@ -281,7 +283,10 @@
 
 // canRunOn reports whether the unit may use the worker, regardless of free capacity and of other starts.
 func (u *unit) canRunOn(w *Worker) bool {
-	if u.needsOldWorker && w.Young || u.provenOnly && !w.Proven || w.Suspect && u.lastAttempt || w.Probed && (u.step.Spec.GetGang() || u.lastAttempt || len(w.Runs) > 0) {
+	if u.needsOldWorker && w.Young || !u.provenSince.IsZero() && !w.ProvenAt.After(u.provenSince) {
+		return false
+	}
+	if w.Suspect && u.lastAttempt || w.Probed && (u.step.Spec.GetGang() || u.lastAttempt || len(w.Runs) > 0) {
 		return false
 	}
 	label := u.step.Spec.GetLabel()
--- a/internal/queue/placer/placer_test.go
+++ b/internal/queue/placer/placer_test.go
@@ -36,8 +36,8 @@
 		Due:  func(*tracker.Job, int32) bool { return true },
 		Pool: func(*tracker.Job) string { return "p" },
 
-		FailedLately: func(*tracker.Job) bool { return false },
-		Held:         func(tracker.TaskKey, *tracker.Task) bool { return false },
+		FailedAt: func(*tracker.Job) time.Time { return time.Time{} },
+		Held:     func(tracker.TaskKey, *tracker.Task) bool { return false },
 	}
 }
 
@@ -338,6 +338,7 @@
 // TestFailingWorkersDoNotUseUpAttempts guards against a worker that fails every task while all others are
 // full. It is free again right after each failure, so it would use up the attempts of one job after another.
 func TestFailingWorkersDoNotUseUpAttempts(t *testing.T) {
+	failed := time.Unix(1_000_000, 0)
 	task := func(gang bool) *messages.Step {
 		return &messages.Step{Count: 2, Processors: 1000, Accelerators: 1, Gang: gang}
 	}
@@ -358,7 +359,8 @@
 		{"unproven worker gets no last attempt right after a failure", task(false), 2, true, func(*Worker) {}, 0},
 		{"unproven worker gets a second attempt right after a failure", task(false), 1, true, func(*Worker) {}, 2},
 		{"unproven worker gets a last attempt later", task(false), 2, false, func(*Worker) {}, 2},
-		{"proven worker gets a last attempt", task(false), 2, true, func(w *Worker) { w.Proven = true }, 2},
+		{"worker proven since gets a last attempt", task(false), 2, true, func(w *Worker) { w.ProvenAt = failed.Add(time.Second) }, 2},
+		{"worker proven before the failure gets no last attempt", task(false), 2, true, func(w *Worker) { w.ProvenAt = failed.Add(-time.Millisecond) }, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -368,7 +370,12 @@
 			workers := fleet(1)
 			c.change(workers[0])
 			in := input(workers, tr)
-			in.FailedLately = func(*tracker.Job) bool { return c.failedLately }
+			in.FailedAt = func(*tracker.Job) time.Time {
+				if c.failedLately {
+					return failed
+				}
+				return time.Time{}
+			}
 			is.Equal(len(NewPlan(in).Starts), c.starts)
 		})
 	}
