coordinator: one report interval less for ends on leaving workers

A run on a leaving worker worked on only if its end left two report intervals and the margin; a worker reports an end 50 ms after it, or after the report that is being answered, so one interval is enough beside the error that is allowed for.

--- a/internal/queue/coordinator/evacuate.go
+++ b/internal/queue/coordinator/evacuate.go
@@ -28,8 +28,8 @@
 // finished work would be repeated.
 func (c *Coordinator) evacuate(state *tracker.Tracker) {
 	now := c.opts.Now()
-	reportTime := 2*c.pacer.Interval() + exitMargin
-	stopTime := c.opts.Timing.MaxStopTime + reportTime
+	reportTime := c.pacer.Interval() + exitMargin
+	stopTime := c.opts.Timing.MaxStopTime + c.pacer.Interval() + reportTime
 	for _, id := range slices.Sorted(maps.Keys(c.workers)) {
 		w := c.workers[id]
 		if !w.leaving || w.left {
