--- a/cmd/bluebellgauged/main.go
+++ b/cmd/bluebellgauged/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
 	"github.com/bluebellgauge/bluebellgauge/internal/daemon/runner"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
 	"github.com/bluebellgauge/bluebellgauge/internal/worker/registrar"
 )
 
@@ -79,7 +80,7 @@
 	}
 	d, err := runner.New(runner.Options{
 		Settings: s, Operator: operator, Secret: secret, Timing: registrar.DefaultTiming(),
-		Tick: runner.DefaultTick, Snapshots: runner.DefaultSnapshots, RepairAfter: runner.DefaultRepairAfter, Log: log,
+		Tick: runner.DefaultTick, Snapshots: runner.DefaultSnapshots, RepairAfter: runner.DefaultRepairAfter, Files: filer.Disk{}, Log: log,
 	})
 	return d, log, err
 }
--- /dev/null
+++ b/cmd/bluebellplatformd/disk_test.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
+	"github.com/bluebellgauge/bluebellgauge/platform"
+)
+
+// fullVariable names the environment variable with the path of a file that describes the operations that the
+// command's disk has no space for: an operation and the end of a path as in "write /log". A path alone stands for all
+// operations. Without that file there is space for all.
+const fullVariable = "BLUEBELLGAUGE_TEST_FULL"
+
+// testDisk returns the disk of the command when it is run by a test.
+func testDisk() filer.Files {
+	path := os.Getenv(fullVariable)
+	if path == "" {
+		return filer.Disk{}
+	}
+	return filer.Faulty{Files: filer.Disk{}, Fault: func(op filer.Operation, file string) error {
+		refused, err := os.ReadFile(path)
+		kind, suffix, one := strings.Cut(string(refused), " ")
+		if !one {
+			kind, suffix = op.String(), kind
+		}
+		if err == nil && kind == op.String() && strings.HasSuffix(file, suffix) {
+			return syscall.ENOSPC
+		}
+		return nil
+	}}
+}
+
+// keeper is the command, run as the only keeper of a system.
+type keeper struct {
+	t       *testing.T
+	folder  string
+	command *exec.Cmd
+	exited  chan struct{}
+
+	mu  sync.Mutex
+	log bytes.Buffer
+}
+
+// Write appends to the log.
+func (k *keeper) Write(text []byte) (int, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.log.Write(text)
+}
+
+func (k *keeper) count(text string) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return strings.Count(k.log.String(), text)
+}
+
+// startKeeper starts the command on a disk without space for the given operations.
+func startKeeper(t *testing.T, refused string) *keeper {
+	t.Helper()
+	is := is.New(t)
+	k := &keeper{t: t, folder: t.TempDir(), exited: make(chan struct{})}
+	address := netip.MustParseAddr("127.83.0.1")
+	settings, err := json.Marshal(map[string]any{
+		"node_name": "k", "role": "core", "ip": address.String(), "zone": "z", "bootstrap": true, "data_dir": filepath.Join(k.folder, "data"),
+		"listen_addrs": map[string]string{"control_plane": netip.AddrPortFrom(address, 8526).String()}, "internal_ports": []int{7000, 7015},
+		"seed_nodes": []string{netip.AddrPortFrom(address, 8526).String()}, "bounds": map[string]any{"grace_s": 1.5},
+	})
+	is.NoErr(err)
+	path := filepath.Join(k.folder, "node.json")
+	is.NoErr(os.WriteFile(path, settings, 0o600))
+	k.fill(refused)
+	k.command = exec.Command(os.Args[0])
+	k.command.Env = []string{runMainVariable + "=1", platform.SettingsVariable + "=" + path, fullVariable + "=" + k.fullPath()}
+	k.command.Stdout, k.command.Stderr = k, k
+	is.NoErr(k.command.Start())
+	go func() {
+		defer close(k.exited)
+		_ = k.command.Wait() // the exit code is read from the command
+	}()
+	t.Cleanup(func() {
+		_ = k.command.Process.Kill()
+		<-k.exited
+	})
+	return k
+}
+
+func (k *keeper) fullPath() string { return filepath.Join(k.folder, "full") }
+
+// fill takes the space for the given operations, and frees that for others.
+func (k *keeper) fill(refused string) {
+	is := is.New(k.t)
+	is.NoErr(os.WriteFile(k.fullPath()+".new", []byte(refused), 0o600))
+	is.NoErr(os.Rename(k.fullPath()+".new", k.fullPath()))
+}
+
+// stays checks that the process does not exit for a while.
+func (k *keeper) stays() {
+	k.t.Helper()
+	select {
+	case <-k.exited:
+		k.t.Fatalf("exited with code %d:\n%s", k.command.ProcessState.ExitCode(), k.log.String())
+	case <-time.After(2500 * time.Millisecond):
+	}
+}
+
+// stop sends SIGTERM and checks that the process ends with code 0.
+func (k *keeper) stop() {
+	k.t.Helper()
+	is := is.New(k.t)
+	is.NoErr(k.command.Process.Signal(syscall.SIGTERM))
+	<-k.exited
+	is.Equal(k.command.ProcessState.ExitCode(), 0)
+}
+
+// TestFullDiskOfKeeper fills the disk of a keeper before it starts, while it creates its log, and when it first
+// appends to it. The process ended by itself with code 1: when the log could not be created, and once there was
+// space again after a failed append. It must stay, lead when there is space, and report each change once.
+func TestFullDiskOfKeeper(t *testing.T) {
+	is := is.New(t)
+	k := startKeeper(t, "")
+	k.stays()
+	is.Equal(k.count("no space left on device"), 1)
+	k.fill("/log.new")
+	k.stays()
+	k.fill("write /log")
+	k.stays()
+	is.Equal(k.count("leads queues"), 0)
+	is.NoErr(os.Remove(k.fullPath()))
+	for deadline := time.Now().Add(10 * time.Second); k.count("leads queues") == 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("does not lead:\n%s", k.log.String())
+		}
+	}
+	k.stop()
+}
+
+// TestStopOfKeeperOnFullDisk stops a keeper whose disk is full, before and after its start. Its exit code was 1 after
+// a failed append.
+func TestStopOfKeeperOnFullDisk(t *testing.T) {
+	for _, refused := range []string{"", "/log.new", "write /log"} {
+		t.Run(refused, func(t *testing.T) {
+			k := startKeeper(t, refused)
+			k.stays()
+			k.stop()
+		})
+	}
+}
--- a/cmd/bluebellplatformd/main.go
+++ b/cmd/bluebellplatformd/main.go
@@ -21,6 +21,7 @@
 
 	"github.com/bluebellgauge/bluebellgauge/internal/daemon/runner"
 	"github.com/bluebellgauge/bluebellgauge/internal/report/logger"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/persister"
 	"github.com/bluebellgauge/bluebellgauge/platform"
 )
@@ -36,9 +37,10 @@
 	Proxy string `long:"proxy" value-name:"ADDRESS" description:"SOCKS5 proxy for connections to other daemons, such as a tunnel between regions"`
 }
 
-func main() { os.Exit(run()) }
+func main() { os.Exit(run(filer.Disk{})) }
 
-func run() int {
+// run runs the command on the given files and returns its exit code.
+func run(files filer.Files) int {
 	// Signals are registered first: the settings may change during startup, and an unhandled SIGHUP
 	// ends the process.
 	signals := make(chan os.Signal, 1)
@@ -70,15 +72,15 @@
 	sink := logger.New(os.Stdout)
 	defer sink.Close()
 	log := newLogger(sink)
-	if !waitWritable(s.Daemon.Data, signals, log) {
-		return 0
-	}
-	a, err := platform.New(s, dial, log)
+	a, err := startWhenWritable(files, s.Daemon.Data, func() (*platform.Adapter, error) { return platform.New(s, files, dial, log) }, signals, log)
 	if err != nil {
 		log.Error("start failed", zap.Error(err))
 		return exitFailure
 	}
-	return watch(a, s.Daemon.Data, signals, log)
+	if a == nil {
+		return 0
+	}
+	return watch(a, signals, log)
 }
 
 // proxyDial returns a dial function through a SOCKS5 proxy, nil for direct connections.
@@ -97,24 +99,48 @@
 	return d.(proxy.ContextDialer).DialContext, nil // all SOCKS5 dialers of the library are ContextDialers
 }
 
-// waitWritable waits until the data folder is writable. It reports false if a signal to stop arrives first.
-// Waiting avoids a restart loop on a full disk.
-func waitWritable(folder string, signals <-chan os.Signal, log *zap.Logger) bool {
-	for folder != "" {
-		err := persister.Writable(folder)
-		if err == nil {
-			return true
+// startWhenWritable starts the daemon once its data folder, if it has one, is writable. Waiting avoids a restart loop on
+// a full disk. The result is nil if a signal to stop arrives first.
+func startWhenWritable(
+	files filer.Files, folder string, start func() (*platform.Adapter, error), signals <-chan os.Signal, log *zap.Logger,
+) (*platform.Adapter, error) {
+	for waiting := false; ; waiting = true {
+		a, err := startIfWritable(files, folder, start)
+		if !errors.Is(err, persister.ErrUnwritable) {
+			return a, err
+		}
+		if !waiting {
+			log.Warn("start waits for the disk", zap.String("folder", folder), zap.Error(err))
+		}
+		if !sleep(pollInterval, signals) {
+			return nil, nil
+		}
+	}
+}
+
+func startIfWritable(files filer.Files, folder string, start func() (*platform.Adapter, error)) (*platform.Adapter, error) {
+	if folder != "" {
+		if err := persister.Writable(files, folder); err != nil {
+			return nil, err
 		}
-		log.Warn("data folder is not writable", zap.String("folder", folder), zap.Error(err))
+	}
+	return start()
+}
+
+// sleep returns after an interval, or with false on a signal to stop.
+func sleep(interval time.Duration, signals <-chan os.Signal) bool {
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	for {
 		select {
 		case s := <-signals:
 			if s != syscall.SIGHUP {
 				return false
 			}
-		case <-time.After(pollInterval):
+		case <-timer.C:
+			return true
 		}
 	}
-	return true
 }
 
 func newLogger(sink *logger.Logger) *zap.Logger {
@@ -125,7 +151,7 @@
 }
 
 // watch handles signals, changed settings and fatal errors. It returns the exit code.
-func watch(a *platform.Adapter, folder string, signals <-chan os.Signal, log *zap.Logger) int {
+func watch(a *platform.Adapter, signals <-chan os.Signal, log *zap.Logger) int {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	last, _ := os.ReadFile(platform.SettingsPath()) // an error is reported by the next poll
@@ -144,9 +170,7 @@
 			log.Error("server failed", zap.Error(err))
 			return exitFailure
 		case err := <-a.DaemonFailed():
-			// After a failed write the state on disk is known only by a restart, which needs a writable disk.
 			log.Error("daemon failed", zap.Error(err))
-			waitWritable(folder, signals, log)
 			return exitFailure
 		}
 	}
--- a/cmd/bluebellplatformd/main_test.go
+++ b/cmd/bluebellplatformd/main_test.go
@@ -19,7 +19,7 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(runMainVariable) != "" {
-		os.Exit(run())
+		os.Exit(run(testDisk()))
 	}
 	os.Exit(m.Run())
 }
--- a/internal/console/demonstrator/demonstrator.go
+++ b/internal/console/demonstrator/demonstrator.go
@@ -23,6 +23,7 @@
 	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
 	"github.com/bluebellgauge/bluebellgauge/internal/console/client"
 	"github.com/bluebellgauge/bluebellgauge/internal/daemon/runner"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 	"github.com/bluebellgauge/bluebellgauge/internal/worker/executor"
 	"github.com/bluebellgauge/bluebellgauge/internal/worker/registrar"
@@ -141,7 +142,7 @@
 	for _, s := range settings {
 		d, err := runner.New(runner.Options{
 			Settings: s, Operator: operatorToken, Secret: daemonSecret, Timing: f.timing,
-			Tick: 20 * time.Millisecond, Snapshots: 500, RepairAfter: runner.DefaultRepairAfter, Log: f.log,
+			Tick: 20 * time.Millisecond, Snapshots: 500, RepairAfter: runner.DefaultRepairAfter, Files: filer.Disk{}, Log: f.log,
 		})
 		if err != nil {
 			return err
--- a/internal/daemon/runner/daemon_test.go
+++ b/internal/daemon/runner/daemon_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
 	"github.com/bluebellgauge/bluebellgauge/internal/daemon/runner"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
 	"github.com/bluebellgauge/bluebellgauge/internal/worker/registrar"
 )
 
@@ -34,7 +35,8 @@
 	}
 	d, err := runner.New(runner.Options{
 		Settings: s, Operator: operatorToken, Secret: "secret", Timing: registrar.DefaultTiming(),
-		Tick: runner.DefaultTick, Snapshots: runner.DefaultSnapshots, RepairAfter: repairAfter(), Log: log, Dial: delayedDial(os.Getenv("BLUEBELLGAUGE_TEST_DELAY")),
+		Tick: runner.DefaultTick, Snapshots: runner.DefaultSnapshots, RepairAfter: repairAfter(),
+		Files: filer.Disk{}, Log: log, Dial: delayedDial(os.Getenv("BLUEBELLGAUGE_TEST_DELAY")),
 	})
 	if err != nil {
 		log.Error("start", zap.Error(err))
--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"hash/fnv"
 	"net/netip"
-	"os"
 	"runtime"
 	"time"
 
@@ -30,7 +29,6 @@
 	leaderInterval  = 250 * time.Millisecond // between runs of the leader's periodic tasks
 	statusTimeout   = time.Second
 	transferTimeout = 2 * time.Second
-	folderMode      = 0o700
 )
 
 // replica holds the components that only daemons with a data folder have.
@@ -56,10 +54,10 @@
 		bootstrap.Voters = append(bootstrap.Voters, &messages.Member{Name: peer.Name, Place: peer.Place, Address: peer.Address})
 	}
 	rep := &replica{log: r.log, burn: evaluator.New(), answered: metrics.Counter("answers")}
-	if err := os.MkdirAll(s.Data, folderMode); err != nil {
+	if err := r.opts.Files.MakeFolder(s.Data); err != nil {
 		return fmt.Errorf("create data folder: %w", err)
 	}
-	history, err := recorder.New(s.Data, func(l recorder.Line) { rep.burn.Observe(l.Record) }, func(err error) {
+	history, err := recorder.New(r.opts.Files, s.Data, func(l recorder.Line) { rep.burn.Observe(l.Record) }, func(err error) {
 		r.log.Warn("history write failed", zap.Error(err))
 	})
 	if err != nil {
@@ -70,7 +68,7 @@
 		Locate: rep.workerAddress, Report: rep.commitAcks, Metrics: metrics, Log: r.log,
 	})
 	a, err := applier.New(applier.Options{
-		Name: s.Name, Folder: s.Data, Bootstrap: bootstrap, Tick: r.opts.Tick,
+		Name: s.Name, Files: r.opts.Files, Folder: s.Data, Bootstrap: bootstrap, Tick: r.opts.Tick,
 		SnapshotEvery: r.opts.Snapshots, Seed: electionSeed(s.Name), Now: time.Now,
 		Send: r.peering.send, Deliver: rep.deliver, Log: r.log,
 	})
@@ -221,9 +219,11 @@
 	return err == nil && s.Role == replicator.Leader
 }
 
+// identity returns the identity of the data folder, or "" while the replica can't take part: then another one may have
+// to replace it.
 func (p *replica) identity(ctx context.Context) string {
 	s, err := p.status(ctx)
-	if err != nil {
+	if err != nil || s.Suspended {
 		return ""
 	}
 	return s.Identity
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -26,6 +26,7 @@
 	"github.com/bluebellgauge/bluebellgauge/internal/entry/forwarder"
 	"github.com/bluebellgauge/bluebellgauge/internal/entry/router"
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/coordinator"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 	"github.com/bluebellgauge/bluebellgauge/internal/worker/registrar"
 )
@@ -48,7 +49,8 @@
 	Snapshots int           // entries between snapshots
 	// RepairAfter is how long a replica may be out of contact before another one replaces it.
 	RepairAfter time.Duration
-	Dial        Dial // connects to other daemons; nil dials directly
+	Dial        Dial        // connects to other daemons; nil dials directly
+	Files       filer.Files // holds the data folder
 	Queues      QueueOptions
 	// Metrics is set by New.
 	Metrics tally.Scope
--- a/internal/report/recorder/recorder.go
+++ b/internal/report/recorder/recorder.go
@@ -13,6 +13,7 @@
 	"sync"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/job/scheduler"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
 )
 
 const (
@@ -21,7 +22,6 @@
 	maxFileBytes = 16 << 20 // of each of the two files
 	maxLineBytes = 1 << 20
 	queueLength  = 4096
-	fileMode     = 0o600
 )
 
 // Line is one record with the index of the log entry that produced it.
@@ -44,21 +44,23 @@
 
 // Recorder is the history of one replica.
 type Recorder struct {
+	files   filer.Files
 	folder  string
 	queue   chan []Line
 	done    chan struct{}
 	onError func(error)
 
 	mu        sync.Mutex
-	file      *os.File
+	file      filer.File // nil after an error until it is opened again
 	size      int64
+	partial   bool   // the last line of the file may be incomplete
 	lastIndex uint64 // index of the last recorded entry
 }
 
 // New opens the history in a folder and starts its writer. visit is called for every existing line. onError is
-// called for each error after that; such an error loses history lines and affects nothing else.
-func New(folder string, visit func(Line), onError func(error)) (*Recorder, error) {
-	r := &Recorder{folder: folder, queue: make(chan []Line, queueLength), done: make(chan struct{}), onError: onError}
+// called for the first of consecutive errors of the file; they lose history lines and affect nothing else.
+func New(files filer.Files, folder string, visit func(Line), onError func(error)) (*Recorder, error) {
+	r := &Recorder{files: files, folder: folder, queue: make(chan []Line, queueLength), done: make(chan struct{}), onError: onError}
 	err := r.scan(func(l Line) {
 		r.lastIndex = max(r.lastIndex, l.Index)
 		visit(l)
@@ -66,15 +68,19 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := r.open(); err != nil {
-		return nil, err
+	err = r.open()
+	if err != nil {
+		r.onError(err)
 	}
+	failing := err != nil
 	go func() {
 		defer close(r.done)
 		for lines := range r.queue {
-			if err := r.write(lines); err != nil {
+			err := r.write(lines)
+			if err != nil && !failing {
 				r.onError(err)
 			}
+			failing = err != nil
 		}
 	}()
 	return r, nil
@@ -83,7 +89,7 @@
 func (r *Recorder) path(name string) string { return filepath.Join(r.folder, name) }
 
 func (r *Recorder) open() error {
-	f, err := os.OpenFile(r.path(currentName), os.O_CREATE|os.O_APPEND|os.O_WRONLY, fileMode)
+	f, err := r.files.Open(r.path(currentName), os.O_CREATE|os.O_APPEND|os.O_WRONLY)
 	if err != nil {
 		return fmt.Errorf("open history: %w", err)
 	}
@@ -91,7 +97,7 @@
 	if err != nil {
 		return errors.Join(fmt.Errorf("open history: %w", err), f.Close())
 	}
-	r.file, r.size = f, info.Size()
+	r.file, r.size, r.partial = f, info.Size(), info.Size() > 0
 	return nil
 }
 
@@ -131,26 +137,44 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.file == nil {
+		if err := r.open(); err != nil {
+			return err
+		}
+	}
 	if r.size+int64(len(text)) > maxFileBytes {
 		if err := r.rotate(); err != nil {
 			return err
 		}
 	}
+	if r.partial {
+		text = append([]byte{'\n'}, text...) // a malformed line ends there
+	}
 	n, err := r.file.Write(text)
 	r.size += int64(n)
 	if err != nil {
-		return fmt.Errorf("write history: %w", err)
+		return errors.Join(fmt.Errorf("write history: %w", err), r.closeFile())
 	}
+	r.partial = false
 	return nil
 }
 
 func (r *Recorder) rotate() error {
-	if err := errors.Join(r.file.Close(), os.Rename(r.path(currentName), r.path(previousName))); err != nil {
+	if err := errors.Join(r.closeFile(), r.files.Rename(r.path(currentName), r.path(previousName))); err != nil {
 		return fmt.Errorf("rotate history: %w", err)
 	}
 	return r.open()
 }
 
+func (r *Recorder) closeFile() error {
+	f := r.file
+	r.file = nil
+	if f == nil {
+		return nil
+	}
+	return f.Close()
+}
+
 // Find returns the matching lines, oldest first.
 func (r *Recorder) Find(f Filter) ([]Line, error) {
 	r.mu.Lock()
@@ -200,5 +224,5 @@
 func (r *Recorder) Close() error {
 	close(r.queue)
 	<-r.done
-	return r.file.Close()
+	return r.closeFile()
 }
--- a/internal/report/recorder/recorder_test.go
+++ b/internal/report/recorder/recorder_test.go
@@ -11,11 +11,12 @@
 	"github.com/matryer/is"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/job/scheduler"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
 )
 
 func newRecorder(t *testing.T, folder string, visit func(Line)) *Recorder {
 	t.Helper()
-	r, err := New(folder, visit, func(err error) { t.Error(err) })
+	r, err := New(filer.Disk{}, folder, visit, func(err error) { t.Error(err) })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -77,7 +78,7 @@
 	path := filepath.Join(folder, currentName)
 	data, err := os.ReadFile(path)
 	is.NoErr(err)
-	is.NoErr(os.WriteFile(path, data[:len(data)-5], fileMode))
+	is.NoErr(os.WriteFile(path, data[:len(data)-5], 0o600))
 	last := uint64(0)
 	r = newRecorder(t, folder, func(l Line) { last = l.Index })
 	is.Equal(last, uint64(499)) // entry 500 will be applied and recorded again
--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/job/scheduler"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/persister"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/replicator"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/timekeeper"
@@ -36,12 +37,15 @@
 	maxBatchBytes  = 1 << 20
 	chunkBytes     = 256 << 10
 	inboxSize      = 1024
-	maxDrainInputs = 512 // inputs handled per sync
+	maxDrainInputs = 512                    // inputs handled per sync
+	probeInterval  = 250 * time.Millisecond // of a disk that refuses writes
+	snapshotRetry  = 5 * time.Second        // after a snapshot for which there was no space
 )
 
 // Options are the dependencies and parameters of a replica.
 type Options struct {
 	Name          string
+	Files         filer.Files // holds the folder
 	Folder        string
 	Bootstrap     *messages.Members // initial membership of a new folder
 	Tick          time.Duration     // unit of the consensus timers; the election timeout is 8 to 16 ticks
@@ -65,8 +69,11 @@
 	members     *messages.Members // in effect at the last applied entry
 	applied     uint64
 	lastTime    time.Time
-	tickPending bool // a Tick is proposed but not yet applied
-	leading     bool // is leader at the end of the last step
+	tickPending bool          // a Tick is proposed but not yet applied
+	leading     bool          // is leader at the end of the last step
+	suspended   bool          // the storage can't be written; the node has resigned
+	notSaved    bool          // there was no space for the last snapshot
+	nextSave    time.Duration // Options.Elapsed before which no snapshot is saved
 
 	inbox     chan input
 	peerInbox chan input    // consensus messages, handled before other inputs
@@ -129,23 +136,14 @@
 		done:      make(chan struct{}),
 		stop:      make(chan struct{}),
 	}
-	if s := initial.Snapshot; s != nil {
-		if a.state, err = scheduler.Restore(s.Data); err != nil {
-			return nil, errors.Join(err, storage.Close())
-		}
-		a.applied, a.members = s.Index, s.Members
-	}
-	a.node = replicator.New(replicator.Options{
-		Name: opts.Name, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
-		DriftTicks: driftTicks, MaxBatch: maxBatchBytes, ChunkSize: chunkBytes, Seed: opts.Seed,
-	}, initial)
-	a.latestMembers.Store(a.node.Members())
 	none := ""
 	a.leader.Store(&none)
+	if err := a.restore(initial); err != nil {
+		return nil, errors.Join(err, storage.Close())
+	}
 	go func() {
 		defer close(a.done)
 		a.failure = a.run()
-		none := ""
 		a.leader.Store(&none)
 		a.failPending(ErrStopped)
 		if err := storage.Close(); err != nil {
@@ -158,26 +156,77 @@
 // open opens the storage. If it is corrupt and the group has other voters, the files are moved away and the
 // replica starts empty, to be restored by the leader.
 func open(opts Options) (*persister.Persister, replicator.InitialState, error) {
-	storage, initial, err := persister.Open(opts.Folder, opts.Name, opts.Bootstrap)
+	storage, initial, err := persister.Open(opts.Files, opts.Folder, opts.Name, opts.Bootstrap)
 	if !errors.Is(err, persister.ErrCorrupt) || len(opts.Bootstrap.GetVoters()) == 1 {
 		return storage, initial, err
 	}
 	opts.Log.Error("stored data is corrupt: moving it away and restoring from the other replicas", zap.Error(err))
-	if err := persister.Reset(opts.Folder); err != nil {
+	if err := persister.Reset(opts.Files, opts.Folder); err != nil {
 		return nil, initial, fmt.Errorf("move corrupt data away: %w", err)
 	}
-	return persister.Open(opts.Folder, opts.Name, &messages.Members{})
+	return persister.Open(opts.Files, opts.Folder, opts.Name, &messages.Members{})
+}
+
+// restore starts the node from the stored state. The scheduler state is kept, unless the stored snapshot is later.
+func (a *Applier) restore(initial replicator.InitialState) error {
+	end := uint64(len(initial.Entries))
+	if s := initial.Snapshot; s != nil {
+		end += s.Index
+		if s.Index > a.applied {
+			state, err := scheduler.Restore(s.Data)
+			if err != nil {
+				return err
+			}
+			a.adopt(s, state)
+		}
+	}
+	if end < a.applied {
+		return fmt.Errorf("%w: the log ends at entry %d, %d are applied", persister.ErrCorrupt, end, a.applied)
+	}
+	a.node = replicator.New(replicator.Options{
+		Name: a.opts.Name, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+		DriftTicks: driftTicks, MaxBatch: maxBatchBytes, ChunkSize: chunkBytes, Seed: a.opts.Seed,
+	}, initial)
+	a.latestMembers.Store(a.node.Members())
+	a.lastTick = a.opts.Elapsed()
+	return nil
 }
 
-// run is the event loop of the goroutine that owns the replica.
+// adopt replaces the state with that of a snapshot.
+func (a *Applier) adopt(s *replicator.Snapshot, state *scheduler.State) {
+	a.state, a.members, a.applied = state, s.Members, s.Index
+	a.lastTime = state.Now()
+	a.notifyAllWaiters()
+}
+
+// run runs the replica until it is stopped. While the storage can't be written, the replica is suspended.
 func (a *Applier) run() error {
+	for {
+		err := a.participate()
+		if errors.Is(err, persister.ErrUnwritable) {
+			err = a.suspend(err)
+		}
+		if errors.Is(err, errStop) {
+			return nil
+		}
+		if err != nil {
+			a.opts.Log.Error("replica failed", zap.Error(err))
+			return err
+		}
+	}
+}
+
+// errStop means that Stop was called.
+var errStop = errors.New("stop")
+
+// participate is the event loop of the goroutine that owns the replica. It returns the error that ends it.
+func (a *Applier) participate() error {
 	ticker := time.NewTicker(a.opts.Tick)
 	defer ticker.Stop()
-	a.lastTick = a.opts.Elapsed()
 	for {
 		select {
 		case <-a.stop:
-			return nil
+			return errStop
 		case in := <-a.peerInbox:
 			a.catchUp()
 			a.handle(in)
@@ -192,12 +241,57 @@
 			a.proposeTick()
 		}
 		if err := a.processOutputs(); err != nil {
-			a.opts.Log.Error("replica failed", zap.Error(err))
 			return err
 		}
 	}
 }
 
+// suspend waits until the storage can be written again, and starts the node anew from what is stored. Until then the
+// replica is no leader, and drops the messages of the other replicas: it neither votes nor acknowledges anything.
+func (a *Applier) suspend(cause error) error {
+	start := a.opts.Elapsed()
+	a.opts.Log.Error("replica is suspended", zap.String("folder", a.opts.Folder), zap.Error(cause))
+	a.suspended = true
+	a.opts.Send(a.node.Resign())
+	a.failPending(ErrOutcomeUnknown)
+	a.leading, a.tickPending = false, false
+	none := ""
+	a.leader.Store(&none)
+	probe := time.NewTicker(probeInterval)
+	defer probe.Stop()
+	for {
+		select {
+		case <-a.stop:
+			return errStop
+		case <-a.peerInbox:
+		case in := <-a.inbox:
+			a.handle(in)
+		case <-probe.C:
+			err := a.resume()
+			if errors.Is(err, persister.ErrUnwritable) {
+				continue
+			}
+			if err == nil {
+				a.opts.Log.Info("replica goes on", zap.Duration("suspended", a.opts.Elapsed()-start))
+			}
+			return err
+		}
+	}
+}
+
+// resume ends the suspension if the storage can be written.
+func (a *Applier) resume() error {
+	if err := persister.Writable(a.opts.Files, a.opts.Folder); err != nil {
+		return err
+	}
+	initial, err := a.storage.Reopen()
+	if err != nil {
+		return err
+	}
+	a.suspended = false
+	return a.restore(initial)
+}
+
 // maxCatchUpTicks limits the overdue ticks delivered at once. It exceeds the length of a lease, so a lease
 // from before a suspension always expires.
 const maxCatchUpTicks = 4 * electionTicks
@@ -205,6 +299,9 @@
 // catchUp delivers the ticks that are due, including those missed while the machine was suspended: after a
 // resume a leader's lease must have expired before it serves any request.
 func (a *Applier) catchUp() {
+	if a.suspended {
+		return // a node that has resigned may not campaign
+	}
 	due := (a.opts.Elapsed() - a.lastTick) / a.opts.Tick
 	a.lastTick += due * a.opts.Tick
 	for range min(due, maxCatchUpTicks) {
@@ -317,7 +414,7 @@
 		a.tickPending = false
 	}
 	a.leading = leading
-	if a.node.LogLength() >= a.opts.SnapshotEvery && a.applied > 0 {
+	if a.node.LogLength() >= a.opts.SnapshotEvery && a.applied > 0 && a.opts.Elapsed() >= a.nextSave {
 		return a.saveSnapshot()
 	}
 	return nil
@@ -353,17 +450,22 @@
 	if err != nil {
 		return err
 	}
-	if err := a.storage.SaveSnapshot(s, a.node.HardState(), nil); err != nil {
+	err = a.storage.SaveSnapshot(s, a.node.HardState(), nil)
+	if errors.Is(err, persister.ErrNotSaved) {
+		return fmt.Errorf("%w: %w", persister.ErrUnwritable, err) // the log does not continue without it
+	}
+	if err != nil {
 		return err
 	}
-	a.state, a.members, a.applied = state, s.Members, s.Index
-	a.lastTime = state.Now()
-	a.notifyAllWaiters()
+	a.adopt(s, state)
 	return nil
 }
 
 // apply applies one committed entry to the scheduler state and delivers the resulting orders.
 func (a *Applier) apply(e *messages.Entry) error {
+	if e.GetIndex() <= a.applied {
+		return nil // applied before the node was started anew
+	}
 	a.applied = e.GetIndex()
 	p := a.proposals[e.GetIndex()]
 	delete(a.proposals, e.GetIndex())
@@ -447,9 +549,18 @@
 	}
 	s := &replicator.Snapshot{Index: a.applied, Term: a.node.TermAt(a.applied), Members: a.members, Data: data}
 	hard, rest := a.node.Stored(a.applied)
-	if err := a.storage.SaveSnapshot(s, hard, rest); err != nil {
+	err = a.storage.SaveSnapshot(s, hard, rest)
+	if errors.Is(err, persister.ErrNotSaved) {
+		if !a.notSaved {
+			a.opts.Log.Warn("no space for snapshots", zap.Uint64("index", s.Index), zap.Int("bytes", len(data)), zap.Error(err))
+		}
+		a.notSaved, a.nextSave = true, a.opts.Elapsed()+snapshotRetry
+		return nil
+	}
+	if err != nil {
 		return err
 	}
+	a.notSaved = false
 	a.node.Compact(s)
 	a.opts.Log.Info("snapshot saved", zap.Uint64("index", s.Index), zap.Int("bytes", len(data)))
 	return nil
--- a/internal/state/applier/applier_test.go
+++ b/internal/state/applier/applier_test.go
@@ -24,12 +24,20 @@
 	t           *testing.T
 	clockOffset atomic.Int64 // nanoseconds by which the replicas' clocks are ahead
 	replicas    map[string]*Applier
+	disks       map[string]*testDisk
 	partitioned atomic.Bool
+	repeated    atomic.Bool // a replica delivered an entry again
 }
 
 func newTestCluster(t *testing.T, snapshotEvery int) *testCluster {
 	t.Helper()
-	c := &testCluster{t: t, replicas: map[string]*Applier{}}
+	return newTestClusterOnDisks(t, snapshotEvery, false)
+}
+
+// newTestClusterOnDisks starts three replicas. Fast disks skip syncs.
+func newTestClusterOnDisks(t *testing.T, snapshotEvery int, fast bool) *testCluster {
+	t.Helper()
+	c := &testCluster{t: t, replicas: map[string]*Applier{}, disks: map[string]*testDisk{}}
 	members := &messages.Members{}
 	for i := range 3 {
 		members.Voters = append(members.Voters, &messages.Member{Name: fmt.Sprint(i)})
@@ -48,10 +56,18 @@
 	}
 	elapsed := func() time.Duration { return timekeeper.Elapsed() + time.Duration(c.clockOffset.Load()) }
 	for i, m := range members.GetVoters() {
+		disk, last := &testDisk{fast: fast}, uint64(0)
+		c.disks[m.GetName()] = disk
+		deliver := func(index, _ uint64, _ bool, _ []scheduler.Order) {
+			if index <= last {
+				c.repeated.Store(true)
+			}
+			last = index
+		}
 		a, err := New(Options{
-			Name: m.GetName(), Folder: t.TempDir(), Bootstrap: members, Tick: 5 * time.Millisecond, SnapshotEvery: snapshotEvery,
+			Name: m.GetName(), Files: disk.files(), Folder: t.TempDir(), Bootstrap: members, Tick: 5 * time.Millisecond, SnapshotEvery: snapshotEvery,
 			Seed: uint64(i), Now: time.Now, Send: send,
-			Elapsed: elapsed, Deliver: func(uint64, uint64, bool, []scheduler.Order) {}, Log: zap.NewNop(),
+			Elapsed: elapsed, Deliver: deliver, Log: zap.NewNop(),
 		})
 		if err != nil {
 			t.Fatal(err)
--- a/internal/state/applier/requests.go
+++ b/internal/state/applier/requests.go
@@ -143,6 +143,7 @@
 	Committed uint64
 	Members   *messages.Members
 	Identity  string
+	Suspended bool // the storage can't be written
 	LogBytes  int64
 	CaughtUp  []string // on a leader: other members that lack few committed entries
 }
@@ -154,7 +155,7 @@
 		s = Status{
 			Role: a.node.Role(), Leader: a.node.Leader(), Term: a.node.Term(), Lease: a.node.HasLease(),
 			Applied: a.applied, Committed: a.node.Committed(), Members: a.node.Members(),
-			Identity: a.storage.Identity(), LogBytes: a.storage.Size(), CaughtUp: a.node.CaughtUp(),
+			Identity: a.storage.Identity(), LogBytes: a.storage.Size(), Suspended: a.suspended, CaughtUp: a.node.CaughtUp(),
 		}
 		return nil
 	})
--- a/internal/state/persister/persister.go
+++ b/internal/state/persister/persister.go
@@ -17,6 +17,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/replicator"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
@@ -31,8 +32,6 @@
 	rebuiltName      = "rebuilt"
 	probeName        = "probe"
 	probeBytes       = 64 << 10 // about the size of one sync under load
-	fileMode         = 0o600
-	folderMode       = 0o700
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -44,25 +43,34 @@
 // ErrNameMismatch means that the data folder belongs to another daemon.
 var ErrNameMismatch = errors.New("the data folder belongs to another daemon")
 
+// ErrUnwritable means that the data folder can't be written, as when its disk is full. What was stored before is
+// intact.
+var ErrUnwritable = errors.New("data folder is not writable")
+
+func unwritable(operation string, err error) error {
+	return fmt.Errorf("%w: %s: %w", ErrUnwritable, operation, err)
+}
+
 // Persister is the open storage of one daemon.
 type Persister struct {
+	files    filer.Files
 	folder   string
 	name     string
 	identity string
-	file     *os.File
+	file     filer.File // nil while Reopen has not succeeded
 	size     int64
-	failed   error
+	failed   error // of the write since which the contents of the log are unknown
 }
 
 // Open opens or creates the storage in a folder and returns its contents. A new folder starts with the bootstrap
 // members, which may be empty. A partial or torn write at the end of the log is discarded; any other damage is
 // ErrCorrupt.
-func Open(folder, name string, bootstrap *messages.Members) (*Persister, replicator.InitialState, error) {
+func Open(files filer.Files, folder, name string, bootstrap *messages.Members) (*Persister, replicator.InitialState, error) {
 	var none replicator.InitialState
-	if err := os.MkdirAll(folder, folderMode); err != nil {
-		return nil, none, fmt.Errorf("open data folder: %w", err)
+	if err := files.MakeFolder(folder); err != nil {
+		return nil, none, unwritable("create data folder", err)
 	}
-	p := &Persister{folder: folder, name: name}
+	p := &Persister{files: files, folder: folder, name: name}
 	initial, err := p.load(bootstrap)
 	if err != nil {
 		return nil, none, err
@@ -71,37 +79,89 @@
 }
 
 func (p *Persister) load(bootstrap *messages.Members) (replicator.InitialState, error) {
-	var initial replicator.InitialState
-	snapshot, err := readSnapshot(p.path(snapshotName))
+	initial, contents, err := p.read()
 	if err != nil {
 		return initial, err
 	}
-	initial.Snapshot = snapshot
-	contents, err := readLog(p.path(logName))
-	if errors.Is(err, os.ErrNotExist) {
-		if snapshot != nil {
-			return initial, fmt.Errorf("%w: snapshot without a log", ErrCorrupt)
-		}
+	if contents == nil {
 		initial.Members = bootstrap
 		return initial, p.createLog(bootstrap)
 	}
+	p.identity = contents.hello.GetIdentity()
+	if initial.Members == nil {
+		initial.Members = bootstrap // written by a version without this field
+	}
+	if s := initial.Snapshot; s != nil && contents.hello.GetFirst() != s.Index+1 {
+		// A crash between the two renames of SaveSnapshot. New entries follow the snapshot, not this log.
+		err = p.rewriteAfter(initial)
+	} else {
+		err = p.openLog(contents.size)
+	}
 	if err != nil {
-		return initial, err
+		return initial, unwritable("open log", err)
+	}
+	return initial, nil
+}
+
+// read reads the snapshot and the log. contents is nil if the folder has neither.
+func (p *Persister) read() (initial replicator.InitialState, contents *logContents, err error) {
+	if initial.Snapshot, err = readSnapshot(p.path(snapshotName)); err != nil {
+		return initial, nil, err
+	}
+	contents, err = readLog(p.path(logName))
+	if errors.Is(err, os.ErrNotExist) && initial.Snapshot == nil {
+		return initial, nil, nil
+	}
+	if errors.Is(err, os.ErrNotExist) {
+		return initial, nil, fmt.Errorf("%w: snapshot without a log", ErrCorrupt)
+	}
+	if err != nil {
+		return initial, nil, err
 	}
 	if contents.hello.GetName() != p.name {
-		return initial, fmt.Errorf("%w: %q, not %q", ErrNameMismatch, contents.hello.GetName(), p.name)
+		return initial, nil, fmt.Errorf("%w: %q, not %q", ErrNameMismatch, contents.hello.GetName(), p.name)
 	}
-	p.identity = contents.hello.GetIdentity()
 	initial.HardState = contents.hard
 	initial.Members = contents.hello.GetMembers()
-	if initial.Members == nil {
-		initial.Members = bootstrap // written by a version without this field
+	initial.Entries, err = contents.entriesAfter(initial.Snapshot)
+	return initial, contents, err
+}
+
+// Reopen makes the storage usable after a failed write and returns its contents. The log is written anew: after a
+// failed sync, what is read may be in memory only, and the failed write may have left a part of itself.
+func (p *Persister) Reopen() (replicator.InitialState, error) {
+	if p.file != nil {
+		_ = p.file.Close() // one of its writes has failed already
+		p.file = nil
 	}
-	initial.Entries, err = contents.entriesAfter(snapshot)
-	if err != nil {
+	initial, contents, err := p.read()
+	if errors.Is(err, ErrCorrupt) {
 		return initial, err
 	}
-	return initial, p.openLog(contents.size)
+	if err != nil {
+		return initial, unwritable("read log", err)
+	}
+	if contents == nil || contents.hello.GetIdentity() != p.identity {
+		return initial, fmt.Errorf("%w: the log was replaced", ErrCorrupt)
+	}
+	if err := p.rewriteAfter(initial); err != nil {
+		return initial, unwritable("rewrite log", err)
+	}
+	p.failed = nil
+	return initial, nil
+}
+
+// rewriteAfter replaces the log with one that holds the state that was read and continues its snapshot. The rename of
+// the snapshot must not be lost after that, so the folder is synced first.
+func (p *Persister) rewriteAfter(s replicator.InitialState) error {
+	if err := p.files.SyncFolder(p.folder); err != nil {
+		return err
+	}
+	hello := &messages.Hello{First: 1, Members: s.Members}
+	if s.Snapshot != nil {
+		hello.First = s.Snapshot.Index + 1
+	}
+	return p.rewriteLog(hello, s.HardState, s.Entries)
 }
 
 // createLog creates the log of a new data folder, with a random identity.
@@ -110,20 +170,23 @@
 	// crypto/rand.Read never returns an error.
 	_, _ = rand.Read(raw)
 	p.identity = hex.EncodeToString(raw)
-	return p.rewriteLog(&messages.Hello{First: 1, Members: bootstrap}, nil, nil)
+	if err := p.rewriteLog(&messages.Hello{First: 1, Members: bootstrap}, nil, nil); err != nil {
+		return unwritable("create log", err)
+	}
+	return nil
 }
 
 // openLog opens the log file for appending and truncates it to size, which drops a partial write at its end.
 func (p *Persister) openLog(size int64) error {
-	f, err := os.OpenFile(p.path(logName), os.O_RDWR, fileMode)
+	f, err := p.files.Open(p.path(logName), os.O_RDWR)
 	if err != nil {
-		return fmt.Errorf("open log: %w", err)
+		return err
 	}
 	if err := errors.Join(f.Truncate(size), f.Sync()); err != nil {
-		return errors.Join(fmt.Errorf("truncate log: %w", err), f.Close())
+		return errors.Join(fmt.Errorf("truncate: %w", err), f.Close())
 	}
 	if _, err := f.Seek(size, io.SeekStart); err != nil {
-		return errors.Join(fmt.Errorf("open log: %w", err), f.Close())
+		return errors.Join(err, f.Close())
 	}
 	p.file = f
 	p.size = size
@@ -136,8 +199,8 @@
 // Size returns the size of the log file in bytes.
 func (p *Persister) Size() int64 { return p.size }
 
-// Append writes the changes of one step and syncs them together. After an error all later writes fail: what a
-// failed sync left on disk is unknown.
+// Append writes the changes of one step and syncs them together. After an error all later writes fail until Reopen:
+// what a failed write or sync left on disk is unknown.
 func (p *Persister) Append(truncate uint64, hard *messages.HardState, entries []*messages.Entry) error {
 	if p.failed != nil {
 		return p.failed
@@ -189,16 +252,23 @@
 }
 
 func (p *Persister) fail(operation string, err error) error {
-	p.failed = fmt.Errorf("%s: %w", operation, err)
+	p.failed = unwritable(operation, err)
 	return p.failed
 }
 
-// SaveSnapshot stores a snapshot and rewrites the log to hold only the entries after it.
+// ErrNotSaved means that there was no space for a snapshot. The storage is unchanged and can be appended to.
+var ErrNotSaved = errors.New("snapshot is not saved")
+
+// SaveSnapshot stores a snapshot and rewrites the log to hold only the entries after it. After errors other than
+// ErrNotSaved all later writes fail until Reopen.
 func (p *Persister) SaveSnapshot(s *replicator.Snapshot, hard *messages.HardState, rest []*messages.Entry) error {
 	if p.failed != nil {
 		return p.failed
 	}
-	if err := p.writeAtomic(snapshotName, func(w io.Writer) error { return writeSnapshot(w, s) }); err != nil {
+	if err := p.writeTemp(snapshotName, func(w io.Writer) error { return writeSnapshot(w, s) }); err != nil {
+		return fmt.Errorf("%w: %w", ErrNotSaved, err)
+	}
+	if err := p.replace(snapshotName); err != nil {
 		return p.fail("save snapshot", err)
 	}
 	if err := p.rewriteLog(&messages.Hello{First: s.Index + 1, Members: &messages.Members{}}, hard, rest); err != nil {
@@ -222,64 +292,90 @@
 	if err != nil {
 		return err
 	}
-	err = p.writeAtomic(logName, func(w io.Writer) error {
+	err = p.writeTemp(logName, func(w io.Writer) error {
 		_, err := w.Write(buffer)
 		return err
 	})
 	if err != nil {
 		return err
 	}
+	if err := p.replace(logName); err != nil {
+		return err
+	}
 	if p.file != nil {
-		if err := p.file.Close(); err != nil {
+		old := p.file
+		p.file = nil
+		if err := old.Close(); err != nil {
 			return fmt.Errorf("close old log: %w", err)
 		}
 	}
 	return p.openLog(int64(len(buffer)))
 }
 
-// writeAtomic replaces a file by writing and syncing a temporary one, renaming it and syncing the folder. After
-// a crash either the old or the new file is complete.
-func (p *Persister) writeAtomic(name string, write func(io.Writer) error) error {
+// writeTemp writes and syncs the temporary file that replaces the one with this name. On an error it is removed, to
+// free its space.
+func (p *Persister) writeTemp(name string, write func(io.Writer) error) error {
 	temp := p.path(name + tempSuffix)
-	f, err := os.OpenFile(temp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	f, err := p.files.Open(temp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
 	if err != nil {
 		return fmt.Errorf("create file: %w", err)
 	}
 	w := bufio.NewWriter(f)
-	if err := errors.Join(write(w), w.Flush(), f.Sync(), f.Close()); err != nil {
-		return fmt.Errorf("write %s: %w", name, err)
+	if err := errors.Join(write(w), w.Flush()); err != nil {
+		return errors.Join(fmt.Errorf("write %s: %w", name, err), f.Close(), p.files.Remove(temp))
 	}
-	if err := os.Rename(temp, p.path(name)); err != nil {
-		return fmt.Errorf("rename: %w", err)
+	if err := errors.Join(f.Sync(), f.Close()); err != nil {
+		return errors.Join(fmt.Errorf("sync %s: %w", name, err), p.files.Remove(temp))
 	}
-	return syncFolder(p.folder)
+	return nil
 }
 
-func syncFolder(folder string) error {
-	d, err := os.Open(folder)
-	if err != nil {
-		return fmt.Errorf("open folder: %w", err)
+// replace renames the temporary file to its name and syncs the folder. After a crash either the old or the new file
+// is complete.
+func (p *Persister) replace(name string) error {
+	if err := p.files.Rename(p.path(name+tempSuffix), p.path(name)); err != nil {
+		return fmt.Errorf("rename: %w", err)
 	}
-	return errors.Join(d.Sync(), d.Close())
+	return p.files.SyncFolder(p.folder)
 }
 
 // Close closes the log file.
-func (p *Persister) Close() error { return p.file.Close() }
+func (p *Persister) Close() error {
+	if p.file == nil {
+		return nil
+	}
+	return p.file.Close()
+}
 
 func (p *Persister) path(name string) string { return filepath.Join(p.folder, name) }
 
 // Reset renames the files of a folder, so that the daemon can restore from its peers under a new identity. It
 // also leaves a marker file: because the folder has lost its votes and entries, it must never bootstrap a new
 // cluster.
-func Reset(folder string) error {
-	errs := []error{os.WriteFile(filepath.Join(folder, rebuiltName), nil, fileMode)}
+func Reset(files filer.Files, folder string) error {
+	if err := writeMarker(files, folder); err != nil {
+		return unwritable("mark folder as rebuilt", err)
+	}
+	var errs []error
 	for _, name := range []string{logName, snapshotName} {
 		path := filepath.Join(folder, name)
-		if err := os.Rename(path, path+".corrupt"); err != nil && !errors.Is(err, os.ErrNotExist) {
+		if err := files.Rename(path, path+".corrupt"); err != nil && !errors.Is(err, os.ErrNotExist) {
 			errs = append(errs, err)
 		}
 	}
-	return errors.Join(append(errs, syncFolder(folder))...)
+	if err := errors.Join(append(errs, files.SyncFolder(folder))...); err != nil {
+		return unwritable("move files away", err)
+	}
+	return nil
+}
+
+// writeMarker stores the marker of Reset.
+func writeMarker(files filer.Files, folder string) error {
+	f, err := files.Open(filepath.Join(folder, rebuiltName), os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close(), files.SyncFolder(folder))
 }
 
 // WasReset reports whether Reset was ever called on a folder.
@@ -288,19 +384,19 @@
 	return err == nil
 }
 
-// Writable writes and syncs a probe file in a folder. It returns an error if the disk is full or failing.
-func Writable(folder string) error {
-	if err := os.MkdirAll(folder, folderMode); err != nil {
-		return fmt.Errorf("probe disk: %w", err)
+// Writable writes and syncs a probe file in a folder. It returns ErrUnwritable if the disk is full or failing.
+func Writable(files filer.Files, folder string) error {
+	if err := files.MakeFolder(folder); err != nil {
+		return unwritable("create data folder", err)
 	}
 	path := filepath.Join(folder, probeName)
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	f, err := files.Open(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
 	if err != nil {
-		return fmt.Errorf("probe disk: %w", err)
+		return unwritable("probe disk", err)
 	}
 	_, err = f.Write(make([]byte, probeBytes))
-	if err := errors.Join(err, f.Sync(), f.Close(), os.Remove(path)); err != nil {
-		return fmt.Errorf("probe disk: %w", err)
+	if err := errors.Join(err, f.Sync(), f.Close(), files.Remove(path)); err != nil {
+		return unwritable("probe disk", err)
 	}
 	return nil
 }
--- a/internal/state/persister/persister_test.go
+++ b/internal/state/persister/persister_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/replicator"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
@@ -21,7 +22,7 @@
 
 func open(t *testing.T, folder string) (*Persister, replicator.InitialState) {
 	t.Helper()
-	p, initial, err := Open(folder, "vm1", nil)
+	p, initial, err := Open(filer.Disk{}, folder, "vm1", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -67,10 +68,10 @@
 	}
 	for length := len(original) - len(lastWrite(t)); length < len(original); length++ {
 		for _, tail := range [][]byte{nil, make([]byte, 40)} {
-			if err := os.WriteFile(path, append(append([]byte(nil), original[:length]...), tail...), fileMode); err != nil {
+			if err := os.WriteFile(path, append(append([]byte(nil), original[:length]...), tail...), 0o600); err != nil {
 				t.Fatal(err)
 			}
-			p, initial, err := Open(folder, "vm1", nil)
+			p, initial, err := Open(filer.Disk{}, folder, "vm1", nil)
 			if err != nil || len(initial.Entries) != 2 {
 				t.Fatalf("truncated to %d of %d bytes: %d entries, %v", length, len(original), len(initial.Entries), err)
 			}
@@ -108,10 +109,10 @@
 			if slices.Equal(torn, original) {
 				continue
 			}
-			if err := os.WriteFile(path, torn, fileMode); err != nil {
+			if err := os.WriteFile(path, torn, 0o600); err != nil {
 				t.Fatal(err)
 			}
-			p, initial, err := Open(folder, "vm1", nil)
+			p, initial, err := Open(filer.Disk{}, folder, "vm1", nil)
 			if err != nil || len(initial.Entries) != 2 {
 				t.Fatalf("bytes %d to %d of the last write zeroed: %d entries, %v", from-start, to-start, len(initial.Entries), err)
 			}
@@ -134,10 +135,10 @@
 	for bit := range len(original) * 8 {
 		flipped := append([]byte(nil), original...)
 		flipped[bit/8] ^= 1 << (bit % 8)
-		if err := os.WriteFile(path, flipped, fileMode); err != nil {
+		if err := os.WriteFile(path, flipped, 0o600); err != nil {
 			t.Fatal(err)
 		}
-		p, initial, err := Open(folder, "vm1", nil)
+		p, initial, err := Open(filer.Disk{}, folder, "vm1", nil)
 		if bit/8 < len(original)-len(lastWrite(t)) {
 			if !errors.Is(err, ErrCorrupt) {
 				t.Fatalf("bit %d: opened with %d entries, %v", bit, len(initial.Entries), err)
@@ -158,11 +159,11 @@
 	is := is.New(t)
 	folder := t.TempDir()
 	first := &messages.Members{Voters: []*messages.Member{{Name: "vm1"}, {Name: "vm2"}, {Name: "vm3"}}}
-	p, _, err := Open(folder, "vm1", first)
+	p, _, err := Open(filer.Disk{}, folder, "vm1", first)
 	is.NoErr(err)
 	is.NoErr(p.Append(0, &messages.HardState{Term: 1}, []*messages.Entry{entry(1, 1)}))
 	is.NoErr(p.Close())
-	p, initial, err := Open(folder, "vm1", &messages.Members{})
+	p, initial, err := Open(filer.Disk{}, folder, "vm1", &messages.Members{})
 	is.NoErr(err)
 	is.Equal(len(initial.Members.GetVoters()), 3)
 	is.NoErr(p.Close())
@@ -170,7 +171,7 @@
 
 func TestNameMismatch(t *testing.T) {
 	is := is.New(t)
-	_, _, err := Open(newFilledFolder(t), "vm2", nil)
+	_, _, err := Open(filer.Disk{}, newFilledFolder(t), "vm2", nil)
 	is.True(errors.Is(err, ErrNameMismatch))
 }
 
@@ -181,7 +182,7 @@
 	old := p.Identity()
 	is.NoErr(p.Close())
 	is.True(!WasReset(folder))
-	is.NoErr(Reset(folder))
+	is.NoErr(Reset(filer.Disk{}, folder))
 	is.True(WasReset(folder))
 	p, initial := open(t, folder)
 	is.True(p.Identity() != old)
@@ -209,7 +210,7 @@
 	s := &replicator.Snapshot{Index: 2, Term: 1, Members: &messages.Members{}, Data: []byte("state")}
 	is.NoErr(p.SaveSnapshot(s, &messages.HardState{Term: 1}, []*messages.Entry{entry(3, 1)}))
 	is.NoErr(p.Close())
-	is.NoErr(os.WriteFile(filepath.Join(folder, logName), old, fileMode))
+	is.NoErr(os.WriteFile(filepath.Join(folder, logName), old, 0o600))
 	_, initial := open(t, folder)
 	is.Equal(initial.Snapshot.Index, uint64(2))
 	is.Equal(len(initial.Entries), 1)
@@ -227,8 +228,8 @@
 	data, err := os.ReadFile(path)
 	is.NoErr(err)
 	data[len(data)-1] ^= 1
-	is.NoErr(os.WriteFile(path, data, fileMode))
-	_, _, err = Open(folder, "vm1", nil)
+	is.NoErr(os.WriteFile(path, data, 0o600))
+	_, _, err = Open(filer.Disk{}, folder, "vm1", nil)
 	is.True(errors.Is(err, ErrCorrupt))
 }
 
@@ -239,7 +240,7 @@
 		if err != nil {
 			rt.Fatal(err)
 		}
-		p, _, err := Open(folder, "vm1", nil)
+		p, _, err := Open(filer.Disk{}, folder, "vm1", nil)
 		if err != nil {
 			rt.Fatal(err)
 		}
@@ -273,7 +274,7 @@
 		if err := p.Close(); err != nil {
 			rt.Fatal(err)
 		}
-		p, initial, err := Open(folder, "vm1", nil)
+		p, initial, err := Open(filer.Disk{}, folder, "vm1", nil)
 		if err != nil || len(initial.Entries) != len(model) {
 			rt.Fatalf("reopened with %d entries, want %d: %v", len(initial.Entries), len(model), err)
 		}
@@ -291,11 +292,11 @@
 func TestWritable(t *testing.T) {
 	is := is.New(t)
 	folder := filepath.Join(t.TempDir(), "new")
-	is.NoErr(Writable(folder))
+	is.NoErr(Writable(filer.Disk{}, folder))
 	files, err := os.ReadDir(folder)
 	is.NoErr(err)
 	is.Equal(len(files), 0)
 	// Opening a directory for writing fails for every user, including root.
-	is.NoErr(os.Mkdir(filepath.Join(folder, probeName), folderMode))
-	is.True(Writable(folder) != nil)
+	is.NoErr(os.Mkdir(filepath.Join(folder, probeName), 0o700))
+	is.True(Writable(filer.Disk{}, folder) != nil)
 }
--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -302,6 +302,18 @@
 	if n.role != Leader {
 		return false
 	}
+	best := n.successor()
+	if best == "" {
+		return false
+	}
+	n.transferee = best
+	n.transferDeadline = n.tick + n.opts.ElectionTicks
+	n.tryTransfer()
+	return true
+}
+
+// successor returns the reachable voter with the longest matching log, or "" if there is none.
+func (n *Node) successor() string {
 	best := ""
 	for _, m := range n.members.GetVoters() {
 		p := n.peers[m.GetName()]
@@ -312,13 +324,22 @@
 			best = m.GetName()
 		}
 	}
-	if best == "" {
-		return false
+	return best
+}
+
+// Resign makes the node a follower that knows no leader. A leader's messages to be sent let the voter with the longest
+// matching log start an election at once. A node that has resigned may only be replaced by a new one: its successor
+// does not wait for a lease to expire.
+func (n *Node) Resign() []*messages.Message {
+	successor := ""
+	if n.role == Leader {
+		successor = n.successor()
 	}
-	n.transferee = best
-	n.transferDeadline = n.tick + n.opts.ElectionTicks
-	n.tryTransfer()
-	return true
+	n.becomeFollower(n.term, "")
+	if successor == "" {
+		return nil
+	}
+	return []*messages.Message{{Kind: messages.Kind_KIND_TIMEOUT_NOW, From: n.opts.Name, To: successor, Term: n.term}}
 }
 
 func (n *Node) tryTransfer() {
--- a/internal/state/replicator/schedule_test.go
+++ b/internal/state/replicator/schedule_test.go
@@ -77,9 +77,17 @@
 	}
 }
 
-// processOutputs processes all outputs of a node. If crash is set, the node crashes before the first sync and
-// loses its unsynced writes.
-func (c *cluster) processOutputs(name string, crash bool) {
+// end is how a node may end within processOutputs.
+type end int
+
+const (
+	goOn     end = iota
+	crash        // before the first sync, which loses the unsynced writes
+	diskFull     // the same, but the node resigns before
+)
+
+// processOutputs processes all outputs of a node, unless it ends before.
+func (c *cluster) processOutputs(name string, end end) {
 	n := c.nodes[name]
 	for {
 		out := n.TakeOutput()
@@ -87,7 +95,11 @@
 			return
 		}
 		c.send(out.Immediate)
-		if crash {
+		if end == diskFull {
+			c.send(n.Resign())
+			c.check()
+		}
+		if end != goOn {
 			c.start(name, uint64(len(c.network)))
 			return
 		}
@@ -175,7 +187,7 @@
 func (c *cluster) tick() {
 	for _, name := range c.names {
 		c.nodes[name].Tick()
-		c.processOutputs(name, false)
+		c.processOutputs(name, goOn)
 	}
 }
 
@@ -197,7 +209,7 @@
 	for n := 0; len(c.network) > 0 && n < maxDeliveries; n++ {
 		to := c.network[0].GetTo()
 		c.deliver(0, false)
-		c.processOutputs(to, false)
+		c.processOutputs(to, goOn)
 		c.check()
 	}
 }
@@ -221,7 +233,7 @@
 		if !ok {
 			continue
 		}
-		c.processOutputs(name, false)
+		c.processOutputs(name, goOn)
 		if n.Committed() >= index && n.Role() == Leader {
 			c.acked = append(c.acked, index)
 		}
@@ -253,9 +265,10 @@
 	c.snapshotIndex[name], c.applied[name] = index, nil
 }
 
-// TestSchedules draws message loss, duplication and reordering, partitions, crashes that lose unsynced writes,
-// restarts of one or all nodes, snapshots and leadership transfers, and checks safety after each step.
+// TestSchedules draws message loss, duplication and reordering, partitions, crashes that lose unsynced writes, full
+// disks, restarts of one or all nodes, snapshots and leadership transfers, and checks safety after each step.
 func TestSchedules(t *testing.T) {
+	ends := append(slices.Repeat([]end{goOn}, 38), crash, diskFull)
 	rapid.Check(t, func(t *rapid.T) {
 		voters := rapid.SampledFrom([]int{3, 5}).Draw(t, "voters")
 		c := newCluster(t, voters, rapid.IntRange(0, 1).Draw(t, "learners"))
@@ -268,7 +281,7 @@
 				i := rapid.IntRange(0, len(c.network)-1).Draw(t, "which")
 				to := c.network[i].GetTo()
 				c.deliver(i, rapid.IntRange(0, 9).Draw(t, "double") == 0)
-				c.processOutputs(to, rapid.IntRange(0, 39).Draw(t, "crash") == 0)
+				c.processOutputs(to, rapid.SampledFrom(ends).Draw(t, "end"))
 			}
 		}
 		inOrder := func(t *rapid.T) {
@@ -305,12 +318,18 @@
 					c.start(name, rapid.Uint64().Draw(t, "seed"))
 				}
 			},
+			"full": func(t *rapid.T) {
+				c.t = t
+				name := c.drawNode()
+				c.nodes[name].Propose(messages.EntryKind_ENTRY_EVENT, []byte("not stored"))
+				c.processOutputs(name, diskFull)
+			},
 			"snapshot": func(t *rapid.T) { c.t = t; c.snapshot(c.drawNode()) },
 			"transfer": func(t *rapid.T) {
 				c.t = t
 				name := c.drawNode()
 				c.nodes[name].Transfer()
-				c.processOutputs(name, false)
+				c.processOutputs(name, goOn)
 			},
 		})
 		c.t = t
--- a/internal/worker/registrar/monitor.go
+++ b/internal/worker/registrar/monitor.go
@@ -41,6 +41,7 @@
 	heartbeat   *messages.Beat
 	lastContact time.Time
 	full        bool
+	keeper      KeeperStatus // as of the latest heartbeat with an identity
 }
 
 type workerStatus struct {
@@ -69,6 +70,9 @@
 	}
 	d.heartbeat = b
 	d.lastContact = now
+	if b.GetIdentity() != "" {
+		d.keeper = KeeperStatus{Name: b.GetDaemon(), Place: b.GetPlace(), Address: b.GetAddress(), Identity: b.GetIdentity(), Last: now}
+	}
 	for _, heard := range b.GetHeard() {
 		m.workers[heard.GetWorker()] = &workerStatus{incarnation: heard.GetIncarnation(), home: b.GetDaemon()}
 	}
@@ -186,24 +190,22 @@
 // heartbeatIntervalPerDaemon is how much each daemon adds to the heartbeat interval.
 const heartbeatIntervalPerDaemon = 1500 * time.Microsecond
 
-// KeeperStatus describes a daemon with a data folder, based on its latest heartbeat.
+// KeeperStatus describes a daemon with a data folder, based on the latest heartbeat with which its replica took part.
 type KeeperStatus struct {
 	Name     string
 	Place    string
 	Address  string
 	Identity string
-	Last     time.Time // of the latest heartbeat
+	Last     time.Time // of that heartbeat
 }
 
 // Keepers returns the daemons with a data folder that have sent a heartbeat in this term, sorted by name.
-// They include those that have stopped sending heartbeats since.
+// They include those that have stopped sending heartbeats, or whose replicas have stopped taking part, since.
 func (m *Monitor) Keepers() []KeeperStatus {
 	var list []KeeperStatus
-	for name, d := range m.daemons {
-		if d.heartbeat.GetIdentity() != "" {
-			list = append(list, KeeperStatus{
-				Name: name, Place: d.heartbeat.GetPlace(), Address: d.heartbeat.GetAddress(), Identity: d.heartbeat.GetIdentity(), Last: d.lastContact,
-			})
+	for _, d := range m.daemons {
+		if d.keeper.Identity != "" {
+			list = append(list, d.keeper)
 		}
 	}
 	slices.SortFunc(list, func(a, b KeeperStatus) int { return strings.Compare(a.Name, b.Name) })
--- a/internal/worker/registrar/roster_test.go
+++ b/internal/worker/registrar/roster_test.go
@@ -50,3 +50,26 @@
 	h.HandleReply(time.Now(), b, &messages.Orders{Term: 2, Roster: 6, Daemons: []*messages.Daemon{{Name: "vm1"}, {Name: "vm2"}}})
 	is.Equal(len(h.Daemons()), 2)
 }
+
+// TestKeeperThatCannotWrite checks that a keeper whose heartbeats lack the identity of its folder, because its disk is
+// full, counts as last seen before. It counted as gone at once, and was replaced after a moment without space.
+func TestKeeperThatCannotWrite(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1_000_000, 0)
+	m := NewMonitor(DefaultTiming(), start)
+	beat := func(after time.Duration, identity string) KeeperStatus {
+		m.Heartbeat(start.Add(after), &messages.Beat{Daemon: "vm1", Address: "10.0.0.1:7000", Identity: identity})
+		list := m.Keepers()
+		is.Equal(len(list), 1)
+		return list[0]
+	}
+	is.Equal(beat(0, "a").Last, start)
+	for after := time.Second; after < 4*time.Second; after += time.Second {
+		full := beat(after, "")
+		is.Equal(full.Identity, "a")
+		is.Equal(full.Last, start)
+	}
+	is.Equal(beat(5*time.Second, "a").Last, start.Add(5*time.Second))
+	m.Heartbeat(start, &messages.Beat{Daemon: "vm2", Address: "10.0.0.2:7000"})
+	is.Equal(len(m.Keepers()), 1) // vm2 has no folder
+}
