applier: a node that is started anew knows that applied entries are committed

Cause: restore keeps the applied index, but the new node took its commit from the stored hard state, which lags: it is stored only together with entries or a vote.

Fix: the loaded commit is raised to the applied index before the node is made; applied entries are committed.

--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/job/scheduler"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
@@ -183,6 +184,15 @@
 	if end < a.applied {
 		return fmt.Errorf("%w: the log ends at entry %d, %d are applied", persister.ErrCorrupt, end, a.applied)
 	}
+	if initial.HardState.GetCommit() < a.applied {
+		// The stored commit lags. What is applied is committed.
+		hard := proto.CloneOf(initial.HardState)
+		if hard == nil {
+			hard = &messages.HardState{}
+		}
+		hard.Commit = a.applied
+		initial.HardState = hard
+	}
 	a.node = replicator.New(replicator.Options{
 		Name: a.opts.Name, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
 		DriftTicks: driftTicks, MaxBatch: maxBatchBytes, ChunkSize: chunkBytes, Seed: a.opts.Seed,
@@ -446,6 +456,9 @@
 
 // install replaces the state with a snapshot from the leader.
 func (a *Applier) install(s *replicator.Snapshot) error {
+	if s.Index < a.applied {
+		return fmt.Errorf("snapshot of entry %d refused: %d are applied", s.Index, a.applied)
+	}
 	state, err := scheduler.Restore(s.Data)
 	if err != nil {
 		return err
--- a/internal/state/applier/disk_snapshot_test.go
+++ b/internal/state/applier/disk_snapshot_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/crc32"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +11,8 @@
 
 	"github.com/bluebellgauge/bluebellgauge/internal/job/scheduler"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/replicator"
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
 
 // TestSnapshotDueAfterFullDisk refuses a follower's snapshots, and then all its writes, for longer than the retry of a
@@ -66,3 +69,27 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestOldSnapshotAfterFullDisk offers a replica that was started anew a snapshot older than what it has applied. Its
+// stored commit lags, so it installed the snapshot and its state went back.
+func TestOldSnapshotAfterFullDisk(t *testing.T) {
+	is := is.New(t)
+	members := &messages.Members{Voters: []*messages.Member{{Name: "0"}, {Name: "1"}}}
+	a := &Applier{opts: Options{Name: "0", Elapsed: func() time.Duration { return 0 }}, state: scheduler.New(), applied: 3}
+	initial := replicator.InitialState{HardState: &messages.HardState{Term: 1, Commit: 1}, Members: members}
+	for i := uint64(1); i <= 3; i++ {
+		initial.Entries = append(initial.Entries, &messages.Entry{Index: i, Term: 1})
+	}
+	is.NoErr(a.restore(initial))
+	data, err := scheduler.New().Save()
+	is.NoErr(err)
+	a.node.Step(&messages.Message{Kind: messages.Kind_KIND_SNAPSHOT, From: "1", To: "0", Term: 1, Chunk: &messages.Chunk{
+		Index: 2, Term: 1, Members: members, Total: uint64(len(data)), Data: data,
+		Checksum: crc32.Checksum(data, crc32.MakeTable(crc32.Castagnoli)),
+	}})
+	out := a.node.TakeOutput()
+	is.Equal(out.Install, nil)
+	is.Equal(a.node.Committed(), uint64(3))
+	is.True(a.install(&replicator.Snapshot{Index: 2, Term: 1, Members: members, Data: data}) != nil)
+	is.Equal(a.applied, uint64(3))
+}
