persister: Reopen keeps the voters of a log without members

Seen: a replica whose folder an earlier version wrote, without members in the header of its log, had no voters after a full disk and never led again (TestFullDiskOfOldFolder: context deadline exceeded).

Cause: Open fills in the bootstrap members for such a log; Reopen did not, and wrote the header anew without them.

Fix: the Persister keeps the bootstrap members, and read fills them in for both.

--- a/internal/state/persister/persister.go
+++ b/internal/state/persister/persister.go
@@ -57,9 +57,11 @@
 	folder   string
 	name     string
 	identity string
-	file     filer.File // nil while Reopen has not succeeded
-	size     int64
-	failed   error // of the write since which the contents of the log are unknown
+	// bootstrap holds the initial members, for a log without them.
+	bootstrap *messages.Members
+	file      filer.File // nil while Reopen has not succeeded
+	size      int64
+	failed    error // of the write since which the contents of the log are unknown
 }
 
 // Open opens or creates the storage in a folder and returns its contents. A new folder starts with the bootstrap
@@ -70,27 +72,24 @@
 	if err := files.MakeFolder(folder); err != nil {
 		return nil, none, unwritable("create data folder", err)
 	}
-	p := &Persister{files: files, folder: folder, name: name}
-	initial, err := p.load(bootstrap)
+	p := &Persister{files: files, folder: folder, name: name, bootstrap: bootstrap}
+	initial, err := p.load()
 	if err != nil {
 		return nil, none, err
 	}
 	return p, initial, nil
 }
 
-func (p *Persister) load(bootstrap *messages.Members) (replicator.InitialState, error) {
+func (p *Persister) load() (replicator.InitialState, error) {
 	initial, contents, err := p.read()
 	if err != nil {
 		return initial, err
 	}
 	if contents == nil {
-		initial.Members = bootstrap
-		return initial, p.createLog(bootstrap)
+		initial.Members = p.bootstrap
+		return initial, p.createLog()
 	}
 	p.identity = contents.hello.GetIdentity()
-	if initial.Members == nil {
-		initial.Members = bootstrap // written by a version without this field
-	}
 	if s := initial.Snapshot; s != nil && contents.hello.GetFirst() != s.Index+1 {
 		// A crash between the two renames of SaveSnapshot. New entries follow the snapshot, not this log.
 		err = p.rewriteAfter(initial)
@@ -123,6 +122,9 @@
 	}
 	initial.HardState = contents.hard
 	initial.Members = contents.hello.GetMembers()
+	if initial.Members == nil {
+		initial.Members = p.bootstrap // written by a version without this field
+	}
 	initial.Entries, err = contents.entriesAfter(initial.Snapshot)
 	return initial, contents, err
 }
@@ -165,12 +167,12 @@
 }
 
 // createLog creates the log of a new data folder, with a random identity.
-func (p *Persister) createLog(bootstrap *messages.Members) error {
+func (p *Persister) createLog() error {
 	raw := make([]byte, 16)
 	// crypto/rand.Read never returns an error.
 	_, _ = rand.Read(raw)
 	p.identity = hex.EncodeToString(raw)
-	if err := p.rewriteLog(&messages.Hello{First: 1, Members: bootstrap}, nil, nil); err != nil {
+	if err := p.rewriteLog(&messages.Hello{First: 1, Members: p.bootstrap}, nil, nil); err != nil {
 		return unwritable("create log", err)
 	}
 	return nil
