replicator: the schedules draw crashes as often as before the full disks

Cause: the draw of a crash at a delivery was IntRange(0, 39) == 0, and became one of the two last elements of a list of 40. rapid favours the start of a list. The old draw is back. The full disk at a delivery has a second draw, whose start is no end.

--- a/internal/state/replicator/schedule_test.go
+++ b/internal/state/replicator/schedule_test.go
@@ -268,7 +268,6 @@
 // TestSchedules draws message loss, duplication and reordering, partitions, crashes that lose unsynced writes, full
 // disks, restarts of one or all nodes, snapshots and leadership transfers, and checks safety after each step.
 func TestSchedules(t *testing.T) {
-	ends := append(slices.Repeat([]end{goOn}, 38), crash, diskFull)
 	rapid.Check(t, func(t *rapid.T) {
 		voters := rapid.SampledFrom([]int{3, 5}).Draw(t, "voters")
 		c := newCluster(t, voters, rapid.IntRange(0, 1).Draw(t, "learners"))
@@ -281,7 +280,14 @@
 				i := rapid.IntRange(0, len(c.network)-1).Draw(t, "which")
 				to := c.network[i].GetTo()
 				c.deliver(i, rapid.IntRange(0, 9).Draw(t, "double") == 0)
-				c.processOutputs(to, rapid.SampledFrom(ends).Draw(t, "end"))
+				end := goOn
+				switch {
+				case rapid.IntRange(0, 39).Draw(t, "crash") == 0:
+					end = crash
+				case rapid.IntRange(0, 39).Draw(t, "full") == 39:
+					end = diskFull
+				}
+				c.processOutputs(to, end)
 			}
 		}
 		inOrder := func(t *rapid.T) {
