applier: a disk whose probe succeeds and whose writes fail is tried less and less often

Fix: the wait before the next probe doubles from 250 ms up to 5 s with each suspension, and with each failure to write the log anew, until the replica has run for 5 s. `replica is suspended` is logged at the first suspension, `replica goes on` after these 5 s. A probe that fails does not change the wait, so a disk that is plainly full is still probed each 250 ms.

--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -39,7 +39,9 @@
 	chunkBytes     = 256 << 10
 	inboxSize      = 1024
 	maxDrainInputs = 512                    // inputs handled per sync
-	probeInterval  = 250 * time.Millisecond // of a disk that refuses writes
+	minResumeWait  = 250 * time.Millisecond // before a disk that refused writes is probed
+	maxResumeWait  = 5 * time.Second        // the same, while its probes succeed and other writes fail
+	settleTime     = 5 * time.Second        // of running, after which a suspension counts as over
 	snapshotRetry  = 5 * time.Second        // after a snapshot for which there was no space
 )
 
@@ -73,6 +75,10 @@
 	tickPending bool          // a Tick is proposed but not yet applied
 	leading     bool          // is leader at the end of the last step
 	suspended   bool          // the storage can't be written; the node has resigned
+	settling    bool          // was suspended, and has not run for the settle time since
+	suspendedAt time.Duration // Options.Elapsed at the first suspension that is not over
+	resumedAt   time.Duration // Options.Elapsed at the end of the latest suspension
+	resumeWait  time.Duration // between the probes of the next suspension
 	notSaved    bool          // there was no space for the last snapshot
 	nextSave    time.Duration // Options.Elapsed before which no snapshot is saved
 
@@ -253,21 +259,26 @@
 		if err := a.processOutputs(); err != nil {
 			return err
 		}
+		a.settle()
 	}
 }
 
 // suspend waits until the storage can be written again, and starts the node anew from what is stored. Until then the
 // replica is no leader, and drops the messages of the other replicas: it neither votes nor acknowledges anything.
 func (a *Applier) suspend(cause error) error {
-	start := a.opts.Elapsed()
-	a.opts.Log.Error("replica is suspended", zap.String("folder", a.opts.Folder), zap.Error(cause))
+	if !a.settling {
+		a.opts.Log.Error("replica is suspended", zap.String("folder", a.opts.Folder), zap.Error(cause))
+		a.settling, a.suspendedAt, a.resumeWait = true, a.opts.Elapsed(), minResumeWait
+	} else {
+		a.backOff()
+	}
 	a.suspended = true
 	a.opts.Send(a.node.Resign())
 	a.failPending(ErrOutcomeUnknown)
 	a.leading, a.tickPending = false, false
 	none := ""
 	a.leader.Store(&none)
-	probe := time.NewTicker(probeInterval)
+	probe := time.NewTimer(a.resumeWait)
 	defer probe.Stop()
 	for {
 		select {
@@ -278,17 +289,17 @@
 			a.handle(in)
 		case <-probe.C:
 			err := a.resume()
-			if errors.Is(err, persister.ErrUnwritable) {
-				continue
-			}
-			if err == nil {
-				a.opts.Log.Info("replica goes on", zap.Duration("suspended", a.opts.Elapsed()-start))
+			if !errors.Is(err, persister.ErrUnwritable) {
+				return err
 			}
-			return err
+			probe.Reset(a.resumeWait)
 		}
 	}
 }
 
+// backOff doubles the time between probes.
+func (a *Applier) backOff() { a.resumeWait = min(2*a.resumeWait, maxResumeWait) }
+
 // resume ends the suspension if the storage can be written.
 func (a *Applier) resume() error {
 	if err := persister.Writable(a.opts.Files, a.opts.Folder); err != nil {
@@ -296,12 +307,22 @@
 	}
 	initial, err := a.storage.Reopen()
 	if err != nil {
+		a.backOff() // it writes the whole log each time
 		return err
 	}
-	a.suspended = false
+	a.suspended, a.resumedAt = false, a.opts.Elapsed()
 	return a.restore(initial)
 }
 
+// settle ends the series of suspensions once the replica has run for the settle time.
+func (a *Applier) settle() {
+	if !a.settling || a.opts.Elapsed()-a.resumedAt < settleTime {
+		return
+	}
+	a.settling = false
+	a.opts.Log.Info("replica goes on", zap.Duration("suspended", a.resumedAt-a.suspendedAt))
+}
+
 // maxCatchUpTicks limits the overdue ticks delivered at once. It exceeds the length of a lease, so a lease
 // from before a suspension always expires.
 const maxCatchUpTicks = 4 * electionTicks
