--- a/internal/queue/coordinator/coordinator_test.go
+++ b/internal/queue/coordinator/coordinator_test.go
@@ -211,6 +211,68 @@
 	is.Equal(f.state.Job("a").Phase, tracker.Completed)
 }
 
+// TestDelayedReportsAtNewLeader guards against runs that are taken for not started, and start elsewhere while they go
+// on: reports from before their start that were held up by a partition arrive at a new leader first.
+func TestDelayedReportsAtNewLeader(t *testing.T) {
+	running := func(r *messages.FleetReport) {
+		r.Running = []*messages.Running{{Run: &messages.Run{Job: "a", Number: 1}}}
+	}
+	newLeader := func(t *testing.T) *fixture {
+		f := newFixture()
+		if status := f.submit(t, "/q/a", "k1"); status != StatusOK {
+			t.Fatal(status)
+		}
+		f.report(t, 1, nil)
+		f.Pass(context.Background())
+		if starts := f.report(t, 5, nil).GetStarts(); len(starts) != 1 {
+			t.Fatalf("%d starts, want 1", len(starts))
+		}
+		f.leaderTerm++
+		return f
+	}
+	t.Run("a run that goes on", func(t *testing.T) {
+		is := is.New(t)
+		f := newLeader(t)
+		f.report(t, 3, nil)
+		f.report(t, 4, nil)
+		is.Equal(f.state.Job("a").Active(), 1)
+		is.Equal(len(f.report(t, 6, running).GetStops()), 0)
+	})
+	t.Run("a run that must stop", func(t *testing.T) {
+		is := is.New(t)
+		f := newLeader(t)
+		_, err := f.Cancel(context.Background(), &messages.Lookup{Host: "h", Path: "/q/a", Key: "k1"})
+		is.NoErr(err)
+		f.report(t, 3, nil)
+		is.Equal(f.state.Job("a").Active(), 1) // its capacity is in use until it has stopped
+		is.Equal(len(f.report(t, 6, running).GetStops()), 1)
+	})
+	t.Run("a start that did not arrive is given up after the longest lease", func(t *testing.T) {
+		is := is.New(t)
+		f := newLeader(t)
+		_, err := f.Cancel(context.Background(), &messages.Lookup{Host: "h", Path: "/q/a", Key: "k1"})
+		is.NoErr(err)
+		f.report(t, 6, nil)
+		f.now = f.now.Add(f.opts.Timing.MaxLease + time.Second)
+		f.report(t, 7, nil)
+		is.Equal(f.state.Job("a").Active(), 0)
+	})
+	t.Run("a start that did not arrive is given up once a response of the new leader has arrived", func(t *testing.T) {
+		is := is.New(t)
+		f := newLeader(t)
+		_, err := f.Cancel(context.Background(), &messages.Lookup{Host: "h", Path: "/q/a", Key: "k1"})
+		is.NoErr(err)
+		f.report(t, 6, nil)
+		is.Equal(f.submit(t, "/q/b", "k1"), StatusOK)
+		f.Pass(context.Background())
+		is.Equal(len(f.report(t, 7, nil).GetStarts()), 1)
+		f.report(t, 8, func(r *messages.FleetReport) {
+			r.Running = []*messages.Running{{Run: &messages.Run{Job: "b", Number: 1}}}
+		})
+		is.Equal(f.state.Job("a").Active(), 0)
+	})
+}
+
 // TestReportingWorkerIsNotLost checks that a worker that reports is not lost when its lease expires because an
 // overloaded leader reads reports but responds too late to extend leases.
 func TestReportingWorkerIsNotLost(t *testing.T) {
@@ -386,6 +448,46 @@
 	is.True(f.workers["later"].replaced)
 }
 
+// TestStartsFitLessCapacity guards against starts that bring a worker over its capacity: they were decided before it
+// reported that its capacity has shrunk. Starts that still fit go on, and runs that do not fit any more are not stopped.
+func TestStartsFitLessCapacity(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		processors int64
+		starts     int
+	}{{"unchanged", 8000, 2}, {"room for one more", 2500, 1}, {"full", 1500, 0}, {"none", 0, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			f.startRun(t)
+			runs := []*messages.Run{{Job: "a", Number: 1}}
+			running := func(processors int64) func(r *messages.FleetReport) {
+				return func(r *messages.FleetReport) {
+					r.Processors = processors
+					listing(runs)(r)
+				}
+			}
+			f.report(t, 3, running(8000))
+			is.Equal(f.submit(t, "/q/b", "k1"), StatusOK)
+			is.Equal(f.submit(t, "/q/c", "k1"), StatusOK)
+			f.Pass(context.Background())
+			o := f.report(t, 4, running(c.processors))
+			is.Equal(len(o.GetStarts()), c.starts)
+			is.Equal(len(o.GetStops()), 0)
+			is.Equal(f.state.Job("a").Active(), 1)
+			is.Equal(f.state.Job("b").Active()+f.state.Job("c").Active(), c.starts)
+			f.Pass(context.Background())
+			is.Equal(f.state.Job("b").Active()+f.state.Job("c").Active(), c.starts) // nothing starts again there
+			for _, order := range o.GetStarts() {
+				runs = append(runs, order.GetRun())
+			}
+			f.report(t, 5, running(8000))
+			f.Pass(context.Background())
+			is.Equal(f.state.Job("b").Active()+f.state.Job("c").Active(), 2) // more capacity is used at once
+		})
+	}
+}
+
 // TestOversizedJobsAreRefused checks that a job that exceeds the capacity of the fleet is refused at once with
 // a retry delay, and does not wait forever.
 func TestOversizedJobsAreRefused(t *testing.T) {
--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -26,8 +26,11 @@
 	leaving       bool
 	exitAt        time.Time // earliest exit of a leaving worker
 	left          bool
+	exitNotice    bool          // it has sent a notice that it is about to exit
+	previous      *worker       // the incarnation before it, nil if this leader did not know it
 	replaced      bool          // a later worker reports from its address, so this one has ended
 	expiring      bool          // its end is being committed; it gets no orders until then
+	firstContact  time.Time     // when this leader first heard of it
 	lastContact   time.Time     // latest possible send time of its last report
 	clock         int64         // worker's clock in that report, in milliseconds, 0 for none
 	interval      time.Duration // that it was last told to wait before its next report
@@ -38,7 +41,22 @@
 	listed        map[tracker.RunKey]bool
 	// startOrders holds, by run, the sequence number of the report whose response last ordered its start.
 	startOrders map[tracker.RunKey]uint64
-	health      health
+	oversized   map[tracker.RunKey]bool // starts that no longer fit into the reported capacity
+	// answered is true once a report has shown that a response of this leader arrived. Responses of earlier leaders
+	// are void from then on, and no report that was sent before can pass for a current one.
+	answered bool
+	health   health
+}
+
+// hasAnnouncedExit reports whether the end of the worker is planned.
+func (w *worker) hasAnnouncedExit() bool { return w.leaving || w.exitNotice }
+
+// previousAt returns the incarnation before this one if it began at the given time and is known, or nil.
+func (w *worker) previousAt(born int64) *worker {
+	if w.previous == nil || w.previous.born != born {
+		return nil
+	}
+	return w.previous
 }
 
 // receiveTimeout limits the processing of a report and the commit of the ends in it. It covers an election and
@@ -164,7 +182,7 @@
 				c.wakeJobWorkers(j)
 				continue
 			}
-			if s := j.Step(e.GetOccurrence(), e.GetStep()); s.Spec.GetGang() {
+			if s := j.Step(e.GetOccurrence(), e.GetStep()); s != nil && s.Spec.GetGang() {
 				c.wakeStepWorkers(s)
 			}
 		}
@@ -224,21 +242,27 @@
 		c.receiveExitNotice(state, r, w)
 		return nil, false
 	}
-	if state.Catalog() != nil && state.Pools()[r.GetPool()] == nil {
+	if state.Catalog() != nil && state.Pools()[r.GetPool()] == nil && !isKnown(w, r) {
 		c.opts.Log.Warn("report names an unknown pool", zap.String("worker", r.GetWorker()), zap.String("pool", r.GetPool()))
 		return nil, true
 	}
-	if isStale(state, w, r) || c.isReplaced(r) {
+	if isStale(state, w, r) || c.isReplaced(state, r) {
 		return nil, true
 	}
 	if w == nil || r.GetBorn() > w.born {
-		w = c.addIncarnation(r)
+		w = c.addIncarnation(state, r)
 	}
 	c.updateWorker(w, r, now)
 	c.updateProgress(w, r)
 	return c.newEnds(state, w, r), false
 }
 
+// isKnown reports whether a report is of a worker that this leader knows from the same pool. Its runs go on after the
+// pool has left the catalog.
+func isKnown(w *worker, r *messages.FleetReport) bool {
+	return w != nil && w.born == r.GetBorn() && w.pool == r.GetPool()
+}
+
 // isStale reports whether a later incarnation of the worker, or a later report of the same one, is known.
 func isStale(state *tracker.Tracker, w *worker, r *messages.FleetReport) bool {
 	if incarnation, known := state.Incarnation(r.GetWorker()); known && r.GetBorn() < incarnation.Started {
@@ -248,8 +272,15 @@
 }
 
 // addIncarnation adds a worker that is new or has restarted.
-func (c *Coordinator) addIncarnation(r *messages.FleetReport) *worker {
+func (c *Coordinator) addIncarnation(state *tracker.Tracker, r *messages.FleetReport) *worker {
 	w := &worker{id: r.GetWorker(), born: r.GetBorn(), startOrders: map[tracker.RunKey]uint64{}}
+	w.firstContact = c.opts.Now()
+	if w.previous = c.workers[w.id]; w.previous != nil {
+		w.previous.previous = nil
+		if len(state.RunsOn(w.id)) == 0 {
+			c.recordLoss(w.id, w.previous)
+		}
+	}
 	c.workers[r.GetWorker()] = w
 	c.opts.Log.Info("worker reports", zap.String("worker", w.id), zap.Int64("born", w.born),
 		zap.String("address", r.GetAddress()), zap.String("pool", r.GetPool()), zap.Strings("labels", r.GetLabels()))
@@ -260,7 +291,7 @@
 // isReplaced reports whether a worker that started later uses the address of a report. If instead the sender
 // is the later one, it marks the earlier worker as replaced. An address belongs to one process at a time, so
 // the earlier process has ended, and its runs need not wait for the lease to expire.
-func (c *Coordinator) isReplaced(r *messages.FleetReport) bool {
+func (c *Coordinator) isReplaced(state *tracker.Tracker, r *messages.FleetReport) bool {
 	if r.GetAddress() == "" {
 		return false
 	}
@@ -273,6 +304,9 @@
 		if previous.born == r.GetBorn() {
 			return false // the order of the two is unknown
 		}
+		if !previous.replaced && len(state.RunsOn(previous.id)) == 0 {
+			c.recordLoss(previous.id, previous)
+		}
 		previous.replaced, previous.left = true, true
 		c.opts.Log.Info("worker replaced", zap.String("worker", previous.id), zap.Int64("born", previous.born),
 			zap.String("address", r.GetAddress()), zap.String("successor", r.GetWorker()), zap.Int64("later", r.GetBorn()))
@@ -299,6 +333,7 @@
 	w.exitAt = w.lastContact.Add(time.Duration(r.GetRemaining()) * time.Millisecond)
 	w.address = r.GetAddress()
 	w.left = w.left && w.leaving // not leaving: the exit notice was from an earlier incarnation
+	w.exitNotice = w.exitNotice && w.leaving
 }
 
 // latestSendTime returns the latest time at which a report that arrives now can have been sent. A network
@@ -325,7 +360,7 @@
 	if w == nil || r.GetBorn() != 0 && r.GetBorn() != w.born {
 		return
 	}
-	w.left = true
+	w.left, w.exitNotice = true, true
 	c.opts.Log.Info("worker sent exit notice", zap.String("worker", w.id), zap.Int("runs", len(state.RunsOn(w.id))))
 }
 
@@ -335,6 +370,7 @@
 	if !known || incarnation.Started != w.born {
 		incarnation = tracker.Incarnation{Started: w.born}
 	}
+	w.oversized = c.oversizedStarts(state, w)
 	ends := &messages.WorkerEnds{Worker: w.id, Born: w.born, Sequence: incarnation.Sequence}
 	runs := state.RunsOn(w.id)
 	for _, e := range r.GetEnds() {
@@ -343,24 +379,42 @@
 		}
 		ends.Sequence = max(ends.Sequence, e.GetSequence())
 		key := tracker.EndKeyOf(e.GetEnd())
-		if run := runs[key]; run != nil && run.GetBorn() == w.born {
-			ends.Ends = append(ends.Ends, e.GetEnd())
-			c.recordEnd(state, w, key, e.GetEnd())
+		c.observeOrder(w, key)
+		// An end of a run that is not in the state is committed too: what is acknowledged is recorded if the run is in
+		// the state by then.
+		ends.Ends = append(ends.Ends, e.GetEnd())
+		if run := runs[key]; run == nil || run.GetBorn() != w.born {
+			c.metrics.unknownEnds.Inc(1)
+			c.opts.Log.Info("end of an unknown run", zap.String("request", key.Job), zap.Int32("occurrence", key.Occurrence), zap.Int32("step", key.Step),
+				zap.Int32("task", key.Task), zap.Uint32("run", key.Number), zap.String("worker", w.id), zap.String("how", e.GetEnd().GetHow()),
+				zap.Uint64("end", e.GetSequence()), zap.Uint64("report", w.sequence))
+			continue
 		}
+		c.recordEnd(state, w, key, e.GetEnd())
 	}
-	earlier := false
-	for _, run := range runs {
-		earlier = earlier || run.GetBorn() < w.born
+	earlier, crashed := earlierIncarnation(runs, w.born)
+	if crashed {
+		ends.Crashes = c.crashes(state, w.id, earlier, w.previousAt(earlier), true)
 	}
 	if len(r.GetEnds()) < splitEndsThreshold {
 		ends.Ends = append(ends.Ends, c.unstartedRuns(state, w, ends.Ends)...)
 	}
-	if ends.Sequence == incarnation.Sequence && !earlier && len(ends.Ends) == 0 {
+	if ends.Sequence == incarnation.Sequence && !crashed && len(ends.Ends) == 0 {
 		return nil
 	}
 	return &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Ends: []*messages.WorkerEnds{ends}}
 }
 
+// earlierIncarnation returns the last incarnation before the given one that has runs, whose ends it could not report.
+func earlierIncarnation(runs map[tracker.RunKey]*messages.Run, born int64) (earlier int64, ok bool) {
+	for _, r := range runs {
+		if r.GetBorn() < born {
+			earlier, ok = max(earlier, r.GetBorn()), true
+		}
+	}
+	return earlier, ok
+}
+
 // splitEndsThreshold is the number of ends from which a worker may split them over several reports. A run
 // that such a report does not list may have ended.
 const splitEndsThreshold = 500
@@ -368,7 +422,8 @@
 // unstartedRuns returns the ends of runs whose orders did not reach the worker, and of runs that have not
 // started and must not start any more. A worker sends a report only after the response to the previous one
 // has arrived or is void, so a run that a later report does not list has not started and does not start
-// without a further order. A worker reports no end for a run that was stopped before its start order arrived.
+// without a further order. For runs that an earlier leader may have ordered, this holds for current reports
+// only. A worker reports no end for a run that was stopped before its start order arrived.
 func (c *Coordinator) unstartedRuns(state *tracker.Tracker, w *worker, listed []*messages.End) []*messages.End {
 	ended := make(map[tracker.RunKey]bool, len(listed))
 	for _, e := range listed {
@@ -379,9 +434,14 @@
 		switch {
 		case run.GetBorn() != w.born, w.listed[key], ended[key], w.startOrders[key] >= w.sequence:
 			continue
-		case !c.mustStop(state.Job(key.Job), key) && w.startOrders[key] == 0:
+		case !c.mustStop(state.Job(key.Job), key) && w.startOrders[key] == 0 && !w.oversized[key]:
+			continue
+		case !c.committedStarts[key] && !c.isCurrent(w):
 			continue
 		}
+		c.opts.Log.Info("start revoked", zap.String("request", key.Job), zap.Int32("occurrence", key.Occurrence), zap.Int32("step", key.Step),
+			zap.Int32("task", key.Task), zap.Uint32("run", key.Number), zap.String("worker", w.id), zap.Uint64("ordered", w.startOrders[key]),
+			zap.Uint64("report", w.sequence), zap.Bool("own", c.committedStarts[key]))
 		w.unreachable = w.unreachable || w.startOrders[key] > 0
 		c.stopping[key] = true // the start must not be ordered again before the end is committed
 		ends = append(ends, &messages.End{
@@ -394,6 +454,58 @@
 	return ends
 }
 
+// oversizedStarts returns the starts that the worker has not carried out and that do not fit: it has reported less
+// capacity since they were decided.
+func (c *Coordinator) oversizedStarts(state *tracker.Tracker, w *worker) map[tracker.RunKey]bool {
+	free := w.capacity
+	var unsent []tracker.RunKey
+	for key, run := range state.RunsOn(w.id) {
+		switch {
+		case run.GetBorn() != w.born:
+		case w.listed[key] || w.startOrders[key] >= w.sequence:
+			free = free.Sub(needOf(state, key))
+		default:
+			unsent = append(unsent, key)
+		}
+	}
+	for _, run := range w.unexpectedRuns(state.RunsOn(w.id)) { // they use their share until they have stopped
+		if j := state.Job(run.GetJob()); j != nil && j.Step(run.GetOccurrence(), run.GetStep()) != nil {
+			free = free.Sub(needOf(state, tracker.KeyOf(run)))
+			continue
+		}
+		free = placer.Vector{Processors: -1} // how much it uses is not known
+	}
+	slices.SortFunc(unsent, tracker.CompareKeys)
+	oversized := map[tracker.RunKey]bool{}
+	for _, key := range unsent {
+		need := needOf(state, key)
+		if free.Fits(need, 1) > 0 {
+			free = free.Sub(need)
+			continue
+		}
+		oversized[key] = true
+		c.opts.Log.Info("start withheld: the worker has less capacity now", zap.String("request", key.Job), zap.Int32("occurrence", key.Occurrence),
+			zap.Int32("step", key.Step), zap.Int32("task", key.Task), zap.Uint32("run", key.Number), zap.String("worker", w.id), zap.Uint64("report", w.sequence))
+	}
+	return oversized
+}
+
+func needOf(state *tracker.Tracker, key tracker.RunKey) placer.Vector {
+	return placer.Need(state.Job(key.Job).Step(key.Occurrence, key.Step).Spec)
+}
+
+// observeOrder records that a report names a run whose start only this leader can have ordered.
+func (c *Coordinator) observeOrder(w *worker, key tracker.RunKey) {
+	w.answered = w.answered || c.committedStarts[key] && w.startOrders[key] > 0
+}
+
+// isCurrent reports whether the worker's reports are known to follow the last response of an earlier leader. Reports
+// from before it may arrive late, and do not list the runs that it started. After the longest lease such a run has
+// ended, unless it was listed to this leader, whose responses have kept it alive.
+func (c *Coordinator) isCurrent(w *worker) bool {
+	return w.answered || c.opts.Now().After(c.opts.Timing.leaseExpiry(c.termStart, c.opts.Timing.MaxLease))
+}
+
 // ordersFor returns the orders for a worker that follow from the replicated state.
 func (c *Coordinator) ordersFor(state *tracker.Tracker, r *messages.FleetReport) *messages.FleetOrders {
 	w := c.workers[r.GetWorker()]
@@ -416,17 +528,12 @@
 		switch {
 		case c.mustStop(j, key):
 			o.Stops = append(o.Stops, run)
-		case !w.listed[key]:
+		case !w.listed[key] && !w.oversized[key]:
 			o.Starts = append(o.Starts, &messages.StartOrder{Run: run, Body: j.Work.GetBody()})
 			w.startOrders[key] = r.GetSequence()
 		}
 	}
-	for key := range w.listed {
-		if run := runs[key]; run == nil || run.GetBorn() != w.born {
-			// The run is committed as ended, or was not committed at all.
-			o.Stops = append(o.Stops, &messages.Run{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number})
-		}
-	}
+	o.Stops = append(o.Stops, w.unexpectedRuns(runs)...)
 	slices.SortFunc(o.Stops, func(a, b *messages.Run) int { return tracker.CompareKeys(tracker.KeyOf(a), tracker.KeyOf(b)) })
 	slices.SortFunc(o.Starts, func(a, b *messages.StartOrder) int {
 		return tracker.CompareKeys(tracker.KeyOf(a.GetRun()), tracker.KeyOf(b.GetRun()))
@@ -434,6 +541,17 @@
 	return o
 }
 
+// unexpectedRuns returns the listed runs that are committed as ended, or were not committed at all.
+func (w *worker) unexpectedRuns(runs map[tracker.RunKey]*messages.Run) []*messages.Run {
+	var list []*messages.Run
+	for key := range w.listed {
+		if run := runs[key]; run == nil || run.GetBorn() != w.born {
+			list = append(list, &messages.Run{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number})
+		}
+	}
+	return list
+}
+
 // mustStop reports whether a run that has not ended must be stopped.
 func (c *Coordinator) mustStop(j *tracker.Job, key tracker.RunKey) bool {
 	switch j.Phase {
--- /dev/null
+++ b/internal/queue/placer/trial.go
@@ -0,0 +1,186 @@
+package placer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
+)
+
+// workersPerTrial bounds the trials of a busy pool: one for this many usable workers. idlePerTrial is the same for
+// workers without runs, on which a trial endangers no work.
+const (
+	workersPerTrial = 16
+	idlePerTrial    = 2
+	maxTrials       = 32 // that start in one pass in a pool
+)
+
+// hasTrial reports whether a suspect task is starting on the worker. Nothing else may start there meanwhile, so that a
+// crash of the worker has one explanation and costs little.
+func (w *Worker) hasTrial() bool { return slices.ContainsFunc(w.Runs, (*ActiveRun).isTrial) }
+
+// hasStarts reports whether any run is starting on the worker.
+func (w *Worker) hasStarts() bool {
+	return slices.ContainsFunc(w.Runs, func(a *ActiveRun) bool { return a.Starting })
+}
+
+// planTrials sets how many trials may start in each pool.
+func (p *pass) planTrials() {
+	usable, idle, running := map[string]int{}, map[string]int{}, map[string]int{}
+	for _, w := range p.input.Workers {
+		for _, a := range w.Runs {
+			if a.isTrial() {
+				p.tried[a.Job] = true
+			}
+		}
+		if !w.Usable {
+			continue // a trial that has crashed its worker is over
+		}
+		usable[w.Pool]++
+		if !w.Young {
+			p.old[w.Pool]++
+		}
+		if len(w.Runs) == 0 {
+			idle[w.Pool]++
+		}
+		if w.hasTrial() {
+			running[w.Pool]++
+		}
+	}
+	for pool, n := range usable {
+		p.trials[pool] = min(max(n/workersPerTrial, idle[pool]/idlePerTrial, 1)-running[pool], maxTrials)
+	}
+}
+
+// separateTrials splits the suspect tasks off a unit, as units of their own. A gang starts as a whole. While a task is
+// likely to be given up, which fails its job, no other task of the step starts.
+func (p *pass) separateTrials(u *unit) []*unit {
+	if u.step.Spec.GetGang() {
+		for _, task := range u.tasks {
+			if u.suspect(&u.step.Tasks[task]); p.isHeld(u, task) {
+				return nil
+			}
+		}
+		u.needsOldWorker = u.needsOldWorker && p.old[u.pool] > 0
+		return []*unit{u}
+	}
+	var units []*unit
+	var rest []int32
+	for _, task := range u.tasks {
+		if !u.step.Tasks[task].IsSuspect() {
+			rest = append(rest, task)
+			continue
+		}
+		if p.isHeld(u, task) {
+			continue
+		}
+		trial := *u
+		trial.tasks = []int32{task}
+		trial.suspect(&u.step.Tasks[task])
+		trial.needsOldWorker = trial.needsOldWorker && p.old[u.pool] > 0
+		units = append(units, &trial)
+	}
+	if u.tasks = rest; len(rest) > 0 && !p.isDoomed(u) {
+		units = append(units, u)
+	}
+	return units
+}
+
+// suspect adds the crashes of one of the unit's tasks to the unit.
+func (u *unit) suspect(t *tracker.Task) {
+	u.crashes = max(u.crashes, len(t.Crashes))
+	u.blamed = u.blamed || t.AloneCrashes() > 0
+	u.needsOldWorker = u.crashes > 1 && !u.step.Spec.GetLasting()
+}
+
+// startsAlone reports whether a gang waits for workers on which nothing else is starting. Single tasks do so always.
+func (u *unit) startsAlone() bool { return u.crashes > 1 && u.step.Spec.GetGang() }
+
+// isOneAtATime reports whether no other trial of its job may be under way. A task that no crash speaks against alone is
+// likely to be innocent.
+func (u *unit) isOneAtATime() bool { return u.crashes > 1 || u.blamed }
+
+func (p *pass) isHeld(u *unit, task int32) bool {
+	t := &u.step.Tasks[task]
+	key := tracker.TaskKey{Job: u.job.Work.GetId(), Occurrence: u.step.Occurrence, Step: u.step.Index, Task: task}
+	return t.IsSuspect() && p.input.Held(key, t)
+}
+
+// isDoomed reports whether a task of the unit's step is likely to be given up. A task that has survived its trial is no
+// suspect any more. A lasting task must not wait for another one.
+func (p *pass) isDoomed(u *unit) bool {
+	return !u.step.Spec.GetLasting() && slices.ContainsFunc(u.step.Tasks, func(t tracker.Task) bool {
+		return !t.Done && isLikelyGivenUp(&t)
+	})
+}
+
+// isLikelyGivenUp reports whether one more crash would show that a task crashes its workers.
+func isLikelyGivenUp(t *tracker.Task) bool { return len(t.Crashes) > 1 && t.AloneCrashes() > 0 }
+
+// placeTrial starts a suspect task or gang. Nothing else starts on its workers until they are seen alive after it.
+func (p *pass) placeTrial(u *unit) {
+	if p.trials[u.pool] <= 0 || u.isOneAtATime() && p.tried[u.job] {
+		return
+	}
+	before := len(p.plan.Starts)
+	if u.step.Spec.GetGang() {
+		p.placeGang(u)
+	} else if c := p.selectTrialWorker(u); c == nil {
+		if u.urgent {
+			p.evictForTask(u, p.runsPerWorker(u))
+		}
+	} else {
+		if !c.assigned && !c.starting {
+			p.start(u, u.tasks[0], c)
+		}
+		c.close() // also while the trial waits for starts on the worker to succeed
+		p.trials[u.pool]--
+	}
+	if len(p.plan.Starts) == before {
+		return
+	}
+	p.tried[u.job] = true
+	if !u.step.Spec.GetGang() {
+		return
+	}
+	p.trials[u.pool]--
+	for _, c := range p.pools[u.pool] {
+		if slices.ContainsFunc(p.plan.Starts[before:], c.hosts) {
+			c.close()
+		}
+	}
+}
+
+// selectTrialWorker returns the worker on which a crash would cost the least work, nil if the task fits on none.
+// Workers on which other runs are starting, or that have started lately themselves, are left for last: their crash says
+// little about the task.
+func (p *pass) selectTrialWorker(u *unit) *candidate {
+	counts := p.runsPerWorker(u)
+	var best *candidate
+	var bestLoss int64
+	for _, c := range p.pools[u.pool] {
+		if !u.canStartOn(c, counts) || c.available(u).Fits(u.need, 1) == 0 {
+			continue
+		}
+		loss := p.lossOf(c)
+		if best == nil || cmp.Or(
+			compareBool(c.Suspect, best.Suspect), compareBool(c.Young, best.Young),
+			compareBool(c.assigned || c.starting, best.assigned || best.starting), cmp.Compare(loss, bestLoss),
+			cmp.Compare(len(c.Runs), len(best.Runs)), cmp.Compare(c.free.Weight(), best.free.Weight()),
+		) < 0 {
+			best, bestLoss = c, loss
+		}
+	}
+	return best
+}
+
+// lossOf returns the cost of the work that a crash of the worker would lose.
+func (p *pass) lossOf(c *candidate) int64 {
+	if c.loss < 0 {
+		c.loss = 0
+		for _, a := range c.Runs {
+			c.loss += p.costOf(a)
+		}
+	}
+	return c.loss
+}
