--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/job/scheduler"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/persister"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/replicator"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/timekeeper"
@@ -36,12 +38,17 @@
 	maxBatchBytes  = 1 << 20
 	chunkBytes     = 256 << 10
 	inboxSize      = 1024
-	maxDrainInputs = 512 // inputs handled per sync
+	maxDrainInputs = 512                    // inputs handled per sync
+	minResumeWait  = 250 * time.Millisecond // before a disk that refused writes is probed
+	maxResumeWait  = 5 * time.Second        // the same, while its probes succeed and other writes fail
+	settleTime     = 5 * time.Second        // of running, after which a suspension counts as over
+	snapshotRetry  = 5 * time.Second        // after a snapshot for which there was no space
 )
 
 // Options are the dependencies and parameters of a replica.
 type Options struct {
 	Name          string
+	Files         filer.Files // holds the folder
 	Folder        string
 	Bootstrap     *messages.Members // initial membership of a new folder
 	Tick          time.Duration     // unit of the consensus timers; the election timeout is 8 to 16 ticks
@@ -65,8 +72,15 @@
 	members     *messages.Members // in effect at the last applied entry
 	applied     uint64
 	lastTime    time.Time
-	tickPending bool // a Tick is proposed but not yet applied
-	leading     bool // is leader at the end of the last step
+	tickPending bool          // a Tick is proposed but not yet applied
+	leading     bool          // is leader at the end of the last step
+	suspended   bool          // the storage can't be written; the node has resigned
+	settling    bool          // was suspended, and has not run for the settle time since
+	suspendedAt time.Duration // Options.Elapsed at the first suspension that is not over
+	resumedAt   time.Duration // Options.Elapsed at the end of the latest suspension
+	resumeWait  time.Duration // between the probes of the next suspension
+	notSaved    bool          // there was no space for the last snapshot
+	nextSave    time.Duration // Options.Elapsed before which no snapshot is saved
 
 	inbox     chan input
 	peerInbox chan input    // consensus messages, handled before other inputs
@@ -129,23 +143,14 @@
 		done:      make(chan struct{}),
 		stop:      make(chan struct{}),
 	}
-	if s := initial.Snapshot; s != nil {
-		if a.state, err = scheduler.Restore(s.Data); err != nil {
-			return nil, errors.Join(err, storage.Close())
-		}
-		a.applied, a.members = s.Index, s.Members
-	}
-	a.node = replicator.New(replicator.Options{
-		Name: opts.Name, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
-		DriftTicks: driftTicks, MaxBatch: maxBatchBytes, ChunkSize: chunkBytes, Seed: opts.Seed,
-	}, initial)
-	a.latestMembers.Store(a.node.Members())
 	none := ""
 	a.leader.Store(&none)
+	if err := a.restore(initial); err != nil {
+		return nil, errors.Join(err, storage.Close())
+	}
 	go func() {
 		defer close(a.done)
 		a.failure = a.run()
-		none := ""
 		a.leader.Store(&none)
 		a.failPending(ErrStopped)
 		if err := storage.Close(); err != nil {
@@ -158,26 +163,86 @@
 // open opens the storage. If it is corrupt and the group has other voters, the files are moved away and the
 // replica starts empty, to be restored by the leader.
 func open(opts Options) (*persister.Persister, replicator.InitialState, error) {
-	storage, initial, err := persister.Open(opts.Folder, opts.Name, opts.Bootstrap)
+	storage, initial, err := persister.Open(opts.Files, opts.Folder, opts.Name, opts.Bootstrap)
 	if !errors.Is(err, persister.ErrCorrupt) || len(opts.Bootstrap.GetVoters()) == 1 {
 		return storage, initial, err
 	}
 	opts.Log.Error("stored data is corrupt: moving it away and restoring from the other replicas", zap.Error(err))
-	if err := persister.Reset(opts.Folder); err != nil {
+	if err := persister.Reset(opts.Files, opts.Folder); err != nil {
 		return nil, initial, fmt.Errorf("move corrupt data away: %w", err)
 	}
-	return persister.Open(opts.Folder, opts.Name, &messages.Members{})
+	return persister.Open(opts.Files, opts.Folder, opts.Name, &messages.Members{})
 }
 
-// run is the event loop of the goroutine that owns the replica.
+// restore starts the node from the stored state. The scheduler state is kept, unless the stored snapshot is later.
+func (a *Applier) restore(initial replicator.InitialState) error {
+	end := uint64(len(initial.Entries))
+	if s := initial.Snapshot; s != nil {
+		end += s.Index
+		if s.Index > a.applied {
+			state, err := scheduler.Restore(s.Data)
+			if err != nil {
+				return err
+			}
+			a.adopt(s, state)
+		}
+	}
+	if end < a.applied {
+		return fmt.Errorf("%w: the log ends at entry %d, %d are applied", persister.ErrCorrupt, end, a.applied)
+	}
+	if initial.HardState.GetCommit() < a.applied {
+		// The stored commit lags. What is applied is committed.
+		hard := proto.CloneOf(initial.HardState)
+		if hard == nil {
+			hard = &messages.HardState{}
+		}
+		hard.Commit = a.applied
+		initial.HardState = hard
+	}
+	a.node = replicator.New(replicator.Options{
+		Name: a.opts.Name, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+		DriftTicks: driftTicks, MaxBatch: maxBatchBytes, ChunkSize: chunkBytes, Seed: a.opts.Seed,
+	}, initial)
+	a.latestMembers.Store(a.node.Members())
+	a.lastTick = a.opts.Elapsed()
+	return nil
+}
+
+// adopt replaces the state with that of a snapshot.
+func (a *Applier) adopt(s *replicator.Snapshot, state *scheduler.State) {
+	a.state, a.members, a.applied = state, s.Members, s.Index
+	a.lastTime = state.Now()
+	a.notifyAllWaiters()
+}
+
+// run runs the replica until it is stopped. While the storage can't be written, the replica is suspended.
 func (a *Applier) run() error {
+	for {
+		err := a.participate()
+		if errors.Is(err, persister.ErrUnwritable) {
+			err = a.suspend(err)
+		}
+		if errors.Is(err, errStop) {
+			return nil
+		}
+		if err != nil {
+			a.opts.Log.Error("replica failed", zap.Error(err))
+			return err
+		}
+	}
+}
+
+// errStop means that Stop was called.
+var errStop = errors.New("stop")
+
+// participate is the event loop of the goroutine that owns the replica. It returns the error that ends it.
+func (a *Applier) participate() error {
 	ticker := time.NewTicker(a.opts.Tick)
 	defer ticker.Stop()
-	a.lastTick = a.opts.Elapsed()
 	for {
 		select {
 		case <-a.stop:
-			return nil
+			return errStop
 		case in := <-a.peerInbox:
 			a.catchUp()
 			a.handle(in)
@@ -192,12 +257,72 @@
 			a.proposeTick()
 		}
 		if err := a.processOutputs(); err != nil {
-			a.opts.Log.Error("replica failed", zap.Error(err))
 			return err
 		}
+		a.settle()
 	}
 }
 
+// suspend waits until the storage can be written again, and starts the node anew from what is stored. Until then the
+// replica is no leader, and drops the messages of the other replicas: it neither votes nor acknowledges anything.
+func (a *Applier) suspend(cause error) error {
+	if !a.settling {
+		a.opts.Log.Error("replica is suspended", zap.String("folder", a.opts.Folder), zap.Error(cause))
+		a.settling, a.suspendedAt, a.resumeWait = true, a.opts.Elapsed(), minResumeWait
+	} else {
+		a.backOff()
+	}
+	a.suspended = true
+	a.opts.Send(a.node.Resign())
+	a.failPending(ErrOutcomeUnknown)
+	a.leading, a.tickPending = false, false
+	none := ""
+	a.leader.Store(&none)
+	probe := time.NewTimer(a.resumeWait)
+	defer probe.Stop()
+	for {
+		select {
+		case <-a.stop:
+			return errStop
+		case <-a.peerInbox:
+		case in := <-a.inbox:
+			a.handle(in)
+		case <-probe.C:
+			err := a.resume()
+			if !errors.Is(err, persister.ErrUnwritable) {
+				return err
+			}
+			probe.Reset(a.resumeWait)
+		}
+	}
+}
+
+// backOff doubles the time between probes.
+func (a *Applier) backOff() { a.resumeWait = min(2*a.resumeWait, maxResumeWait) }
+
+// resume ends the suspension if the storage can be written.
+func (a *Applier) resume() error {
+	if err := persister.Writable(a.opts.Files, a.opts.Folder); err != nil {
+		return err
+	}
+	initial, err := a.storage.Reopen()
+	if err != nil {
+		a.backOff() // it writes the whole log each time
+		return err
+	}
+	a.suspended, a.resumedAt = false, a.opts.Elapsed()
+	return a.restore(initial)
+}
+
+// settle ends the series of suspensions once the replica has run for the settle time.
+func (a *Applier) settle() {
+	if !a.settling || a.opts.Elapsed()-a.resumedAt < settleTime {
+		return
+	}
+	a.settling = false
+	a.opts.Log.Info("replica goes on", zap.Duration("suspended", a.resumedAt-a.suspendedAt))
+}
+
 // maxCatchUpTicks limits the overdue ticks delivered at once. It exceeds the length of a lease, so a lease
 // from before a suspension always expires.
 const maxCatchUpTicks = 4 * electionTicks
@@ -205,6 +330,9 @@
 // catchUp delivers the ticks that are due, including those missed while the machine was suspended: after a
 // resume a leader's lease must have expired before it serves any request.
 func (a *Applier) catchUp() {
+	if a.suspended {
+		return // a node that has resigned may not campaign
+	}
 	due := (a.opts.Elapsed() - a.lastTick) / a.opts.Tick
 	a.lastTick += due * a.opts.Tick
 	for range min(due, maxCatchUpTicks) {
@@ -317,7 +445,7 @@
 		a.tickPending = false
 	}
 	a.leading = leading
-	if a.node.LogLength() >= a.opts.SnapshotEvery && a.applied > 0 {
+	if a.node.LogLength() >= a.opts.SnapshotEvery && a.applied > 0 && a.opts.Elapsed() >= a.nextSave {
 		return a.saveSnapshot()
 	}
 	return nil
@@ -349,21 +477,29 @@
 
 // install replaces the state with a snapshot from the leader.
 func (a *Applier) install(s *replicator.Snapshot) error {
+	if s.Index < a.applied {
+		return fmt.Errorf("snapshot of entry %d refused: %d are applied", s.Index, a.applied)
+	}
 	state, err := scheduler.Restore(s.Data)
 	if err != nil {
 		return err
 	}
-	if err := a.storage.SaveSnapshot(s, a.node.HardState(), nil); err != nil {
+	err = a.storage.SaveSnapshot(s, a.node.HardState(), nil)
+	if errors.Is(err, persister.ErrNotSaved) {
+		return fmt.Errorf("%w: %w", persister.ErrUnwritable, err) // the log does not continue without it
+	}
+	if err != nil {
 		return err
 	}
-	a.state, a.members, a.applied = state, s.Members, s.Index
-	a.lastTime = state.Now()
-	a.notifyAllWaiters()
+	a.adopt(s, state)
 	return nil
 }
 
 // apply applies one committed entry to the scheduler state and delivers the resulting orders.
 func (a *Applier) apply(e *messages.Entry) error {
+	if e.GetIndex() <= a.applied {
+		return nil // applied before the node was started anew
+	}
 	a.applied = e.GetIndex()
 	p := a.proposals[e.GetIndex()]
 	delete(a.proposals, e.GetIndex())
@@ -447,9 +583,18 @@
 	}
 	s := &replicator.Snapshot{Index: a.applied, Term: a.node.TermAt(a.applied), Members: a.members, Data: data}
 	hard, rest := a.node.Stored(a.applied)
-	if err := a.storage.SaveSnapshot(s, hard, rest); err != nil {
+	err = a.storage.SaveSnapshot(s, hard, rest)
+	if errors.Is(err, persister.ErrNotSaved) {
+		if !a.notSaved {
+			a.opts.Log.Warn("no space for snapshots", zap.Uint64("index", s.Index), zap.Int("bytes", len(data)), zap.Error(err))
+		}
+		a.notSaved, a.nextSave = true, a.opts.Elapsed()+snapshotRetry
+		return nil
+	}
+	if err != nil {
 		return err
 	}
+	a.notSaved = false
 	a.node.Compact(s)
 	a.opts.Log.Info("snapshot saved", zap.Uint64("index", s.Index), zap.Int("bytes", len(data)))
 	return nil
--- a/internal/state/applier/read_test.go
+++ b/internal/state/applier/read_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/bluebellgauge/bluebellgauge/internal/job/scheduler"
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
 
@@ -26,7 +27,7 @@
 	sent := make(chan *messages.Message, 1000)
 	members := &messages.Members{Voters: []*messages.Member{{Name: "0"}, {Name: "1"}, {Name: "2"}}}
 	a, err := New(Options{
-		Name: "0", Folder: t.TempDir(), Bootstrap: members, Tick: tick, SnapshotEvery: 1000, Now: time.Now,
+		Name: "0", Files: filer.Disk{}, Folder: t.TempDir(), Bootstrap: members, Tick: tick, SnapshotEvery: 1000, Now: time.Now,
 		Elapsed: func() time.Duration { return time.Duration(elapsed.Load()) },
 		Send: func(list []*messages.Message) {
 			for _, m := range list {
