coordinator: unexplained losses of workers are named as such

Reading the change as a newcomer: the constants and comments on losses that no start explains used four phrases for one thing. No behaviour changes.

--- a/internal/queue/coordinator/crash.go
+++ b/internal/queue/coordinator/crash.go
@@ -21,18 +21,19 @@
 	minWorkerAge = 10 * time.Second
 )
 
-// verdictDelay is the time from the crash that shows that a task crashes its workers until its job is given up. Losses of
-// other workers that belong to the same event become known meanwhile.
-const verdictDelay = 2 * time.Second
-
+// An unexplained loss is that of a worker that was starting nothing and had not announced its exit. It shows that workers
+// are being lost for a reason that has nothing to do with what they start.
 const (
-	quietPeriod = 3 * time.Second  // without such losses, after which a task with several crashes is tried again
-	maxHoldTime = 30 * time.Second // for which a task waits for that
+	// unexplainedPeriod is the time after an unexplained loss in which no crash speaks against a task alone.
+	unexplainedPeriod = 10 * time.Second
+	// verdictDelay is the time from a task's last crash until its job is given up. Unexplained losses at the same moment
+	// become known meanwhile.
+	verdictDelay = 2 * time.Second
+	// A task with several crashes is tried again once there was no unexplained loss for quietPeriod, or after maxHoldTime.
+	quietPeriod = 3 * time.Second
+	maxHoldTime = 30 * time.Second
 )
 
-// eventPeriod is the time around the loss of a worker that no start explains, during which other crashes say nothing.
-const eventPeriod = 10 * time.Second
-
 // hasSurvived reports whether the worker has been seen alive some time after it started a run.
 func (t *runProgress) hasSurvived() bool {
 	return t != nil && t.lastListed.Sub(t.firstListed) >= survivalTime
@@ -44,7 +45,7 @@
 	return max(time.Duration(w.clock)*time.Millisecond, w.lastContact.Sub(w.firstContact))
 }
 
-// recordLoss records the loss of a worker that had not announced its exit and was starting nothing.
+// recordLoss records the loss of a worker that was starting nothing.
 func (c *Coordinator) recordLoss(id string, w *worker) {
 	if w != nil && w.hasAnnouncedExit() {
 		return
@@ -56,7 +57,7 @@
 // crashes returns the runs of a lost incarnation that may have crashed their worker: those that had just started. w is
 // the worker as this leader knew it, or nil. crashed is false if the worker may be alive but out of reach. A crash speaks
 // against a run alone if this leader ordered its start, as it is not known how long a run of an earlier leader was at
-// work, and if no other worker was lately lost for a reason that no start explains.
+// work, and if there was no unexplained loss lately.
 func (c *Coordinator) crashes(state *tracker.Tracker, id string, born int64, w *worker, crashed bool) []*messages.Crash {
 	if w != nil && w.hasAnnouncedExit() {
 		return nil
@@ -70,7 +71,7 @@
 	if w != nil {
 		age = w.age()
 	}
-	calm := c.unexplainedAt.IsZero() || c.opts.Now().Sub(c.unexplainedAt) >= eventPeriod
+	calm := c.unexplainedAt.IsZero() || c.opts.Now().Sub(c.unexplainedAt) >= unexplainedPeriod
 	var list []*messages.Crash
 	for _, key := range starting {
 		alone := crashed && calm && c.committedStarts[key] && age >= minWorkerAge && isOneUnit(state, starting)
@@ -142,8 +143,8 @@
 	})
 }
 
-// giveUps returns the jobs with a task that crashes the workers that start it. A task is tried again if another worker
-// was lost at the time of the last crash for a reason that no start explains, unless it has used up all trials.
+// giveUps returns the jobs with a task that crashes the workers that start it. A task is tried again if there was an
+// unexplained loss after its last crash, unless it has used up all trials.
 func (c *Coordinator) giveUps(state *tracker.Tracker) []string {
 	c.updateVerdicts(state)
 	var list []string
@@ -159,12 +160,12 @@
 	return slices.Compact(list)
 }
 
-// isDoubtful reports whether a worker was lost after the last crash for a reason that no start explains.
+// isDoubtful reports whether there was an unexplained loss after the last crash.
 func (c *Coordinator) isDoubtful(v verdict) bool { return c.unexplainedAt.After(v.since) }
 
-// isHeld reports whether a suspect task must not start: it is about to be given up, or workers are being lost for reasons
-// that no start explains, as while an operator restarts one after the other, and a trial would say nothing. A task with
-// one crash does not wait.
+// isHeld reports whether a suspect task must not start: it is about to be given up, or there are unexplained losses, as
+// while an operator restarts one worker after the other, and a trial would say nothing. A task with one crash does not
+// wait.
 func (c *Coordinator) isHeld(key tracker.TaskKey, t *tracker.Task) bool {
 	now, v := c.opts.Now(), c.verdicts[key]
 	switch {
--- a/internal/queue/coordinator/crash_test.go
+++ b/internal/queue/coordinator/crash_test.go
@@ -208,7 +208,7 @@
 		f.now = f.now.Add(quietPeriod)
 		worker := fmt.Sprintf("w%d", i)
 		f.is.Equal(len(f.begin(t, worker, f.now.Add(-time.Minute))), 1)
-		f.now = f.now.Add(eventPeriod)
+		f.now = f.now.Add(unexplainedPeriod)
 		f.reportFrom(t, worker, f.now, func(r *messages.FleetReport) { r.Processors = 0 })
 		f.is.Equal(len(f.crashesOf("a")), i+1)
 		f.Pass(context.Background())
--- a/internal/queue/coordinator/evacuate.go
+++ b/internal/queue/coordinator/evacuate.go
@@ -44,8 +44,8 @@
 			s := j.Step(key.Occurrence, key.Step)
 			remaining, measured := c.progress[key].extrapolate(now, c.estimate(j, s))
 			hopeless := !s.Spec.GetCheckpoints() && remaining*hopelessPercent/100 > left
-			ends := measured && remaining+remaining*extrapolationErrorPercent/100+reportTime <= left
-			if s.Spec.GetLasting() || ends || !hopeless && left > stopTime {
+			inTime := measured && remaining+remaining*extrapolationErrorPercent/100+reportTime <= left
+			if s.Spec.GetLasting() || inTime || !hopeless && left > stopTime {
 				continue
 			}
 			c.stopping[key] = true
