--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -20,7 +20,7 @@
 
 // missingLists: another writer sends one heartbeat of a worker without the lists of runs.
 func missingLists(d *deployment, trouble bool) verdict {
-	l := &ledger{}
+	l := newLedger()
 	workers := d.startWorkers(4, fullWorker, l)
 	if !d.begin() {
 		return notRun
@@ -72,7 +72,7 @@
 
 // largeJob: a job of many small tasks comes, which fit on one worker.
 func largeJob(d *deployment, trouble bool) verdict {
-	l := &ledger{}
+	l := newLedger()
 	d.startWorkers(6, fullWorker, l)
 	if !d.begin() {
 		return notRun
@@ -118,7 +118,7 @@
 
 // unreadableWorker: another writer sends heartbeats whose id holds a byte that is no text.
 func unreadableWorker(d *deployment, trouble bool) verdict {
-	l := &ledger{}
+	l := newLedger()
 	d.startWorkers(4, fullWorker, l)
 	if !d.begin() {
 		return notRun
@@ -165,7 +165,7 @@
 
 // nestedConfiguration: the operator sends an invalid configuration, of arrays that are not closed.
 func nestedConfiguration(d *deployment, trouble bool) verdict {
-	l := &ledger{}
+	l := newLedger()
 	d.startWorkers(4, fullWorker, l)
 	if !d.begin() {
 		return notRun
@@ -202,7 +202,7 @@
 
 // lastingTask: the worker of a task that lasts is lost for good while gangs wait for workers.
 func lastingTask(d *deployment, trouble bool) verdict {
-	l := &ledger{}
+	l := newLedger()
 	workers := d.startWorkers(8, fullWorker, l)
 	if !d.begin() {
 		return notRun
@@ -271,7 +271,7 @@
 
 // reservedWorkers: a gang comes that has to wait for two of eight workers, and then a job of one small task.
 func reservedWorkers(d *deployment, trouble bool) verdict {
-	l := &ledger{}
+	l := newLedger()
 	workers := d.startWorkers(8, fullWorker, l)
 	if !d.begin() {
 		return notRun
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -81,7 +81,8 @@
 
 	mu      sync.Mutex
 	command *exec.Cmd
-	ends    int // ends by itself
+	ends    int  // ends by itself
+	killed  bool // by the test
 }
 
 func newDeployment(record *recorder) (*deployment, error) {
@@ -109,7 +110,7 @@
 		}
 	}
 	for _, p := range append(d.keepers, d.entries...) {
-		if err := p.writeSettings(); err != nil {
+		if err := p.writeSettings(true); err != nil {
 			return nil, err
 		}
 		p.start()
@@ -143,7 +144,8 @@
 
 func (p *process) settings() string { return filepath.Join(p.deployment.folder, p.name+".json") }
 
-func (p *process) writeSettings() error {
+// writeSettings writes the settings of the next start. bootstrap is true only for the first start of the whole system.
+func (p *process) writeSettings(bootstrap bool) error {
 	d := p.deployment
 	var seeds []string
 	for _, k := range d.keepers {
@@ -164,7 +166,7 @@
 	text, err := json.Marshal(map[string]any{
 		"node_name": p.name, "role": map[string]string{"core": "keeper", "edge": "entry"}[p.class], "machine_class": p.class, "serves": serves,
 		"ip": p.address, "zone": p.zone, "region": p.zone[:len(p.zone)-3],
-		"listen_addrs": listen, "internal_ports": []int{firstPort, lastPort}, "seed_nodes": seeds, "bootstrap": true,
+		"listen_addrs": listen, "internal_ports": []int{firstPort, lastPort}, "seed_nodes": seeds, "bootstrap": bootstrap,
 		"in_fault_budget": p.class == "core", "limits": limits, "data_dir": data, "discovery": "registry", "entrypoint": "vip", "heartbeat_ms": 1500,
 		"contracts":       []string{"base", "drain", "config", "cost", "recover", "sched", "tenants"},
 		"fault_tolerance": map[string]int{"machines": 1, "zones": 0, "region_losses": 0},
@@ -196,6 +198,7 @@
 			p.mu.Unlock()
 			if err == nil {
 				d.record.add("%s started", p.name)
+				time.AfterFunc(startTime/2, func() { _ = p.writeSettings(false) })
 				ended := make(chan struct{})
 				go p.limitMemory(command.Process, ended)
 				err = command.Wait()
@@ -206,9 +209,12 @@
 				return
 			}
 			p.mu.Lock()
-			p.ends++
+			killed := p.killed
+			if p.killed = false; !killed {
+				p.ends++
+				d.record.add("%s ended by itself: %v", p.name, err)
+			}
 			p.mu.Unlock()
-			d.record.add("%s ended by itself: %v", p.name, err)
 			sleep(d.ctx, restartDelay)
 		}
 	})
@@ -236,6 +242,17 @@
 	}
 }
 
+// kill ends the process with SIGKILL; it is started again.
+func (p *process) kill() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil && p.command.Process != nil {
+		p.deployment.record.add("platform: %s is killed", p.name)
+		p.killed = true
+		_ = p.command.Process.Kill()
+	}
+}
+
 func (p *process) ownEnds() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -71,21 +71,29 @@
 type ledger struct {
 	mu    sync.Mutex
 	spans []*span
+	open  map[string]*span
+}
+
+func newLedger() *ledger { return &ledger{open: map[string]*span{}} }
+
+func spanKey(worker, task string, number int) string {
+	return fmt.Sprint(worker, " ", task, " ", number)
 }
 
 func (l *ledger) add(s *span) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.spans = append(l.spans, s)
+	l.open[spanKey(s.worker, s.task, s.run)] = s
 }
 
 func (l *ledger) close(worker, task string, number int, how string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, s := range l.spans {
-		if s.worker == worker && s.task == task && s.run == number && s.end.IsZero() {
-			s.end, s.how = time.Now(), how
-		}
+	k := spanKey(worker, task, number)
+	if s := l.open[k]; s != nil {
+		s.end, s.how = time.Now(), how
+		delete(l.open, k)
 	}
 }
 
