--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -139,7 +139,7 @@
 	born, target := time.Now().UnixMilli(), ""
 	for n := 1; d.ctx.Err() == nil; n++ {
 		body, _ := json.Marshal(map[string]any{ // always encodes
-			"service": service, "address": "10.128.0.77:8080", "zone": zones[0], "version": "v1", "slots": 8, "phase": "ready",
+			"service": service, "address": d.network + ".77:8080", "zone": zones[0], "version": "v1", "slots": 8, "phase": "ready",
 			"cold_remaining_ms": 0, "capacity": map[string]int{"cpu": 64000, "mem_mb": 262144, "gpu": 8}, "labels": []string{"a", "r1-1"},
 			"clock_ms": time.Now().UnixMilli() - born, "born": born, "sequence": n, "running": [][]any{}, "ended_runs": [][]any{},
 		})
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -66,6 +66,7 @@
 	cancel  context.CancelFunc
 	record  *recorder
 	folder  string
+	network string // first three numbers of all addresses
 	keepers []*process
 	entries []*process
 	wait    sync.WaitGroup
@@ -95,12 +96,11 @@
 	}
 	d := &deployment{record: record, folder: folder}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
-	network, err := freeNetwork()
-	if err != nil {
+	if d.network, err = freeNetwork(); err != nil {
 		return nil, err
 	}
 	for i := range 5 {
-		p := &process{deployment: d, address: fmt.Sprintf("%s.%d", network, i+1), zone: zones[i%len(zones)]}
+		p := &process{deployment: d, address: fmt.Sprintf("%s.%d", d.network, i+1), zone: zones[i%len(zones)]}
 		if i < 3 {
 			p.name, p.class = "core-"+p.zone+"-1", "core"
 			d.keepers = append(d.keepers, p)
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -137,7 +137,7 @@
 	var list []*worker
 	for i := range count {
 		w := &worker{
-			deployment: d, id: fmt.Sprintf("i-%010x", rand.Uint64N(1<<40)), address: fmt.Sprintf("10.128.0.%d:8080", i+1), zone: zones[i%len(zones)],
+			deployment: d, id: fmt.Sprintf("i-%010x", rand.Uint64N(1<<40)), address: fmt.Sprintf("%s.%d:8080", d.network, i+101), zone: zones[i%len(zones)],
 			rack: fmt.Sprintf("r%d-1", i%len(zones)+1), capacity: capacity, born: time.Now().UnixMilli(), next: i,
 			running: map[string]*run{}, highest: map[string]int{}, wake: make(chan struct{}, 1),
 		}
