--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -13,6 +13,7 @@
 	idleTime     = 3 * time.Second  // without a run, while a task's turn has come
 	lastingTime  = 6 * time.Second  // from the last run of a task that lasts until its turn has come again
 	lateTime     = 30 * time.Second // until the job can't meet its objective any more
+	waitTime     = 65 * time.Second // for the gang of one rack
 	gangInterval = 20 * time.Second
 )
 
@@ -317,3 +318,61 @@
 	}
 	return result
 }
+
+// gangOfOneRack: a gang comes that is slower on more than one rack, while small tasks that last run in each rack.
+func gangOfOneRack(d *deployment, trouble bool) verdict {
+	l := newLedger()
+	workers := d.startWorkers(4*racks, fullWorker, l)
+	if !d.begin() {
+		return notRun
+	}
+	const (
+		services = "1a57a21d94b36f8" // and one digit
+		gang     = "6a96a21d94b36f80"
+	)
+	for n := range racks {
+		service := []map[string]any{{
+			"count": 2, "cpu": 15_000, "mem_mb": 4_096, "gpu": 1, "estimated_ms": 60_000, "long_running": true, "anti_affinity": 1,
+			"affinity": fmt.Sprintf("r%d-1", n+1),
+		}}
+		if trouble && !d.submit(fmt.Sprintf("%s%s%x", prefix, services, n), "work 600000 ms", service) {
+			return notRun
+		}
+	}
+	sleep(d.ctx, 3*time.Second)
+	members := []map[string]any{{
+		"count": 3, "cpu": 52_000, "mem_mb": 150_000, "gpu": 8, "estimated_ms": 5_000, "gang": true, "rack_sensitive": true,
+	}}
+	if !d.submit(prefix+gang, "work 5000 ms", members) {
+		return notRun
+	}
+	accepted, result := time.Now(), held
+	for time.Since(accepted) < waitTime {
+		sleep(d.ctx, 100*time.Millisecond)
+		running, done := l.active(gang)
+		if running+done > 0 {
+			d.record.add("the gang has begun %v after its acceptance", time.Since(accepted).Round(time.Millisecond))
+			return result
+		}
+		if result == broken || time.Since(accepted) < finishTime+idleTime {
+			continue
+		}
+		busy := map[string]bool{}
+		for _, w := range workers {
+			w.mu.Lock()
+			if len(w.running) > 0 {
+				busy[w.id] = true
+			}
+			w.mu.Unlock()
+		}
+		p, err := d.phase(gang)
+		d.record.add("LOST: the gang of 3 whole workers has nothing running %v after the end of the traffic, phase %q %v; %d of %d workers run nothing",
+			time.Since(accepted).Round(time.Millisecond), p, err, len(workers)-len(busy), len(workers))
+		if len(workers)-len(busy) < 6 {
+			return notRun
+		}
+		result = broken
+	}
+	d.record.add("the gang has not begun %v after its acceptance", time.Since(accepted).Round(time.Millisecond))
+	return result
+}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -17,6 +17,7 @@
 	stopTime        = 300 * time.Millisecond
 	afterEnd        = 50 * time.Millisecond // from an end to the next heartbeat
 	maxEnds         = 500                   // listed at a time
+	racks           = 4
 )
 
 // worker follows the pages: it carries out what the responses to its heartbeats say.
@@ -138,7 +139,7 @@
 	for i := range count {
 		w := &worker{
 			deployment: d, id: fmt.Sprintf("i-%010x", rand.Uint64N(1<<40)), address: fmt.Sprintf("%s.%d:8080", d.network, i+101), zone: zones[i%len(zones)],
-			rack: fmt.Sprintf("r%d-1", i%len(zones)+1), capacity: capacity, born: time.Now().UnixMilli(), next: i,
+			rack: fmt.Sprintf("r%d-1", i%racks+1), capacity: capacity, born: time.Now().UnixMilli(), next: i,
 			running: map[string]*run{}, highest: map[string]int{}, wake: make(chan struct{}, 1),
 		}
 		list = append(list, w)
