--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -376,3 +376,35 @@
 	d.record.add("the gang has not begun %v after its acceptance", time.Since(accepted).Round(time.Millisecond))
 	return result
 }
+
+// failingService: a task that lasts fails as soon as it starts, each time, beside a job whose task has failed before.
+func failingService(d *deployment, trouble bool) verdict {
+	l := newLedger()
+	d.startWorkers(8, fullWorker, l)
+	if !d.begin() {
+		return notRun
+	}
+	const (
+		failing = "fa11a21d94b36f80"
+		job     = "5c0e7a21d94b36f8"
+	)
+	service := []map[string]any{{"count": 16, "cpu": 15_000, "mem_mb": 4_096, "gpu": 1, "estimated_ms": 60_000, "long_running": true, "anti_affinity": 2}}
+	if trouble && !d.submit(prefix+failing, "work 600000 ms, runs up to 1000000 fail after 50 ms", service) {
+		return notRun
+	}
+	sleep(d.ctx, 5*time.Second)
+	// The first two of three attempts fail after 1 s.
+	if !d.submit(prefix+job, "work 2500 ms, runs up to 2 fail after 1000 ms", []map[string]any{{"count": 1, "cpu": 15_000, "mem_mb": 4_096, "gpu": 1, "estimated_ms": 2_500}}) {
+		return notRun
+	}
+	accepted := time.Now()
+	result := d.checkJob(job, 1, l)
+	for result == broken && time.Since(accepted) < waitTime {
+		sleep(d.ctx, 100*time.Millisecond)
+		if running, done := l.active(job); running+done > 0 {
+			d.record.add("the job runs again")
+			return result
+		}
+	}
+	return result
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,7 +28,7 @@
 
 var cases = map[string]func(d *deployment, trouble bool) verdict{
 	"lists": missingLists, "large": largeJob, "nested": nestedConfiguration, "unreadable": unreadableWorker,
-	"lasting": lastingTask, "racks": gangOfOneRack, "reserved": reservedWorkers,
+	"lasting": lastingTask, "racks": gangOfOneRack, "failing": failingService, "reserved": reservedWorkers,
 }
 
 func main() { os.Exit(int(play())) }
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -49,6 +49,7 @@
 	number   int
 	started  time.Time
 	work     time.Duration
+	fails    time.Duration // into the run, 0 for never
 	stopping time.Time
 }
 
@@ -177,6 +178,8 @@
 				w.finish(r, "lapsed", l)
 			case !r.stopping.IsZero() && now.Sub(r.stopping) >= stopTime:
 				w.finish(r, "stopped", l)
+			case r.stopping.IsZero() && r.fails > 0 && now.Sub(r.started) >= r.fails:
+				w.finish(r, "failed", l)
 			case r.stopping.IsZero() && now.Sub(r.started) >= r.work:
 				w.finish(r, "done", l)
 			}
@@ -314,9 +317,13 @@
 		if w.running[task] != nil || number <= w.highest[task] {
 			continue
 		}
-		var ms int
-		_, _ = fmt.Sscanf(spec, "work %d ms", &ms)
-		w.running[task] = &run{task: task, number: number, started: time.Now(), work: time.Duration(ms) * time.Millisecond}
+		var ms, failing, after int
+		_, _ = fmt.Sscanf(spec, "work %d ms, runs up to %d fail after %d ms", &ms, &failing, &after) // the rest is optional
+		r := &run{task: task, number: number, started: time.Now(), work: time.Duration(ms) * time.Millisecond}
+		if number <= failing {
+			r.fails = time.Duration(after) * time.Millisecond
+		}
+		w.running[task] = r
 		l.add(&span{worker: w.id, task: task, run: number, start: time.Now()})
 		w.logRun("started", task, number)
 	}
