placer: a compact gang waits for no rack that lasting tasks keep from becoming free

Cause: a compact gang is placed in single racks as soon as one is large enough when it is empty. Lasting tasks end only when their job is cancelled, so a rack that holds some may never be empty. With such tasks in each rack the gang waits without end. An urgent gang doesn't even evict across racks, so it waits beside work that it may preempt.

TestCompactGangBesideLastingTasks fails without the fix in two of its cases: in each rack: 0 starts, want 3; urgent, all other workers are busy: 0 stops, want 3

Fix: a rack counts only if the gang fits beside the lasting tasks there. If no rack is left, the gang uses the whole pool at once, as it did before when no rack is large enough. A rack whose runs will end is still waited for.

--- a/internal/queue/placer/gang.go
+++ b/internal/queue/placer/gang.go
@@ -57,7 +57,7 @@
 }
 
 // domains returns the sets of workers in which a gang may be placed. For a compact gang, which is slow across
-// racks, these are single racks, or the whole pool if no rack is large enough.
+// racks, these are single racks, or the whole pool if no rack can become free enough.
 func (p *pass) domains(u *unit) [][]*candidate {
 	pool := p.pools[u.pool]
 	if !u.step.Spec.GetCompact() {
@@ -66,7 +66,7 @@
 	var racks [][]*candidate
 	prefix := u.pool + "\x00"
 	for _, key := range slices.Sorted(maps.Keys(p.racks)) {
-		if len(key) > len(prefix) && key[:len(prefix)] == prefix && u.fitsWhenEmpty(p.racks[key]) {
+		if len(key) > len(prefix) && key[:len(prefix)] == prefix && u.fitsBesideLasting(p.racks[key]) {
 			racks = append(racks, p.racks[key])
 		}
 	}
@@ -76,17 +76,29 @@
 	return racks
 }
 
-// fitsWhenEmpty reports whether a gang fits on a set of workers that run nothing else.
-func (u *unit) fitsWhenEmpty(candidates []*candidate) bool {
+// fitsBesideLasting reports whether a gang fits on a set of workers once all runs there have ended but those of lasting
+// tasks, which never end by themselves.
+func (u *unit) fitsBesideLasting(candidates []*candidate) bool {
 	remaining := len(u.tasks)
 	for _, c := range candidates {
 		if u.canRunOn(c.Worker) {
-			remaining -= c.Capacity.Fits(u.need, u.maxPerWorker(remaining))
+			remaining -= c.withoutEndingRuns().Fits(u.need, u.maxPerWorker(remaining))
 		}
 	}
 	return remaining <= 0
 }
 
+// withoutEndingRuns returns the capacity that lasting tasks leave.
+func (w *Worker) withoutEndingRuns() Vector {
+	v := w.Capacity
+	for _, a := range w.Runs {
+		if a.Step.Spec.GetLasting() && !a.Stopping {
+			v = v.Sub(a.Need)
+		}
+	}
+	return v
+}
+
 // maxPerWorker returns how many of n tasks may run on one worker.
 func (u *unit) maxPerWorker(n int) int {
 	if spread := int(u.step.Spec.GetSpread()); spread > 0 {
--- a/internal/queue/placer/placer_test.go
+++ b/internal/queue/placer/placer_test.go
@@ -60,16 +60,22 @@
 
 // occupy starts one task of a job on each worker, as if placed by an earlier pass.
 func occupy(tr *tracker.Tracker, id string, workers ...*Worker) {
+	for _, w := range workers {
+		occupyTask(tr, id, w)
+	}
+}
+
+// occupyTask starts the next task of a job on a worker, as if placed by an earlier pass.
+func occupyTask(tr *tracker.Tracker, id string, w *Worker) {
 	j := tr.Job(id)
 	s := j.Step(0, 0)
-	for i, w := range workers {
-		run := &messages.Run{Job: id, Task: int32(i), Number: 1, Worker: w.ID, Born: w.Started}
-		tr.Apply(&messages.QueueChange{Starts: []*messages.Run{run}})
-		w.Free = w.Free.Sub(Need(s.Spec))
-		w.Runs = append(w.Runs, &ActiveRun{
-			Key: tracker.KeyOf(run), Job: j, Step: s, Need: Need(s.Spec), Unsaved: time.Second, Remaining: 5 * time.Second,
-		})
-	}
+	task := slices.IndexFunc(s.Tasks, func(t tracker.Task) bool { return t.Active == 0 })
+	run := &messages.Run{Job: id, Task: int32(task), Number: 1, Worker: w.ID, Born: w.Started}
+	tr.Apply(&messages.QueueChange{Starts: []*messages.Run{run}})
+	w.Free = w.Free.Sub(Need(s.Spec))
+	w.Runs = append(w.Runs, &ActiveRun{
+		Key: tracker.KeyOf(run), Job: j, Step: s, Need: Need(s.Spec), Unsaved: time.Second, Remaining: 5 * time.Second,
+	})
 }
 
 // TestSmallTasksShareWorkers checks that small tasks are packed onto few workers. Spread over all workers,
@@ -116,6 +122,50 @@
 	is.Equal(len(used), 4)
 }
 
+// TestCompactGangBesideLastingTasks guards against a compact gang that waits for ever for a rack which lasting tasks
+// keep from becoming empty. They hold a part of each rack, and all other workers are idle.
+func TestCompactGangBesideLastingTasks(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		priority int32 // of the gang
+		lasting  []int // workers with a lasting task
+		busy     []int // workers with a task that ends
+		racks    int   // in which the gang starts, 0 if it waits
+		stops    int
+	}{
+		{"in each rack", 1, []int{0, 1, 4, 5}, nil, 2, 0},
+		{"in one rack, the other is idle", 1, []int{0, 1}, nil, 1, 0},
+		{"in one rack, the other becomes idle", 1, []int{0, 1}, []int{4, 5}, 0, 0},
+		{"urgent, all other workers are busy", 0, []int{0, 1, 4, 5}, []int{2, 3, 6, 7}, 0, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			tr := tracker.New()
+			workers := fleet(8)
+			submit(tr, "service", 1, &messages.Step{Count: int32(len(c.lasting)), Accelerators: 1, Lasting: true})
+			submit(tr, "low", 2, &messages.Step{Count: int32(max(len(c.busy), 1)), Accelerators: 8})
+			for _, i := range c.lasting {
+				occupyTask(tr, "service", workers[i])
+			}
+			for _, i := range c.busy {
+				occupyTask(tr, "low", workers[i])
+			}
+			if len(c.busy) == 0 {
+				tr.Apply(&messages.QueueChange{Cancels: []string{"low"}})
+			}
+			submit(tr, "gang", c.priority, &messages.Step{Count: 3, Accelerators: 8, Gang: true, Compact: true})
+			plan := NewPlan(input(workers, tr))
+			racks := map[string]bool{}
+			for _, r := range plan.Starts {
+				is.Equal(r.GetJob(), "gang")
+				racks[workers[slices.IndexFunc(workers, func(w *Worker) bool { return w.ID == r.GetWorker() })].Rack] = true
+			}
+			is.Equal(len(racks), c.racks)
+			is.Equal(len(plan.Stops), c.stops)
+		})
+	}
+}
+
 // TestUrgentGangStopsCheapestRun checks eviction with all workers in use: an urgent gang stops the runs that
 // lose the least work, no more than necessary, and none of its own priority.
 func TestUrgentGangStopsCheapestRun(t *testing.T) {
