placer: a compact gang waits for a single rack for a limited time

Found while looking for others of its kind, not seen by users.

What callers would see: a gang that prefers one rack never begins beside runs that do not end, each of them short by its estimate, while most workers are idle. An urgent one evicts in single racks only, and so never where runs of its own priority keep each rack from becoming free enough.

Fix: the leader counts the time since a step first fitted without its preference. Log lines say when a wait begins and ends. The factor on the run time across racks is read from the settings.

--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -110,7 +110,7 @@
 			return err
 		},
 		RedirectError: rep.server.RedirectError, Wait: coordinator.Wait, Now: time.Now, Wall: time.Now, Metrics: r.opts.Metrics.SubScope("queues"), Log: r.log,
-		Cores: cmp.Or(r.opts.Queues.Cores, float64(runtime.GOMAXPROCS(0))),
+		Cores: cmp.Or(r.opts.Queues.Cores, float64(runtime.GOMAXPROCS(0))), RackFactor: r.opts.Queues.RackFactor,
 	})
 	r.forwarder.SetLocalReplica(forwarder.LocalReplica{
 		Address: s.PeeringAddr(), Queues: queues,
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -64,6 +64,8 @@
 	Timing  coordinator.Timing
 	Address string  // at which queue workers should report while this daemon leads; "" for any replica
 	Cores   float64 // processor time per second that the daemon may use; 0 for all cores
+	// RackFactor is the run time of a compact gang across racks as a multiple of that in a single rack.
+	RackFactor float64
 }
 
 // DefaultQueueOptions returns the queue parameters for production.
@@ -73,9 +75,13 @@
 			Lease: 8 * time.Second, MaxLease: 8 * time.Second, MinReportInterval: time.Second, MaxPollTime: 500 * time.Millisecond, MaxContactTimeout: 3 * time.Second,
 			Retention: 24 * time.Hour,
 		},
+		RackFactor: DefaultRackFactor,
 	}
 }
 
+// DefaultRackFactor is the run time of a compact gang across racks as a multiple of that in a single rack.
+const DefaultRackFactor = 3
+
 // Dial opens a connection to another daemon.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -13,6 +13,7 @@
 
 	"github.com/bluebellgauge/bluebellgauge/internal/job/estimator"
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/pacer"
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/placer"
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
@@ -89,6 +90,8 @@
 	Now   func() time.Time
 	Wall  func() time.Time
 	Cores float64 // processor time per second that the process may use, 0 for unknown
+	// RackFactor is the run time of a compact gang across racks as a multiple of that in a single rack.
+	RackFactor float64
 	// Metrics receives the counts and durations of decisions and commits.
 	Metrics tally.Scope
 	Log     *zap.Logger
@@ -128,6 +131,7 @@
 	stopping        map[tracker.RunKey]bool
 	unexplainedAt   time.Time // of the last loss of a worker that was starting nothing, zero for none
 	verdicts        map[tracker.TaskKey]verdict
+	deferrals       map[placer.StepKey]*deferral
 	seenAt          map[string]time.Time // when this leader first saw a job
 	endedAt         map[string]time.Time // when this leader first saw a job as ended
 	estimator       *estimator.Estimator
@@ -189,6 +193,7 @@
 	c.stopping = map[tracker.RunKey]bool{}
 	c.unexplainedAt = time.Time{}
 	c.verdicts = map[tracker.TaskKey]verdict{}
+	c.deferrals = map[placer.StepKey]*deferral{}
 	c.seenAt = map[string]time.Time{}
 	c.endedAt = map[string]time.Time{}
 	c.estimator = estimator.New()
--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -134,6 +134,7 @@
 		j := state.Job(key.Job)
 		return j == nil || j.Ended()
 	})
+	c.pruneDeferrals(state)
 	for _, w := range c.workers {
 		maps.DeleteFunc(w.startOrders, func(key tracker.RunKey, _ uint64) bool { return ended(key) })
 	}
@@ -166,6 +167,7 @@
 // planStarts returns the runs that the placer starts, and marks those that it preempts for stopping.
 func (c *Coordinator) planStarts(state *tracker.Tracker) []*messages.Run {
 	plan := placer.NewPlan(c.placerInput(state))
+	c.recordDeferrals(plan)
 	for _, a := range plan.Stops {
 		c.stopping[a.Key] = true
 		c.wakeWorker(a.Job.Step(a.Key.Occurrence, a.Key.Step).Tasks[a.Key.Task].Worker)
@@ -200,6 +202,7 @@
 		Pool:     func(j *tracker.Job) string { return c.poolOf(state, j) },
 		Held:     c.isHeld,
 		FailedAt: func(j *tracker.Job) time.Time { return c.failedWorkers.failedAt(now, j.Work.GetId()) },
+		Deferred: c.waitOf, RackFactor: c.opts.RackFactor,
 	}
 	quarantined := map[string]int{} // number of workers by pool
 	total := map[string]int{}
--- /dev/null
+++ b/internal/queue/coordinator/deferral.go
@@ -0,0 +1,75 @@
+package coordinator
+
+import (
+	"maps"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/placer"
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
+)
+
+// deferral is the wait of a step for the workers that it prefers.
+type deferral struct {
+	since     time.Time
+	idleSince time.Time // zero while the pool is busy
+	over      bool      // it has been long enough
+}
+
+// waitOf returns how long a step has been kept by its preferences from workers on which it fits.
+func (c *Coordinator) waitOf(key placer.StepKey) placer.Wait {
+	d := c.deferrals[key]
+	if d == nil {
+		return placer.Wait{}
+	}
+	now := c.opts.Now()
+	w := placer.Wait{Total: now.Sub(d.since)}
+	if !d.idleSince.IsZero() {
+		w.Idle = now.Sub(d.idleSince)
+	}
+	return w
+}
+
+// recordDeferrals updates the waits after a pass.
+func (c *Coordinator) recordDeferrals(plan placer.Plan) {
+	now := c.opts.Now()
+	idle := map[placer.StepKey]bool{}
+	for _, d := range plan.Deferred {
+		idle[d.Key] = idle[d.Key] || d.Idle
+		if c.deferrals[d.Key] == nil {
+			c.deferrals[d.Key] = &deferral{since: now}
+			c.logDeferral("step waits for workers that it prefers", d, 0)
+		}
+	}
+	for _, d := range plan.Relaxed {
+		if w := c.deferrals[d.Key]; w != nil && !w.over {
+			w.over = true
+			c.logDeferral("step no longer waits for workers that it prefers", d, now.Sub(w.since))
+		}
+	}
+	for key, d := range c.deferrals {
+		switch {
+		case !idle[key]:
+			d.idleSince = time.Time{}
+		case d.idleSince.IsZero():
+			d.idleSince = now
+		}
+	}
+	for _, r := range plan.Starts {
+		delete(c.deferrals, placer.StepKey{Job: r.GetJob(), Occurrence: r.GetOccurrence(), Step: r.GetStep()})
+	}
+}
+
+func (c *Coordinator) logDeferral(message string, d placer.Deferral, waited time.Duration) {
+	c.opts.Log.Info(message, zap.String("request", d.Key.Job), zap.Int32("occurrence", d.Key.Occurrence), zap.Int32("step", d.Key.Step),
+		zap.String("prefers", d.Preferred), zap.Bool("idle", d.Idle), zap.Duration("waited", waited))
+}
+
+// pruneDeferrals removes the waits of steps that have ended.
+func (c *Coordinator) pruneDeferrals(state *tracker.Tracker) {
+	maps.DeleteFunc(c.deferrals, func(key placer.StepKey, _ *deferral) bool {
+		j := state.Job(key.Job)
+		return j == nil || j.Ended() || j.Step(key.Occurrence, key.Step).Done
+	})
+}
--- /dev/null
+++ b/internal/queue/coordinator/deferral_test.go
@@ -0,0 +1,127 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+)
+
+const (
+	// maxIdleTime is how long a job may have nothing running while there is capacity for it twice over in a pool that is
+	// mostly idle.
+	maxIdleTime = 3 * time.Second
+	// testInterval is the time between two passes of a test.
+	testInterval = 50 * time.Millisecond
+)
+
+// rackFleet is a fleet of workers that report what the replicated state says they run.
+type rackFleet struct {
+	*fixture
+	workers  []string
+	sequence uint64
+	ends     map[string][]*messages.NumberedEnd // all that a worker has had, by worker
+	runs     func(worker string, run *messages.Run, listed time.Duration) (how string)
+	begun    map[tracker.RunKey]time.Time
+}
+
+// newRackFleet returns a fleet with four workers in each rack. The label marks the first two of a rack. runs returns how
+// a run ends after it has been at work for some time, or "" while it goes on.
+func newRackFleet(racks int, runs func(worker string, run *messages.Run, elapsed time.Duration) string) *rackFleet {
+	f := &rackFleet{fixture: newFixture(), ends: map[string][]*messages.NumberedEnd{}, runs: runs, begun: map[tracker.RunKey]time.Time{}}
+	f.opts.RackFactor = 3
+	for i := range 4 * racks {
+		f.workers = append(f.workers, fmt.Sprintf("w%02d", i))
+	}
+	return f
+}
+
+// step lets each worker report and runs a pass.
+func (f *rackFleet) step(t *testing.T) {
+	t.Helper()
+	f.now = f.now.Add(testInterval)
+	f.sequence++
+	for i, id := range f.workers {
+		f.report(t, f.sequence, func(r *messages.FleetReport) {
+			r.Worker, r.Rack = id, fmt.Sprintf("r%d", i/4)
+			if i%4 < 2 {
+				r.Labels = []string{"first"}
+			}
+			f.addRuns(r)
+		})
+	}
+	f.Pass(context.Background())
+}
+
+// addRuns adds to a report what runs on its worker, and what has ended there.
+func (f *rackFleet) addRuns(r *messages.FleetReport) {
+	for key, run := range f.state.RunsOn(r.GetWorker()) {
+		if _, ok := f.begun[key]; !ok {
+			f.begun[key] = f.now
+		}
+		how := f.runs(r.GetWorker(), run, f.now.Sub(f.begun[key]))
+		if how == "" {
+			r.Running = append(r.Running, &messages.Running{Run: run})
+			continue
+		}
+		f.ends[r.GetWorker()] = append(f.ends[r.GetWorker()], &messages.NumberedEnd{
+			Sequence: uint64(len(f.ends[r.GetWorker()]) + 1), End: &messages.End{
+				Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number, How: how,
+			},
+		})
+	}
+	r.Ends = f.ends[r.GetWorker()]
+}
+
+// add adds a job.
+func (f *rackFleet) add(id string, attempts int32, s *messages.Step) {
+	f.state.Apply(&messages.QueueChange{Submits: []*messages.Work{{Id: id, Queue: "q", Pool: "p", Priority: 1, Attempts: attempts, Steps: []*messages.Step{s}}}})
+}
+
+// longestIdle runs passes for some time and returns the longest time for which a job had nothing running.
+func (f *rackFleet) longestIdle(t *testing.T, id string, limit time.Duration) time.Duration {
+	t.Helper()
+	longest, idle := time.Duration(0), time.Duration(0)
+	for range limit / testInterval {
+		f.step(t)
+		if j := f.state.Job(id); j.Ended() {
+			break
+		} else if j.Active() > 0 {
+			idle = 0
+			continue
+		}
+		idle += testInterval
+		longest = max(longest, idle)
+	}
+	return longest
+}
+
+// TestGangBesideRunsThatDoNotEnd guards against a compact gang that waits without end in an idle pool, for a rack that runs
+// with a short estimate never leave.
+func TestGangBesideRunsThatDoNotEnd(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		lasting bool
+	}{
+		{"stuck tasks", false},
+		{"lasting tasks", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newRackFleet(4, func(string, *messages.Run, time.Duration) string { return "" })
+			f.step(t)
+			f.add("small", 2, &messages.Step{Count: 8, Processors: 1000, Estimate: 1000, Label: "first", Spread: 1, Lasting: c.lasting})
+			f.step(t)
+			is.Equal(f.state.Job("small").Active(), 8)
+			f.add("gang", 2, &messages.Step{Count: 3, Processors: 8000, Estimate: 5000, Gang: true, Compact: true})
+			idle := f.longestIdle(t, "gang", 10*time.Second)
+			is.Equal(f.state.Job("gang").Active(), 3)
+			is.True(idle < maxIdleTime)
+		})
+	}
+}
--- a/internal/queue/placer/evict.go
+++ b/internal/queue/placer/evict.go
@@ -19,18 +19,8 @@
 // evict stops the cheapest set of lower-priority runs that frees enough capacity for a whole unit, and
 // reserves that capacity. It returns the reserved allocations, or nil if there is no such set.
 func (p *pass) evict(u *unit, domains [][]*candidate) []allocation {
-	if p.isInfeasible(u) {
-		return nil
-	}
-	var best *eviction
-	for _, d := range rankDomains(u, domains) {
-		e := p.planEviction(u, d)
-		if e != nil && (best == nil || e.cost < best.cost) {
-			best = e
-		}
-	}
+	best := p.planEviction(u, domains)
 	if best == nil {
-		p.infeasible = append(p.infeasible, u)
 		return nil
 	}
 	for _, a := range best.runs {
@@ -44,6 +34,24 @@
 	return allocations
 }
 
+// planEviction returns the cheapest eviction for a whole unit, nil if there is none.
+func (p *pass) planEviction(u *unit, domains [][]*candidate) *eviction {
+	if p.isInfeasible(u) {
+		return nil
+	}
+	var best *eviction
+	for _, d := range rankDomains(u, domains) {
+		e := p.planDomain(u, d)
+		if e != nil && (best == nil || e.cost < best.cost) {
+			best = e
+		}
+	}
+	if best == nil {
+		p.infeasible = append(p.infeasible, u)
+	}
+	return best
+}
+
 // maxDomains limits the domains searched per eviction, so that the cost of a pass does not grow with the
 // square of the number of workers.
 const maxDomains = 12
@@ -82,7 +90,7 @@
 	return slices.ContainsFunc(p.infeasible, func(earlier *unit) bool {
 		return !earlier.excludesMoreThan(u) && earlier.pool == u.pool && earlier.job.Work.GetPriority() <= u.job.Work.GetPriority() && len(earlier.tasks) <= len(u.tasks) &&
 			u.need.covers(earlier.need) && earlier.step.Spec.GetLabel() == "" &&
-			(u.step.Spec.GetCompact() || !earlier.step.Spec.GetCompact()) && earlier.step.Spec.GetSpread() == 0
+			(u.prefersRack() || !earlier.prefersRack()) && earlier.step.Spec.GetSpread() == 0
 	})
 }
 
@@ -120,9 +128,9 @@
 	feasible bool // there is such a set
 }
 
-// planEviction selects runs to stop in one domain: greedily, the cheapest option for one more member each
+// planDomain selects runs to stop in one domain: greedily, the cheapest option for one more member each
 // time.
-func (p *pass) planEviction(u *unit, domain []*candidate) *eviction {
+func (p *pass) planDomain(u *unit, domain []*candidate) *eviction {
 	e := &eviction{domain: domain, selected: map[*ActiveRun]bool{}, free: map[*candidate]Vector{}, options: map[*candidate]*evictionOption{}}
 	fits := 0
 	limit := u.maxPerWorker(len(u.tasks))
--- a/internal/queue/placer/gang.go
+++ b/internal/queue/placer/gang.go
@@ -20,14 +20,7 @@
 // and otherwise reserves workers.
 func (p *pass) placeGang(u *unit) {
 	domains := p.domains(u)
-	if allocations := p.bestFit(u, domains, func(c *candidate) Vector { return c.available(u) }); allocations != nil {
-		task := 0
-		for _, a := range allocations {
-			for range a.members {
-				p.start(u, u.tasks[task], a.candidate)
-				task++
-			}
-		}
+	if p.startGang(u, domains) {
 		return
 	}
 	if allocations := p.bestFit(u, domains, func(c *candidate) Vector { return c.projected }); allocations != nil {
@@ -35,7 +28,7 @@
 		reserveCapacity(u, allocations)
 		return
 	}
-	if u.urgent && p.evict(u, domains) != nil {
+	if u.urgent && p.evict(u, domains) != nil || p.placeRelaxedGang(u) {
 		return
 	}
 	if p.reservations < maxReservations {
@@ -43,6 +36,24 @@
 	}
 }
 
+// startGang starts all members of a gang if it fits.
+func (p *pass) startGang(u *unit, domains [][]*candidate) bool {
+	allocations := p.fitGang(u, domains)
+	task := 0
+	for _, a := range allocations {
+		for range a.members {
+			p.start(u, u.tasks[task], a.candidate)
+			task++
+		}
+	}
+	return allocations != nil
+}
+
+// fitGang returns allocations for all members of a gang that may start in this pass, nil if it does not fit.
+func (p *pass) fitGang(u *unit, domains [][]*candidate) []allocation {
+	return p.bestFit(u, domains, func(c *candidate) Vector { return c.available(u) })
+}
+
 // available returns the capacity that the unit may use on the worker in this pass.
 func (c *candidate) available(u *unit) Vector {
 	if c.reservedIn > 0 && u.estimate > c.reservedIn {
@@ -60,7 +71,7 @@
 // racks, these are single racks, or the whole pool if no rack can become free enough.
 func (p *pass) domains(u *unit) [][]*candidate {
 	pool := p.pools[u.pool]
-	if !u.step.Spec.GetCompact() {
+	if !u.prefersRack() {
 		return [][]*candidate{pool}
 	}
 	var racks [][]*candidate
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -62,12 +62,20 @@
 	// FailedAt returns when a run of a job last failed as soon as it started, zero if not lately. Its last attempt then
 	// starts on workers that have proven sound since, as one that fails all that it starts would use the attempt up.
 	FailedAt func(*tracker.Job) time.Time
+	// Deferred returns how long a step has been kept by its preferences from workers on which it fits.
+	Deferred func(StepKey) Wait
+	// RackFactor is the run time of a compact gang across racks as a multiple of that in a single rack.
+	RackFactor float64
 }
 
 // Plan holds the decisions of one pass.
 type Plan struct {
 	Starts []*messages.Run
 	Stops  []*ActiveRun
+	// Deferred are the steps that wait for workers that they prefer, though they fit on others.
+	Deferred []Deferral
+	// Relaxed are the steps that have waited so long enough.
+	Relaxed []Deferral
 }
 
 // unit is a set of tasks that are placed together: a gang, or the tasks of a step that are neither done nor
@@ -88,6 +96,7 @@
 	// needsOldWorker: it waits for workers that have not started lately. Two crashes may be by chance; a third one must
 	// say something about the task.
 	needsOldWorker bool
+	anyRack        bool // it no longer waits for a single rack
 	estimate       time.Duration
 	objective      time.Duration
 	age            time.Duration
--- /dev/null
+++ b/internal/queue/placer/preference.go
@@ -0,0 +1,120 @@
+package placer
+
+import (
+	"time"
+)
+
+// Running work can keep the workers that a unit prefers from ever becoming free, so each preference is dropped in the end.
+const (
+	// maxIdleWait is how long a unit waits for its preferences in a pool that is mostly idle.
+	maxIdleWait = 2 * time.Second
+	// maxBusyWait is how long a unit waits for its preferences in a busy pool.
+	maxBusyWait = 30 * time.Second
+)
+
+// StepKey identifies a step of one occurrence of a job.
+type StepKey struct {
+	Job              string
+	Occurrence, Step int32
+}
+
+// Wait is how long a step has been kept by its preferences from workers on which it fits.
+type Wait struct {
+	Total time.Duration // since that was first so
+	Idle  time.Duration // since then, or since the pool was last busy
+}
+
+// Deferral is a step that waits for the workers that it prefers, or no longer does.
+type Deferral struct {
+	Key       StepKey
+	Preferred string
+	Idle      bool // most of the pool is idle
+}
+
+// relaxation is a unit without some of its preferences.
+type relaxation struct {
+	unit    *unit
+	dropped string
+	limit   time.Duration // the unit keeps its preferences at most so long
+}
+
+func (u *unit) key() StepKey {
+	return StepKey{Job: u.job.Work.GetId(), Occurrence: u.step.Occurrence, Step: u.step.Index}
+}
+
+// prefersRack reports whether the unit may only use the workers of a single rack.
+func (u *unit) prefersRack() bool { return u.step.Spec.GetCompact() && !u.anyRack }
+
+// acrossRacks returns the unit for placement on any racks, where it takes longer.
+func (u *unit) acrossRacks(factor float64) *unit {
+	v := *u
+	v.anyRack = true
+	v.estimate = time.Duration(float64(u.estimate) * factor)
+	return &v
+}
+
+// relaxations returns the unit without its preferences. The first one that fits costs the least.
+func (p *pass) relaxations(u *unit) []relaxation {
+	if !u.step.Spec.GetGang() || !u.prefersRack() {
+		return nil
+	}
+	gain := time.Duration(float64(u.estimate) * (p.input.RackFactor - 1))
+	return []relaxation{{u.acrossRacks(p.input.RackFactor), "a single rack", max(gain, maxBusyWait)}}
+}
+
+// relax returns the unit without the preferences for which it has waited long enough, or nil. fits reports whether a unit
+// can be placed in this pass.
+func (p *pass) relax(u *unit, fits func(*unit) bool) *unit {
+	for _, r := range p.relaxations(u) {
+		if !fits(r.unit) {
+			continue
+		}
+		d := Deferral{Key: u.key(), Preferred: r.dropped, Idle: p.isMostlyIdle(r.unit)}
+		wait := p.input.Deferred(d.Key)
+		if wait.Total >= r.limit || d.Idle && wait.Idle >= maxIdleWait {
+			p.plan.Relaxed = append(p.plan.Relaxed, d)
+			return r.unit
+		}
+		p.plan.Deferred = append(p.plan.Deferred, d)
+	}
+	return nil
+}
+
+// isMostlyIdle reports whether less than half of the unit's pool is in use and the unit fits twice.
+func (p *pass) isMostlyIdle(u *unit) bool {
+	total, free := int64(0), int64(0)
+	for _, w := range p.input.Workers {
+		if w.Pool == u.pool {
+			total += w.Capacity.Weight()
+			free += w.Free.Weight()
+		}
+	}
+	if 2*free <= total {
+		return false
+	}
+	tasks := 1
+	if u.step.Spec.GetGang() {
+		tasks = len(u.tasks)
+	}
+	fits := 0
+	for _, c := range p.pools[u.pool] {
+		if u.mayUse(c) {
+			fits += c.available(u).Fits(u.need, u.maxPerWorker(2*tasks))
+		}
+	}
+	return fits >= 2*tasks
+}
+
+// placeRelaxedGang places a gang without preferences for which it has waited long enough. It reports false if there are
+// none.
+func (p *pass) placeRelaxedGang(u *unit) bool {
+	v := p.relax(u, func(v *unit) bool {
+		domains := p.domains(v)
+		return p.fitGang(v, domains) != nil || v.urgent && p.planEviction(v, domains) != nil
+	})
+	if v == nil {
+		return false
+	}
+	domains := p.domains(v)
+	return p.startGang(v, domains) || p.evict(v, domains) != nil
+}
--- a/internal/queue/simulator/simulator.go
+++ b/internal/queue/simulator/simulator.go
@@ -418,6 +418,7 @@
 		Wait:          s.wait,
 		Now:           func() time.Time { return s.now },
 		Wall:          func() time.Time { return s.now },
+		RackFactor:    crossRackSlowdown,
 		Metrics:       tally.NoopScope,
 		Log:           s.opts.Log,
 	})
