placer: a job on its last attempt waits for sound workers for a limited time

A service that fails at each start keeps all workers suspects. The same wait without end had tasks that may crash workers: for workers that have not just started, and, for gangs, on which nothing is starting, as a failing service keeps them.

TestLastAttemptBesideFailingService fails before: running != completed after 30 s.

Fix: this preference has the same limit as that for a single rack: 1.5 s in a pool that is mostly idle, where sound workers would have had room, else 30 s, which is longer than a worker stays a suspect without failing again. Workers in probation still get no last attempt.

--- a/internal/queue/coordinator/deferral_test.go
+++ b/internal/queue/coordinator/deferral_test.go
@@ -125,3 +125,29 @@
 		})
 	}
 }
+
+// TestLastAttemptBesideFailingService guards against a job on its last attempt that waits without end, because a service
+// that fails at each start makes every worker look faulty.
+func TestLastAttemptBesideFailingService(t *testing.T) {
+	is := is.New(t)
+	f := newRackFleet(2, func(_ string, run *messages.Run, elapsed time.Duration) string {
+		switch {
+		case run.GetJob() == "service" && elapsed >= 50*time.Millisecond:
+			return tracker.EndFailed
+		case run.GetJob() == "job" && run.GetNumber() <= 2 && elapsed >= time.Second:
+			return tracker.EndFailed
+		case run.GetJob() == "job" && elapsed >= 2500*time.Millisecond:
+			return tracker.EndDone
+		}
+		return ""
+	})
+	f.step(t)
+	f.add("service", 3, &messages.Step{Count: 16, Processors: 500, Estimate: 60_000, Lasting: true, Spread: 2})
+	for range 5 * time.Second / testInterval {
+		f.step(t)
+	}
+	f.add("job", 3, &messages.Step{Count: 1, Processors: 500, Estimate: 2500})
+	idle := f.longestIdle(t, "job", 30*time.Second)
+	is.Equal(f.state.Job("job").Phase, tracker.Completed)
+	is.True(idle < maxIdleTime)
+}
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -97,6 +97,7 @@
 	// say something about the task.
 	needsOldWorker bool
 	anyRack        bool // it no longer waits for a single rack
+	incautious     bool // it no longer waits for workers that nothing speaks against
 	estimate       time.Duration
 	objective      time.Duration
 	age            time.Duration
@@ -295,13 +296,16 @@
 	if u.needsOldWorker && w.Young || !u.provenSince.IsZero() && !w.ProvenAt.After(u.provenSince) {
 		return false
 	}
-	if w.Suspect && u.lastAttempt || w.Probed && (u.step.Spec.GetGang() || u.lastAttempt || len(w.Runs) > 0) {
+	if w.Suspect && u.avoidsSuspects() || w.Probed && (u.step.Spec.GetGang() || u.lastAttempt || len(w.Runs) > 0) {
 		return false
 	}
 	label := u.step.Spec.GetLabel()
 	return label == "" || slices.Contains(w.Labels, label)
 }
 
+// avoidsSuspects reports whether the unit waits for workers that have not failed lately.
+func (u *unit) avoidsSuspects() bool { return u.lastAttempt && !u.incautious }
+
 // start adds a task to the plan and deducts its resources from the worker.
 func (p *pass) start(u *unit, task int32, c *candidate) {
 	number, checkpoint := u.step.NextRun(task)
--- a/internal/queue/placer/preference.go
+++ b/internal/queue/placer/preference.go
@@ -1,13 +1,11 @@
 package placer
 
-import (
-	"time"
-)
+import "time"
 
 // Running work can keep the workers that a unit prefers from ever becoming free, so each preference is dropped in the end.
 const (
 	// maxIdleWait is how long a unit waits for its preferences in a pool that is mostly idle.
-	maxIdleWait = 2 * time.Second
+	maxIdleWait = 1500 * time.Millisecond
 	// maxBusyWait is how long a unit waits for its preferences in a busy pool.
 	maxBusyWait = 30 * time.Second
 )
@@ -53,13 +51,33 @@
 	return &v
 }
 
-// relaxations returns the unit without its preferences. The first one that fits costs the least.
+// isCautious reports whether the unit may only use workers that nothing speaks against.
+func (u *unit) isCautious() bool {
+	return !u.incautious && (u.lastAttempt || u.needsOldWorker || !u.provenSince.IsZero() || u.startsAlone())
+}
+
+// withoutCaution returns the unit for placement on workers in doubt.
+func (u *unit) withoutCaution() *unit {
+	v := *u
+	v.incautious, v.needsOldWorker, v.provenSince = true, false, time.Time{}
+	return &v
+}
+
+// relaxations returns the unit without some of its preferences, or all.
 func (p *pass) relaxations(u *unit) []relaxation {
+	anyHealth := relaxation{u.withoutCaution(), "sound workers", maxBusyWait}
 	if !u.step.Spec.GetGang() || !u.prefersRack() {
+		if u.isCautious() {
+			return []relaxation{anyHealth}
+		}
 		return nil
 	}
 	gain := time.Duration(float64(u.estimate) * (p.input.RackFactor - 1))
-	return []relaxation{{u.acrossRacks(p.input.RackFactor), "a single rack", max(gain, maxBusyWait)}}
+	anyRack := relaxation{u.acrossRacks(p.input.RackFactor), "a single rack", max(gain, maxBusyWait)}
+	if !u.isCautious() {
+		return []relaxation{anyRack}
+	}
+	return []relaxation{anyHealth, anyRack, {anyHealth.unit.acrossRacks(p.input.RackFactor), "a single rack of sound workers", anyRack.limit}}
 }
 
 // relax returns the unit without the preferences for which it has waited long enough, or nil. fits reports whether a unit
--- a/internal/queue/placer/preference_test.go
+++ b/internal/queue/placer/preference_test.go
@@ -58,3 +58,61 @@
 		})
 	}
 }
+
+// TestCautionEnds guards against a last attempt, or a task that may crash its worker, that waits without end for workers
+// that nothing speaks against.
+func TestCautionEnds(t *testing.T) {
+	failed := time.Unix(1_000_000, 0)
+	suspect := func(w *Worker) { w.Suspect = true }
+	starting := func(w *Worker) {
+		w.Runs = append(w.Runs, &ActiveRun{Starting: true, Step: &tracker.Step{Tasks: make([]tracker.Task, 1)}})
+	}
+	probed := func(w *Worker) { w.Probed = true }
+	for _, c := range []struct {
+		name     string
+		step     *messages.Step
+		priority int32
+		busy     int // workers that are full
+		change   func(*Worker)
+		crashes  int
+		wait     Wait
+		starts   int
+		stops    int
+	}{
+		{"suspects, not for long", &messages.Step{Count: 2, Accelerators: 1}, 1, 0, suspect, 0, Wait{Total: maxIdleWait, Idle: maxIdleWait - 1}, 0, 0},
+		{"suspects, for long", &messages.Step{Count: 2, Accelerators: 1}, 1, 0, suspect, 0, Wait{Total: maxIdleWait, Idle: maxIdleWait}, 2, 0},
+		{"suspects in a busy pool, not for long", &messages.Step{Count: 1, Accelerators: 1}, 1, 6, suspect, 0, Wait{Total: maxBusyWait - 1, Idle: maxIdleWait}, 0, 0},
+		{"suspects in a busy pool, for long", &messages.Step{Count: 1, Accelerators: 1}, 1, 6, suspect, 0, Wait{Total: maxBusyWait}, 1, 0},
+		{"suspects in a full pool, urgent", &messages.Step{Count: 1, Accelerators: 1}, 0, 8, suspect, 0, Wait{Total: maxBusyWait}, 0, 1},
+		{"suspects, gang", &messages.Step{Count: 2, Accelerators: 8, Gang: true}, 1, 0, suspect, 0, Wait{Total: maxIdleWait, Idle: maxIdleWait}, 2, 0},
+		{"suspects, compact gang", &messages.Step{Count: 2, Accelerators: 8, Gang: true, Compact: true}, 1, 0, suspect, 0, Wait{Total: maxIdleWait, Idle: maxIdleWait}, 2, 0},
+		{"unproven workers", &messages.Step{Count: 1, Accelerators: 1}, 1, 0, func(*Worker) {}, 0, Wait{Total: maxIdleWait, Idle: maxIdleWait}, 1, 0},
+		{"probed workers", &messages.Step{Count: 1, Accelerators: 1}, 1, 0, probed, 0, Wait{Total: maxBusyWait, Idle: maxBusyWait}, 0, 0},
+		{"young workers", &messages.Step{Count: 1, Accelerators: 8}, 1, 1, func(w *Worker) { w.Young = w.ID != "w00" }, 2, Wait{Total: maxIdleWait, Idle: maxIdleWait}, 1, 0},
+		{"workers on which others start", &messages.Step{Count: 2, Accelerators: 4, Gang: true}, 1, 0, starting, 2, Wait{Total: maxIdleWait, Idle: maxIdleWait}, 2, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			tr := tracker.New()
+			workers := fleet(8)
+			submit(tr, "low", 2, &messages.Step{Count: 8, Processors: 64_000, Accelerators: 8})
+			occupy(tr, "low", workers[:c.busy]...)
+			for _, w := range workers {
+				c.change(w)
+			}
+			submit(tr, "j", c.priority, c.step)
+			crash(tr, "j", 0, c.crashes, true)
+			if c.crashes == 0 {
+				fail(tr, "j", 2)
+			}
+			in := input(workers, tr)
+			in.Jobs = []*tracker.Job{tr.Job("j")}
+			in.FailedAt = func(*tracker.Job) time.Time { return failed }
+			in.Deferred = func(StepKey) Wait { return c.wait }
+			plan := NewPlan(in)
+			is.Equal(len(plan.Starts), c.starts)
+			is.Equal(len(plan.Stops), c.stops)
+			is.Equal(len(plan.Relaxed), min(c.starts+c.stops, 1))
+		})
+	}
+}
--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -7,12 +7,13 @@
 // placeTasks starts as many tasks of a unit that is no gang as fit.
 func (p *pass) placeTasks(u *unit) {
 	counts := p.runsPerWorker(u)
-	for _, task := range u.tasks {
+	for i, task := range u.tasks {
 		c := p.selectWorker(u, counts)
 		if c == nil {
 			if u.urgent && p.evictForTask(u, counts) {
 				continue
 			}
+			p.placeRelaxedTasks(u, u.tasks[i:], counts)
 			return
 		}
 		counts[c.ID]++
@@ -20,6 +21,35 @@
 	}
 }
 
+// placeRelaxedTasks places tasks of a unit without preferences for which it has waited long enough.
+func (p *pass) placeRelaxedTasks(u *unit, tasks []int32, counts map[string]int) {
+	rest := *u
+	rest.tasks = tasks
+	v := p.relax(&rest, func(v *unit) bool { return p.selectWorker(v, counts) != nil || p.canEvictForTask(v, counts) })
+	if v != nil {
+		p.placeTasks(v)
+	}
+}
+
+// canEvictForTask reports whether evictions can make room for one task of an urgent unit.
+func (p *pass) canEvictForTask(u *unit, counts map[string]int) bool {
+	single, candidates := p.singleTask(u, counts)
+	return u.urgent && p.planEviction(single, [][]*candidate{candidates}) != nil
+}
+
+// singleTask returns a unit of one of the tasks, and the workers that it may use.
+func (p *pass) singleTask(u *unit, counts map[string]int) (*unit, []*candidate) {
+	single := *u
+	single.tasks = u.tasks[:1]
+	var candidates []*candidate
+	for _, c := range p.pools[u.pool] {
+		if u.canStartOn(c, counts) {
+			candidates = append(candidates, c)
+		}
+	}
+	return &single, candidates
+}
+
 // runsPerWorker counts the runs of the unit's step on each worker. It counts only if the step limits them.
 func (p *pass) runsPerWorker(u *unit) map[string]int {
 	counts := map[string]int{}
@@ -65,18 +95,11 @@
 // evictForTask reserves capacity for one urgent task, evicting runs if necessary. It reports false if that is
 // not possible.
 func (p *pass) evictForTask(u *unit, counts map[string]int) bool {
-	single := *u
-	single.tasks = u.tasks[:1]
-	var candidates []*candidate
-	for _, c := range p.pools[u.pool] {
-		if u.canStartOn(c, counts) {
-			candidates = append(candidates, c)
-		}
-	}
+	single, candidates := p.singleTask(u, counts)
 	allocations, ok := single.pack(candidates, func(c *candidate) Vector { return c.projected })
 	if ok {
-		reserveCapacity(&single, allocations)
-	} else if allocations = p.evict(&single, [][]*candidate{candidates}); allocations == nil {
+		reserveCapacity(single, allocations)
+	} else if allocations = p.evict(single, [][]*candidate{candidates}); allocations == nil {
 		return false
 	}
 	counts[allocations[0].candidate.ID]++
--- a/internal/queue/placer/trial.go
+++ b/internal/queue/placer/trial.go
@@ -94,7 +94,7 @@
 }
 
 // startsAlone reports whether a gang waits for workers on which nothing else is starting. Single tasks do so always.
-func (u *unit) startsAlone() bool { return u.crashes > 1 && u.step.Spec.GetGang() }
+func (u *unit) startsAlone() bool { return u.crashes > 1 && u.step.Spec.GetGang() && !u.incautious }
 
 // isOneAtATime reports whether no other trial of its job may be under way. A task that no crash speaks against alone is
 // likely to be innocent.
@@ -126,9 +126,10 @@
 	if u.step.Spec.GetGang() {
 		p.placeGang(u)
 	} else if c := p.selectTrialWorker(u); c == nil {
-		if u.urgent {
-			p.evictForTask(u, p.runsPerWorker(u))
+		if u.urgent && p.evictForTask(u, p.runsPerWorker(u)) {
+			return
 		}
+		p.placeRelaxedTrial(u)
 	} else {
 		if !c.assigned && !c.starting {
 			p.start(u, u.tasks[0], c)
@@ -151,6 +152,13 @@
 	}
 }
 
+// placeRelaxedTrial places a suspect task without preferences for which it has waited long enough.
+func (p *pass) placeRelaxedTrial(u *unit) {
+	if v := p.relax(u, func(v *unit) bool { return p.selectTrialWorker(v) != nil }); v != nil {
+		p.placeTrial(v)
+	}
+}
+
 // selectTrialWorker returns the worker on which a crash would cost the least work, nil if the task fits on none.
 // Workers on which other runs are starting, or that have started lately themselves, are left for last: their crash says
 // little about the task.
