coordinator: a job that fails everywhere speaks against no worker

Cause: a run that fails within 150 ms always counted against its worker, on however many workers its job failed. That holds for a worker that fails all that it starts. A job that fails as soon as it starts does so on every worker.

Fix: a failure counts against the job if the job has lately failed on three workers or more, and on more than it is at work on otherwise. A sound job beside faulty workers is at work on the others. A log line says so for each failure.

TestFailingServiceSpeaksAgainstNoWorker fails before: 16 suspects of 16, want 0. Its second case, a sound service on 3 faulty workers of 16, keeps these three suspects before and after.

--- a/internal/queue/coordinator/health.go
+++ b/internal/queue/coordinator/health.go
@@ -1,6 +1,10 @@
 package coordinator
 
-import "time"
+import (
+	"time"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
+)
 
 const (
 	minSuspectTime    = 3 * time.Second // a suspect worker gets no work while others have capacity
@@ -80,22 +84,59 @@
 
 // jobFailures are the failures of the runs of a job.
 type jobFailures struct {
-	workers     map[string]bool
-	immediateAt time.Time // last failure of a run that did not begin its work
+	workers     map[string]time.Time // last failure of the job, by worker
+	immediateAt time.Time            // last failure of a run that did not begin its work
 }
 
 // record adds a failure. It reports whether the worker is more likely than the job to be the cause.
 func (s failedWorkers) record(now time.Time, job, worker string, elapsed time.Duration) bool {
 	if s[job] == nil {
-		s[job] = &jobFailures{workers: map[string]bool{}}
+		s[job] = &jobFailures{workers: map[string]time.Time{}}
 	}
 	if elapsed < immediateFailureTime {
 		s[job].immediateAt = now
 	}
-	s[job].workers[worker] = true
+	s[job].workers[worker] = now
 	return elapsed < immediateFailureTime || len(s[job].workers) < jobFaultThreshold
 }
 
+// lately returns the workers on which a job has failed within maxSuspectTime.
+func (s failedWorkers) lately(now time.Time, job string) map[string]bool {
+	workers := map[string]bool{}
+	if s[job] == nil {
+		return workers
+	}
+	for id, at := range s[job].workers {
+		if now.Sub(at) < maxSuspectTime {
+			workers[id] = true
+		}
+	}
+	return workers
+}
+
+// failsEverywhere reports whether a job has lately failed on several workers, and on more than it is at work on elsewhere.
+// Then its failures say nothing about a worker, however soon they come: a worker that fails all runs fails those of a sound
+// job, which is at work on others.
+func (c *Coordinator) failsEverywhere(j *tracker.Job) bool {
+	failed := c.failedWorkers.lately(c.opts.Now(), j.Work.GetId())
+	if len(failed) < jobFaultThreshold {
+		return false
+	}
+	sound := map[string]bool{}
+	steps := j.Steps()
+	for i := range steps {
+		for _, t := range steps[i].Tasks {
+			if t.Active == 0 || failed[t.Worker] {
+				continue
+			}
+			if sound[t.Worker] = true; len(sound) >= len(failed) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // failedAt returns when a run of a job last failed immediately, zero if not within cautionPeriod.
 func (s failedWorkers) failedAt(now time.Time, job string) time.Time {
 	if s[job] == nil || now.Sub(s[job].immediateAt) >= cautionPeriod {
--- a/internal/queue/coordinator/health_test.go
+++ b/internal/queue/coordinator/health_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -114,3 +115,39 @@
 	f.workers["c"].health.recordFailure(f.now, "x", 0)
 	is.Equal(usable(), 8)
 }
+
+// TestFailingServiceSpeaksAgainstNoWorker guards against a service whose every run fails as it starts, and that makes all
+// workers suspects by it. Failures on a few workers still speak against these.
+func TestFailingServiceSpeaksAgainstNoWorker(t *testing.T) {
+	faulty := []string{"w00", "w05", "w10"}
+	for _, c := range []struct {
+		name  string
+		fails func(worker string) bool
+		want  int // suspects at the end
+	}{
+		{"fails everywhere", func(string) bool { return true }, 0},
+		{"fails on a few workers", func(worker string) bool { return slices.Contains(faulty, worker) }, len(faulty)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newRackFleet(4, func(worker string, _ *messages.Run, elapsed time.Duration) string {
+				if c.fails(worker) && elapsed >= 50*time.Millisecond {
+					return tracker.EndFailed
+				}
+				return ""
+			})
+			f.step(t)
+			f.add("service", 3, &messages.Step{Count: 16, Processors: 500, Estimate: 60_000, Lasting: true, Spread: 1})
+			for range maxSuspectTime * 3 / 2 / testInterval {
+				f.step(t)
+			}
+			suspects := 0
+			for _, w := range f.Coordinator.workers {
+				if w.health.isSuspect(f.now) || w.health.isQuarantined(f.now) {
+					suspects++
+				}
+			}
+			is.Equal(suspects, c.want)
+		})
+	}
+}
--- a/internal/queue/coordinator/progress.go
+++ b/internal/queue/coordinator/progress.go
@@ -126,13 +126,16 @@
 		}
 	case tracker.EndFailed:
 		elapsed := now.Sub(t.began(now, ordered))
-		// A faulty job fails during its work, so an immediate failure counts against the worker.
-		if c.failedWorkers.record(now, key.Job, w.id, elapsed) {
-			w.health.recordFailure(now, key.Job, elapsed)
-			if w.health.isQuarantined(now) {
-				c.opts.Log.Info("worker quarantined", zap.String("worker", w.id), zap.String("request", key.Job), zap.Duration("elapsed", t.elapsed(now)),
-					zap.Duration("for", w.health.quarantineTime), zap.Uint64("report", w.sequence))
-			}
+		// Most faulty jobs fail during their work, so an immediate failure counts against the worker.
+		if !c.failedWorkers.record(now, key.Job, w.id, elapsed) || c.failsEverywhere(j) {
+			c.opts.Log.Info("failure counts against the job", zap.String("request", key.Job), zap.String("worker", w.id),
+				zap.Duration("elapsed", elapsed), zap.Int("workers", len(c.failedWorkers[key.Job].workers)))
+			return
+		}
+		w.health.recordFailure(now, key.Job, elapsed)
+		if w.health.isQuarantined(now) {
+			c.opts.Log.Info("worker quarantined", zap.String("worker", w.id), zap.String("request", key.Job), zap.Duration("elapsed", t.elapsed(now)),
+				zap.Duration("for", w.health.quarantineTime), zap.Uint64("report", w.sequence))
 		}
 	}
 }
