coordinator: a lasting task whose runs end as they start rests between them

Cause: lasting tasks have no limit of attempts, and nothing delayed the next one.

The first restart has no delay, as most tasks fail because of their worker. The series is the leader's own, a new leader begins it anew.

--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -130,10 +130,12 @@
 	maps.DeleteFunc(c.progress, func(key tracker.RunKey, _ *runProgress) bool { return ended(key) })
 	maps.DeleteFunc(c.committedStarts, func(key tracker.RunKey, _ bool) bool { return ended(key) })
 	maps.DeleteFunc(c.stopping, func(key tracker.RunKey, _ bool) bool { return ended(key) })
-	maps.DeleteFunc(c.verdicts, func(key tracker.TaskKey, _ verdict) bool {
+	over := func(key tracker.TaskKey) bool {
 		j := state.Job(key.Job)
 		return j == nil || j.Ended()
-	})
+	}
+	maps.DeleteFunc(c.verdicts, func(key tracker.TaskKey, _ verdict) bool { return over(key) })
+	maps.DeleteFunc(c.restarts, func(key tracker.TaskKey, _ restart) bool { return over(key) })
 	c.pruneDeferrals(state)
 	for _, w := range c.workers {
 		maps.DeleteFunc(w.startOrders, func(key tracker.RunKey, _ uint64) bool { return ended(key) })
@@ -201,6 +203,7 @@
 		},
 		Pool:     func(j *tracker.Job) string { return c.poolOf(state, j) },
 		Held:     c.isHeld,
+		Resting:  c.isResting,
 		FailedAt: func(j *tracker.Job) time.Time { return c.failedWorkers.failedAt(now, j.Work.GetId()) },
 		Deferred: c.waitOf, RackFactor: c.opts.RackFactor,
 	}
--- a/internal/queue/coordinator/progress.go
+++ b/internal/queue/coordinator/progress.go
@@ -117,6 +117,9 @@
 		zap.Duration("elapsed", t.elapsed(now)), zap.Uint64("report", w.sequence))
 	count(c.metrics.ends, e.GetHow())
 	_, ordered := w.startOrders[key]
+	if how := e.GetHow(); s.Spec.GetLasting() && (how == tracker.EndFailed || how == tracker.EndDone) {
+		c.delayRestart(key.TaskKey, now.Sub(t.began(now, ordered)))
+	}
 	switch e.GetHow() {
 	case tracker.EndDone:
 		w.health.recordSuccess(t.began(now, ordered))
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -59,6 +59,8 @@
 	Pool func(*tracker.Job) string
 	// Held reports whether a suspect task must not start.
 	Held func(key tracker.TaskKey, t *tracker.Task) bool
+	// Resting reports whether the next start of a lasting task is delayed.
+	Resting func(key tracker.TaskKey) bool
 	// FailedAt returns when a run of a job last failed as soon as it started, zero if not lately. Its last attempt then
 	// starts on workers that have proven sound since, as one that fails all that it starts would use the attempt up.
 	FailedAt func(*tracker.Job) time.Time
@@ -223,7 +225,7 @@
 	}
 	var tasks []int32
 	for i := range s.Tasks {
-		if !s.Tasks[i].Done && s.Tasks[i].Active == 0 {
+		if !s.Tasks[i].Done && s.Tasks[i].Active == 0 && !p.isResting(j, s, int32(i)) {
 			tasks = append(tasks, int32(i))
 		}
 	}
@@ -247,6 +249,10 @@
 	return u
 }
 
+func (p *pass) isResting(j *tracker.Job, s *tracker.Step, task int32) bool {
+	return s.Spec.GetLasting() && p.input.Resting(tracker.TaskKey{Job: j.Work.GetId(), Occurrence: s.Occurrence, Step: s.Index, Task: task})
+}
+
 // compareUnits orders units by priority. Within a priority, units within their organisation's guarantee come
 // first, then those that can still meet their objective, then those accepted earlier.
 func compareUnits(a, b *unit) int {
