platform: a deeply nested body is refused, not decoded

Report of other operators: an odd entry among those of the workers, very deeply nested, ended the machines that read it again and again. It can happen here, with a heartbeat, an exit notice, a job or a configuration.

Cause: the JSON decoder recurses into arrays and objects, also those of unknown fields, and bodies of up to 16 MB are read. A heartbeat of 3 MB of opening brackets overflows the stack, which Go does not let a program survive; 1 MB takes a keeper over its memory. The sender gets no response and goes on to the next keeper. Looked for elsewhere: documents of the own interface (manifests of operators, jobs of callers) and settings end the process at 1 MB in the same way.

Fix: one scan over the text before it is decoded limits the depth to 100, with the position in the error.

--- a/internal/config/parser/parser.go
+++ b/internal/config/parser/parser.go
@@ -38,6 +38,9 @@
 
 // decode decodes JSON with comments into v and rejects unknown fields and trailing data.
 func decode(file string, text []byte, v any) error {
+	if at := FindDeepNesting(text); at >= 0 {
+		return errorAt(file, text, int64(at), "", fmt.Sprintf("arrays and objects are nested deeper than %d", MaxDepth))
+	}
 	standardized, err := hujson.Standardize(bytes.Clone(text))
 	if err != nil {
 		return syntaxError(file, err)
