--- /dev/null
+++ b/internal/queue/coordinator/credible_test.go
@@ -0,0 +1,39 @@
+package coordinator
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+)
+
+// TestReportsFarAheadChangeNothing guards against a report of another writer whose numbers are too large: the worker's own
+// reports, or the ends in them, would be ignored from then on.
+func TestReportsFarAheadChangeNothing(t *testing.T) {
+	done := func(sequence uint64) []*messages.NumberedEnd {
+		return []*messages.NumberedEnd{{Sequence: sequence, End: &messages.End{Job: "a", Number: 1, How: tracker.EndDone}}}
+	}
+	for _, c := range []struct {
+		name     string
+		sequence uint64
+		ends     []*messages.NumberedEnd
+	}{
+		{"report number", 1 << 40, nil},
+		{"number of an end", 3, []*messages.NumberedEnd{{Sequence: 1 << 40, End: &messages.End{Job: "x", Number: 1, How: tracker.EndDone}}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			f.startRun(t)
+			running := []*messages.Running{{Run: &messages.Run{Job: "a", Number: 1}}}
+			odd := f.report(t, c.sequence, func(r *messages.FleetReport) { r.Running, r.Ends = running, c.ends })
+			is.Equal(odd.GetLease(), int64(0))
+			is.Equal(odd.GetAcknowledged(), uint64(0))
+			orders := f.report(t, 4, func(r *messages.FleetReport) { r.Ends = done(1) })
+			is.Equal(orders.GetAcknowledged(), uint64(1))
+			is.Equal(f.state.Job("a").Phase, tracker.Completed)
+		})
+	}
+}
--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -246,7 +246,14 @@
 		c.opts.Log.Warn("report names an unknown pool", zap.String("worker", r.GetWorker()), zap.String("pool", r.GetPool()))
 		return nil, true
 	}
-	if isStale(state, w, r) || c.isReplaced(state, r) {
+	if isStale(state, w, r) {
+		return nil, true
+	}
+	if !isCredible(state, w, r) {
+		c.opts.Log.Warn("report has numbers far ahead of the last one", zap.String("worker", r.GetWorker()), zap.Uint64("report", r.GetSequence()))
+		return nil, true
+	}
+	if c.isReplaced(state, r) {
 		return nil, true
 	}
 	if w == nil || r.GetBorn() > w.born {
@@ -271,6 +278,22 @@
 	return w != nil && (r.GetBorn() < w.born || r.GetBorn() == w.born && r.GetSequence() <= w.sequence)
 }
 
+// maxGap bounds by how much a number in a report exceeds the last known one.
+const maxGap = 1 << 20
+
+// isCredible reports whether the numbers of a report and of its ends continue those that are known of the worker. A report
+// by another writer that does not do so would make all later ones stale, and their ends count as committed.
+func isCredible(state *tracker.Tracker, w *worker, r *messages.FleetReport) bool {
+	if w != nil && w.born == r.GetBorn() && r.GetSequence() > w.sequence+maxGap {
+		return false
+	}
+	committed := uint64(0)
+	if incarnation, known := state.Incarnation(r.GetWorker()); known && incarnation.Started == r.GetBorn() {
+		committed = incarnation.Sequence
+	}
+	return !slices.ContainsFunc(r.GetEnds(), func(e *messages.NumberedEnd) bool { return e.GetSequence() > committed+maxGap })
+}
+
 // addIncarnation adds a worker that is new or has restarted.
 func (c *Coordinator) addIncarnation(state *tracker.Tracker, r *messages.FleetReport) *worker {
 	w := &worker{id: r.GetWorker(), born: r.GetBorn(), startOrders: map[tracker.RunKey]uint64{}}
