bluebellplatformd: a test fills the disks of three keepers one after the other

Report of other operators: disks of counted machines full for a few seconds each, one after another, and changes refused or unanswered long after the last had room again. Not shown here; the test stays as a guard.

--- a/cmd/bluebellplatformd/disk_test.go
+++ b/cmd/bluebellplatformd/disk_test.go
@@ -43,10 +43,11 @@
 	}}
 }
 
-// keeper is the command, run as the only keeper of a system.
+// keeper is the command, run as a keeper of a system.
 type keeper struct {
 	t       *testing.T
 	folder  string
+	control netip.AddrPort // of workers and operators
 	command *exec.Cmd
 	exited  chan struct{}
 
@@ -67,16 +68,26 @@
 	return strings.Count(k.log.String(), text)
 }
 
-// startKeeper starts the command on a disk without space for the given operations.
+// startKeeper starts the command, as the only keeper of a system, on a disk without space for the given operations.
 func startKeeper(t *testing.T, refused string) *keeper {
+	t.Helper()
+	return startKeeperOf(t, []netip.Addr{netip.MustParseAddr("127.83.0.1")}, 0, refused)
+}
+
+// startKeeperOf starts one of the keepers of a system.
+func startKeeperOf(t *testing.T, addresses []netip.Addr, index int, refused string) *keeper {
 	t.Helper()
 	is := is.New(t)
-	k := &keeper{t: t, folder: t.TempDir(), exited: make(chan struct{})}
-	address := netip.MustParseAddr("127.83.0.1")
+	address := addresses[index]
+	k := &keeper{t: t, folder: t.TempDir(), control: netip.AddrPortFrom(address, 8526), exited: make(chan struct{})}
+	var seeds []string
+	for _, a := range addresses {
+		seeds = append(seeds, netip.AddrPortFrom(a, 8526).String())
+	}
 	settings, err := json.Marshal(map[string]any{
-		"node_name": "k", "role": "core", "ip": address.String(), "zone": "z", "bootstrap": true, "data_dir": filepath.Join(k.folder, "data"),
-		"listen_addrs": map[string]string{"control_plane": netip.AddrPortFrom(address, 8526).String()}, "internal_ports": []int{7000, 7015},
-		"seed_nodes": []string{netip.AddrPortFrom(address, 8526).String()}, "bounds": map[string]any{"grace_s": 1.5},
+		"node_name": address.String(), "role": "core", "ip": address.String(), "zone": "z", "bootstrap": true, "data_dir": filepath.Join(k.folder, "data"),
+		"listen_addrs": map[string]string{"control_plane": k.control.String()}, "internal_ports": []int{7000, 7015},
+		"seed_nodes": seeds, "bounds": map[string]any{"grace_s": 1.5}, "fault_tolerance": map[string]any{"machines": len(addresses) / 2},
 	})
 	is.NoErr(err)
 	path := filepath.Join(k.folder, "node.json")
