persister: an entry that is acknowledged can be read again, whatever its size

What they would see: after a power loss or a restart of all keepers the configuration or the starts in an entry of more than 8 MiB are gone, though acknowledged; if other entries follow it, all folders count as corrupt.

Cause: a log frame of more than 8 MiB is written, but refused when it is read. Bodies may have 16 MB, an entry holds a configuration as text and decoded, and one pass may start 200,000 small tasks (about 12 MB).

Fix: frames of up to 64 MiB are read.

--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -20,6 +20,7 @@
 	"github.com/bluebellgauge/bluebellgauge/internal/report/evaluator"
 	"github.com/bluebellgauge/bluebellgauge/internal/report/recorder"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/applier"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/persister"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/replicator"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 	"github.com/bluebellgauge/bluebellgauge/internal/worker/dispatcher"
@@ -97,6 +98,9 @@
 	return nil
 }
 
+// entryMargin is the room in a log entry for what goes with a job or a catalog, in bytes.
+const entryMargin = 4 << 10
+
 // startCoordinator starts the queue coordinator of a replica and routes local queue calls to it.
 func (r *Runner) startCoordinator(rep *replica) *coordinator.Coordinator {
 	a, s := rep.applier, r.opts.Settings
@@ -111,6 +115,7 @@
 		},
 		RedirectError: rep.server.RedirectError, Wait: coordinator.Wait, Now: time.Now, Wall: time.Now, Metrics: r.opts.Metrics.SubScope("queues"), Log: r.log,
 		Cores: cmp.Or(r.opts.Queues.Cores, float64(runtime.GOMAXPROCS(0))), RackFactor: r.opts.Queues.RackFactor,
+		MaxMessage: persister.MaxEntryBytes - entryMargin,
 	})
 	r.forwarder.SetLocalReplica(forwarder.LocalReplica{
 		Address: s.PeeringAddr(), Queues: queues,
--- a/internal/queue/coordinator/call.go
+++ b/internal/queue/coordinator/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -21,6 +22,7 @@
 	StatusUnknown  = "unknown"  // no such job
 	StatusEmpty    = "empty"    // no catalog is installed yet
 	StatusMismatch = "mismatch" // the job cannot run as specified
+	StatusTooLarge = "toolarge" // the job or the catalog does not fit into a log entry
 )
 
 // noCatalogRetryAfter is the retry delay for calls that arrive before the first catalog.
@@ -93,6 +95,9 @@
 	work.Pool, work.Priority, work.Attempts = q.GetPool(), q.GetPriority(), q.GetAttempts()
 	work.Objective = objective(q, work).Milliseconds()
 	work.Accepted = c.opts.Wall().UnixMilli()
+	if refusal := c.refuseTooLarge(work); refusal != nil {
+		return refusal, nil
+	}
 	// An earlier call may have committed this job, so it must not be refused now.
 	if reason := c.capacityShortfall(work); reason != "" && !c.proposed[id] {
 		return &messages.Verdict{Status: StatusRefused, Reason: reason, Retry: noCapacityRetryAfter.Milliseconds()}, nil
@@ -101,6 +106,15 @@
 	return &messages.Verdict{Status: StatusOK}, work
 }
 
+// refuseTooLarge returns the refusal of a message that does not fit into a log entry, nil if it does.
+func (c *Coordinator) refuseTooLarge(m proto.Message) *messages.Verdict {
+	size := proto.Size(m)
+	if c.opts.MaxMessage == 0 || size <= c.opts.MaxMessage {
+		return nil
+	}
+	return &messages.Verdict{Status: StatusTooLarge, Reason: fmt.Sprintf("it takes %d bytes, want at most %d", size, c.opts.MaxMessage)}
+}
+
 // objective returns the latency objective of a job, from its acceptance to the end of its last task: the
 // estimate of its critical path times the queue's stretch factor, plus the queue's target.
 func objective(q *messages.Queue, w *messages.Work) time.Duration {
@@ -187,6 +201,10 @@
 	if err != nil {
 		return nil, c.opts.RedirectError(ctx, err)
 	}
+	if refusal := c.refuseTooLarge(catalog); refusal != nil {
+		c.opts.Log.Warn("catalog refused", zap.Uint64("version", catalog.GetVersion()), zap.String("reason", refusal.GetReason()))
+		return refusal, nil
+	}
 	if catalog.GetVersion() > current {
 		if err := c.commit(ctx, &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Catalog: catalog}); err != nil {
 			return nil, c.opts.RedirectError(ctx, err)
--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -90,6 +90,8 @@
 	Now   func() time.Time
 	Wall  func() time.Time
 	Cores float64 // processor time per second that the process may use, 0 for unknown
+	// MaxMessage limits the encoded size of a job and of a catalog in bytes, 0 for no limit.
+	MaxMessage int
 	// RackFactor is the run time of a compact gang across racks as a multiple of that in a single rack.
 	RackFactor float64
 	// Metrics receives the counts and durations of decisions and commits.
--- a/internal/queue/coordinator/credible_test.go
+++ b/internal/queue/coordinator/credible_test.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"context"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -37,3 +39,21 @@
 		})
 	}
 }
+
+// TestTooLargeMessagesAreRefused checks that a job and a catalog that do not fit into a log entry get a final answer.
+func TestTooLargeMessagesAreRefused(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.opts.MaxMessage = 1000
+	is.Equal(f.submit(t, "/q/a", "k1"), StatusOK)
+	v, err := f.Submit(context.Background(), &messages.Submission{Host: "h", Path: "/q/b", Key: "k1", Work: &messages.Work{
+		Body: strings.Repeat("b", 1000), Steps: []*messages.Step{{Count: 1, Processors: 1000, Estimate: 1000}},
+	}})
+	is.NoErr(err)
+	is.Equal(v.GetStatus(), StatusTooLarge)
+	is.True(f.state.Job("b") == nil)
+	v, err = f.Install(context.Background(), &messages.Catalog{Version: 2, Text: make([]byte, 1000)})
+	is.NoErr(err)
+	is.Equal(v.GetStatus(), StatusTooLarge)
+	is.Equal(f.state.Catalog().GetVersion(), uint64(1))
+}
--- a/internal/queue/coordinator/metrics.go
+++ b/internal/queue/coordinator/metrics.go
@@ -37,7 +37,7 @@
 		crashes: scope.Counter("crashes"), givenUp: scope.Counter("given_up"), reports: scope.Counter("reports"), unknownEnds: scope.Counter("unknown_ends"),
 		pass: scope.Histogram("pass_seconds", buckets()), commit: scope.Histogram("commit_seconds", buckets()),
 	}
-	for _, status := range []string{StatusOK, StatusRefused, StatusNoQueue, StatusNoKey, StatusUnknown, StatusEmpty, StatusMismatch} {
+	for _, status := range []string{StatusOK, StatusRefused, StatusNoQueue, StatusNoKey, StatusUnknown, StatusEmpty, StatusMismatch, StatusTooLarge} {
 		m.submits[status] = scope.Tagged(map[string]string{"status": status}).Counter("submits")
 	}
 	for _, how := range []string{
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -122,6 +122,10 @@
 	tried        map[*tracker.Job]bool // jobs with a trial
 }
 
+// maxStarts limits the starts of a plan, so that they fit into one change. A gang that exceeds it starts nevertheless, as a
+// whole.
+const maxStarts = 10_000
+
 // candidate is a worker with its capacity during a pass.
 type candidate struct {
 	*Worker
@@ -173,6 +177,9 @@
 		}
 	}
 	for _, u := range p.units() {
+		if len(p.plan.Starts) >= maxStarts {
+			break
+		}
 		p.place(u)
 	}
 	return p.plan
--- a/internal/queue/placer/placer_test.go
+++ b/internal/queue/placer/placer_test.go
@@ -432,3 +432,17 @@
 		})
 	}
 }
+
+// TestStartsOfAPlanAreLimited guards against a plan that does not fit into a log entry. The rest starts in later passes.
+func TestStartsOfAPlanAreLimited(t *testing.T) {
+	is := is.New(t)
+	tr := tracker.New()
+	workers := fleet(4)
+	for _, w := range workers {
+		w.Capacity.Processors = 10_000_000
+		w.Free = w.Capacity
+	}
+	submit(tr, "many", 1, &messages.Step{Count: maxStarts * 2, Processors: 1000})
+	submit(tr, "other", 1, &messages.Step{Count: 1, Processors: 1000})
+	is.Equal(len(NewPlan(input(workers, tr)).Starts), maxStarts)
+}
--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -8,6 +8,9 @@
 func (p *pass) placeTasks(u *unit) {
 	counts := p.runsPerWorker(u)
 	for i, task := range u.tasks {
+		if len(p.plan.Starts) >= maxStarts {
+			return
+		}
 		c := p.selectWorker(u, counts)
 		if c == nil {
 			if u.urgent && p.evictForTask(u, counts) {
--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -27,6 +27,8 @@
 	// ErrOutcomeUnknown means that leadership or the context ended with the proposal in flight. The entry may
 	// still be committed, so a retry must send the same proposal.
 	ErrOutcomeUnknown = errors.New("outcome of the proposal is unknown")
+	// ErrTooLarge means that the event does not fit into a log entry. The request had no effect.
+	ErrTooLarge = errors.New("event is too large for a log entry")
 	// ErrStopped means that the replica has stopped.
 	ErrStopped = errors.New("replica stopped")
 )
@@ -390,6 +392,10 @@
 		}
 		p.data = data
 	}
+	if len(p.data) > persister.MaxEntryBytes {
+		p.reply <- result{err: fmt.Errorf("%w: %d bytes, want at most %d", ErrTooLarge, len(p.data), persister.MaxEntryBytes)}
+		return
+	}
 	index, ok := a.node.Propose(p.kind, p.data)
 	if !ok {
 		p.reply <- result{err: ErrNotLeader}
--- a/internal/state/applier/applier_test.go
+++ b/internal/state/applier/applier_test.go
@@ -34,8 +34,8 @@
 	return newTestClusterOnDisks(t, snapshotEvery, false)
 }
 
-// newTestClusterOnDisks starts three replicas. Fast disks skip syncs.
-func newTestClusterOnDisks(t *testing.T, snapshotEvery int, fast bool) *testCluster {
+// newTestClusterOnDisks starts three replicas with changed options. Fast disks skip syncs.
+func newTestClusterOnDisks(t *testing.T, snapshotEvery int, fast bool, change ...func(*Options)) *testCluster {
 	t.Helper()
 	c := &testCluster{t: t, replicas: map[string]*Applier{}, disks: map[string]*testDisk{}}
 	members := &messages.Members{}
@@ -64,11 +64,15 @@
 			}
 			last = index
 		}
-		a, err := New(Options{
+		opts := Options{
 			Name: m.GetName(), Files: disk.files(), Folder: t.TempDir(), Bootstrap: members, Tick: 5 * time.Millisecond, SnapshotEvery: snapshotEvery,
 			Seed: uint64(i), Now: time.Now, Send: send,
 			Elapsed: elapsed, Deliver: deliver, Log: zap.NewNop(),
-		})
+		}
+		for _, f := range change {
+			f(&opts)
+		}
+		a, err := New(opts)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/state/persister/persister.go
+++ b/internal/state/persister/persister.go
@@ -25,7 +25,7 @@
 const (
 	formatVersion    = 1
 	frameHeaderBytes = 12 // little-endian: length, CRC-32C of the length, CRC-32C of the data
-	maxFrameBytes    = 8 << 20
+	maxFrameBytes    = 64 << 20
 	logName          = "log"
 	snapshotName     = "snapshot"
 	tempSuffix       = ".new"
@@ -233,8 +233,12 @@
 	return nil
 }
 
-// maxGroupBytes limits the size of a group, so that it fits into a frame.
-const maxGroupBytes = maxFrameBytes / 4
+// MaxEntryBytes limits the data of an entry, so that it fits into a frame of any version of this package. The first ones
+// refuse frames of more than 8 MiB.
+const MaxEntryBytes = 7 << 20
+
+// maxGroupBytes limits the size of a group of several records.
+const maxGroupBytes = 2 << 20
 
 // groupRecords packs records into groups, each of which is written as one frame and synced.
 func groupRecords(records []*messages.Record) []*messages.Record {
