--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -47,6 +47,8 @@
 	Timing    registrar.Timing
 	Tick      time.Duration // unit of the consensus timers
 	Snapshots int           // entries between snapshots
+	// SnapshotBytes is the size of the entries between snapshots, 0 for DefaultSnapshotBytes.
+	SnapshotBytes int
 	// RepairAfter is how long a replica may be out of contact before another one replaces it.
 	RepairAfter time.Duration
 	Dial        Dial        // connects to other daemons; nil dials directly
@@ -94,6 +96,9 @@
 // DefaultSnapshots is the number of log entries between snapshots.
 const DefaultSnapshots = 2000
 
+// DefaultSnapshotBytes is the size of the log entries between snapshots.
+const DefaultSnapshotBytes = 16 << 20
+
 // Runner is one running daemon.
 type Runner struct {
 	opts          Options
--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -55,6 +55,7 @@
 	Bootstrap     *messages.Members // initial membership of a new folder
 	Tick          time.Duration     // unit of the consensus timers; the election timeout is 8 to 16 ticks
 	SnapshotEvery int               // entries between snapshots
+	SnapshotBytes int               // bytes of entries between snapshots, 0 for no limit
 	Seed          uint64
 	Now           func() time.Time
 	Elapsed       func() time.Duration // clock that drives the ticks; nil means timekeeper.Elapsed
@@ -451,12 +452,21 @@
 		a.tickPending = false
 	}
 	a.leading = leading
-	if a.node.LogLength() >= a.opts.SnapshotEvery && a.applied > 0 && a.opts.Elapsed() >= a.nextSave {
+	if a.isSnapshotDue() && a.applied > 0 && a.opts.Elapsed() >= a.nextSave {
 		return a.saveSnapshot()
 	}
 	return nil
 }
 
+// isSnapshotDue reports whether the applied entries are many, or large enough for the cost of a snapshot.
+func (a *Applier) isSnapshotDue() bool {
+	if a.node.LogLength() >= a.opts.SnapshotEvery {
+		return true
+	}
+	limit := max(a.opts.SnapshotBytes, a.node.SnapshotBytes()/2)
+	return a.opts.SnapshotBytes > 0 && a.node.LogBytes(a.applied, limit) >= limit
+}
+
 func (a *Applier) process(out *replicator.Output) error {
 	a.opts.Send(out.Immediate)
 	if out.Install != nil {
--- a/internal/state/applier/size_test.go
+++ b/internal/state/applier/size_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"errors"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -19,6 +21,31 @@
 	return scheduler.ChangeQueues{Change: &messages.QueueChange{Catalog: &messages.Catalog{Version: version, Text: make([]byte, bytes)}}}
 }
 
+// TestLargeEntriesAreCompacted guards against a log that fills the disk and the memory: a few large entries, far less than
+// are between two snapshots by number.
+func TestLargeEntriesAreCompacted(t *testing.T) {
+	const entry, limit = 100 << 10, 1 << 20
+	is := is.New(t)
+	c := newTestClusterOnDisks(t, 1000, true, func(o *Options) { o.SnapshotBytes = limit })
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	defer cancel()
+	var last uint64
+	for last = 1; last <= 60; last++ {
+		c.proposeAny(ctx, catalogOf(last, entry))
+	}
+	for _, a := range c.replicas {
+		for version := uint64(0); version < last-1; time.Sleep(time.Millisecond) {
+			is.NoErr(ctx.Err())
+			is.NoErr(a.ReadStale(ctx, func(s *scheduler.State) { version = s.Queues().Catalog().GetVersion() }))
+		}
+		for _, name := range []string{"log", "snapshot"} {
+			info, err := os.Stat(filepath.Join(a.opts.Folder, name))
+			is.NoErr(err)
+			is.True(info.Size() < limit+2*entry)
+		}
+	}
+}
+
 // TestOversizedEventIsRefused guards against an event that is acknowledged and can't be read when its replicas start again.
 func TestOversizedEventIsRefused(t *testing.T) {
 	is := is.New(t)
--- a/internal/state/replicator/log.go
+++ b/internal/state/replicator/log.go
@@ -9,6 +9,7 @@
 // entryLog holds the log entries after the last snapshot.
 type entryLog struct {
 	entries    []*messages.Entry
+	size       int    // of the entries, in bytes, approximate
 	offset     uint64 // index of the last entry covered by the snapshot
 	offsetTerm uint64
 	committed  uint64
@@ -43,7 +44,7 @@
 	rest := l.entries[index-l.offset-1:]
 	size := 0
 	for i, e := range rest {
-		size += len(e.GetData()) + entryOverhead
+		size += entrySize(e)
 		if size > limit && i > 0 {
 			return rest[:i:i]
 		}
@@ -54,7 +55,17 @@
 // entryOverhead is the approximate encoded size of an entry without its data, in bytes.
 const entryOverhead = 16
 
+func entrySize(e *messages.Entry) int { return len(e.GetData()) + entryOverhead }
+
+func (l *entryLog) append(e *messages.Entry) {
+	l.entries = append(l.entries, e)
+	l.size += entrySize(e)
+}
+
 func (l *entryLog) truncateFrom(index uint64) {
+	for _, e := range l.entries[index-l.offset-1:] {
+		l.size -= entrySize(e)
+	}
 	l.entries = l.entries[: index-l.offset-1 : index-l.offset-1]
 	l.syncing = min(l.syncing, index-1)
 	l.synced = min(l.synced, index-1)
@@ -81,6 +92,9 @@
 }
 
 func (l *entryLog) compact(index, term uint64) {
+	for _, e := range l.entries[:index-l.offset] {
+		l.size -= entrySize(e)
+	}
 	l.entries = append([]*messages.Entry(nil), l.entries[index-l.offset:]...)
 	l.offset, l.offsetTerm = index, term
 }
--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -133,7 +133,7 @@
 	n.log.committed, n.log.applying = n.log.offset, n.log.offset
 	n.log.syncing, n.log.synced = n.log.offset, n.log.offset
 	for _, e := range initial.Entries {
-		n.log.entries = append(n.log.entries, e)
+		n.log.append(e)
 		n.adoptMembers(e)
 	}
 	n.log.syncing, n.log.synced = n.log.last(), n.log.last()
@@ -163,6 +163,27 @@
 // LogLength returns the number of entries after the last snapshot.
 func (n *Node) LogLength() int { return len(n.log.entries) }
 
+// LogBytes returns the approximate size of the entries after the last snapshot up to index. The result is exact only if it
+// is at least limit.
+func (n *Node) LogBytes(index uint64, limit int) int {
+	if n.log.size < limit {
+		return n.log.size
+	}
+	size := 0
+	for _, e := range n.log.entries[:max(index, n.log.offset)-n.log.offset] {
+		size += entrySize(e)
+	}
+	return size
+}
+
+// SnapshotBytes returns the size of the last snapshot.
+func (n *Node) SnapshotBytes() int {
+	if n.snapshot == nil {
+		return 0
+	}
+	return len(n.snapshot.Data)
+}
+
 // Tick advances the node's logical clock by one unit.
 func (n *Node) Tick() {
 	n.tick++
@@ -292,7 +313,7 @@
 
 func (n *Node) appendEntry(kind messages.EntryKind, data []byte) uint64 {
 	e := &messages.Entry{Index: n.log.last() + 1, Term: n.term, Kind: kind, Data: data}
-	n.log.entries = append(n.log.entries, e)
+	n.log.append(e)
 	n.adoptMembers(e)
 	return e.GetIndex()
 }
--- a/internal/state/replicator/replication.go
+++ b/internal/state/replicator/replication.go
@@ -97,7 +97,7 @@
 			n.truncateFrom(e.GetIndex())
 		}
 		for _, added := range entries[i:] {
-			n.log.entries = append(n.log.entries, added)
+			n.log.append(added)
 			n.adoptMembers(added)
 		}
 		return
