coordinator: a report that says less does not end runs

Cause: a missing list was taken for an empty one, and a run that a report does not list for a start that never arrived, also if it had been listed before.

A run that was listed counts as gone when two reports in a row lack it and its end. docs/PLATFORM.md has a table of the fields.

--- a/internal/queue/coordinator/credible_test.go
+++ b/internal/queue/coordinator/credible_test.go
@@ -57,3 +57,24 @@
 	is.Equal(v.GetStatus(), StatusTooLarge)
 	is.Equal(f.state.Catalog().GetVersion(), uint64(1))
 }
+
+// TestOneReportWithoutARunRevokesNothing guards against a run that is started elsewhere while it goes on, because a report of
+// another writer does not list it.
+func TestOneReportWithoutARunRevokesNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.startRun(t)
+	running := []*messages.Running{{Run: &messages.Run{Job: "a", Number: 1}}}
+	f.report(t, 3, func(r *messages.FleetReport) { r.Running = running })
+	f.report(t, 4, nil)
+	f.Pass(context.Background())
+	is.True(f.state.IsActive(tracker.RunKey{TaskKey: tracker.TaskKey{Job: "a"}, Number: 1}))
+	f.report(t, 5, func(r *messages.FleetReport) { r.Running = running })
+	f.Pass(context.Background())
+	is.True(f.state.IsActive(tracker.RunKey{TaskKey: tracker.TaskKey{Job: "a"}, Number: 1}))
+	// A run that stays away is gone: its task starts again.
+	f.report(t, 6, nil)
+	f.report(t, 7, nil)
+	f.Pass(context.Background())
+	is.True(!f.state.IsActive(tracker.RunKey{TaskKey: tracker.TaskKey{Job: "a"}, Number: 1}))
+}
--- a/internal/queue/coordinator/progress.go
+++ b/internal/queue/coordinator/progress.go
@@ -14,6 +14,7 @@
 	worker       string
 	firstListed  time.Time // when the run was first listed
 	lastListed   time.Time // when the last report that lists it was sent, at the latest
+	missed       int       // reports in a row that do not list the run
 	firstPercent int32     // when the run was first listed, 0 for one that had just begun
 	percent      int32
 	progressedAt time.Time // when the percentage last changed
@@ -41,7 +42,7 @@
 				w.health.provenAt = now
 			}
 		}
-		t.lastListed = w.lastContact
+		t.lastListed, t.missed = w.lastContact, 0
 		if l.GetPercent() != t.percent {
 			t.percent, t.progressedAt = l.GetPercent(), now
 		}
@@ -51,6 +52,22 @@
 	}
 }
 
+// countMissed counts the reports that do not list runs which were listed before.
+func (c *Coordinator) countMissed(state *tracker.Tracker, w *worker) {
+	for key := range state.RunsOn(w.id) {
+		if t := c.progress[key]; t != nil && !w.listed[key] {
+			t.missed++
+		}
+	}
+}
+
+// minMissed is the number of reports in a row that do not list a run, from which on it is believed to be gone. One alone may
+// be from another writer.
+const minMissed = 2
+
+// mayBeAtWork reports whether a run was listed and is not known to be gone.
+func (t *runProgress) mayBeAtWork() bool { return t != nil && t.missed < minMissed }
+
 // elapsed returns the time since a run was first listed.
 func (t *runProgress) elapsed(now time.Time) time.Duration {
 	if t == nil {
--- a/internal/queue/coordinator/starts.go
+++ b/internal/queue/coordinator/starts.go
@@ -27,7 +27,7 @@
 	var ends []*messages.End
 	for key, run := range state.RunsOn(w.id) {
 		switch {
-		case run.GetBorn() != w.born, w.listed[key], ended[key], w.startOrders[key] >= w.sequence:
+		case run.GetBorn() != w.born, w.listed[key], ended[key], w.startOrders[key] >= w.sequence, c.progress[key].mayBeAtWork():
 			continue
 		case !c.mustStop(state.Job(key.Job), key) && w.startOrders[key] == 0 && !w.oversized[key]:
 			continue
