coordinator: the starts in one response fit into what a worker takes

A worker drops a response of more than 4 MiB; its next report lists none of the runs, so all are revoked, decided again and sent in the same way.

Fix: a response holds starts with up to 600 KiB of text, the oldest first; the others count as not ordered, and the worker is told to report again at once.

--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -1,12 +1,14 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/placer"
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
@@ -42,6 +44,7 @@
 	// startOrders holds, by run, the sequence number of the report whose response last ordered its start.
 	startOrders map[tracker.RunKey]uint64
 	oversized   map[tracker.RunKey]bool // starts that no longer fit into the reported capacity
+	unsent      bool                    // the last response did not have room for all starts
 	// answered is true once a report has shown that a response of this leader arrived. Responses of earlier leaders
 	// are void from then on, and no report that was sent before can pass for a current one.
 	answered bool
@@ -228,6 +231,9 @@
 	if polled := now.Sub(received); polled >= minPollTime && c.opts.Timing.MaxPollTime > 0 {
 		interval = max(interval-polled, nextPollDelay)
 	}
+	if w.unsent {
+		interval = nextPollDelay
+	}
 	o.Again = interval.Milliseconds()
 	w.nextReportDue = now.Add(interval + responseMargin)
 }
@@ -463,17 +469,38 @@
 			o.Stops = append(o.Stops, run)
 		case !w.listed[key] && !w.oversized[key]:
 			o.Starts = append(o.Starts, &messages.StartOrder{Run: run, Body: j.Work.GetBody()})
-			w.startOrders[key] = r.GetSequence()
 		}
 	}
 	o.Stops = append(o.Stops, w.unexpectedRuns(runs)...)
 	slices.SortFunc(o.Stops, func(a, b *messages.Run) int { return tracker.CompareKeys(tracker.KeyOf(a), tracker.KeyOf(b)) })
-	slices.SortFunc(o.Starts, func(a, b *messages.StartOrder) int {
-		return tracker.CompareKeys(tracker.KeyOf(a.GetRun()), tracker.KeyOf(b.GetRun()))
-	})
+	o.Starts, w.unsent = firstOrders(o.GetStarts())
+	for _, s := range o.GetStarts() {
+		w.startOrders[tracker.KeyOf(s.GetRun())] = r.GetSequence()
+	}
 	return o
 }
 
+// maxOrderBytes limits the texts of the starts in one response. A worker takes 4 MiB, and a character takes up to six bytes
+// of it.
+const maxOrderBytes = 600 << 10
+
+// firstOrders returns the starts for one response, the oldest first, and whether some are left for the next one.
+func firstOrders(starts []*messages.StartOrder) (first []*messages.StartOrder, more bool) {
+	slices.SortFunc(starts, func(a, b *messages.StartOrder) int {
+		return cmp.Or(
+			cmp.Compare(a.GetRun().GetStarted(), b.GetRun().GetStarted()),
+			tracker.CompareKeys(tracker.KeyOf(a.GetRun()), tracker.KeyOf(b.GetRun())),
+		)
+	})
+	size := 0
+	for i, s := range starts {
+		if size += len(s.GetBody()) + proto.Size(s.GetRun()); size > maxOrderBytes && i > 0 {
+			return starts[:i], true
+		}
+	}
+	return starts, false
+}
+
 // unexpectedRuns returns the listed runs that are committed as ended, or were not committed at all.
 func (w *worker) unexpectedRuns(runs map[tracker.RunKey]*messages.Run) []*messages.Run {
 	var list []*messages.Run
