placer: work uses workers reserved for gangs in an idle pool after a limited time

Cause: later work may use the workers that a waiting gang is to get only if it ends before the gang starts, whatever it has waited and however many of them are idle.

Fix: this preference ends too: after 1.5 s in a pool of which less than half is in use, where the work fits twice; for lasting tasks also in a busy pool. In a busy pool it holds without limit for other work, as a stream of small jobs would starve the gangs. A gang that pending stops and reserved workers together make room for counted as placed; it is now looked at like any other.

TestReservationsEndInIdlePool fails before in three cases, TestSmallJobBesideWaitingGang too.

--- a/internal/queue/coordinator/deferral_test.go
+++ b/internal/queue/coordinator/deferral_test.go
@@ -151,3 +151,23 @@
 	is.Equal(f.state.Job("job").Phase, tracker.Completed)
 	is.True(idle < maxIdleTime)
 }
+
+// TestSmallJobBesideWaitingGang guards against a job that waits beside idle workers until those that a gang waits for are
+// free.
+func TestSmallJobBesideWaitingGang(t *testing.T) {
+	is := is.New(t)
+	f := newRackFleet(2, func(_ string, run *messages.Run, elapsed time.Duration) string {
+		if run.GetJob() == "batch" && elapsed >= 75*time.Second || run.GetJob() == "gang" && elapsed >= 20*time.Second {
+			return tracker.EndDone
+		}
+		return ""
+	})
+	f.step(t)
+	f.add("batch", 2, &messages.Step{Count: 2, Processors: 8000, Estimate: 75_000})
+	f.step(t)
+	f.add("gang", 2, &messages.Step{Count: 7, Processors: 8000, Estimate: 20_000, Gang: true})
+	f.step(t)
+	f.add("small", 2, &messages.Step{Count: 1, Processors: 1000, Estimate: 90_000})
+	is.True(f.longestIdle(t, "small", 10*time.Second) < maxIdleTime)
+	is.Equal(f.state.Job("small").Active(), 1)
+}
--- a/internal/queue/placer/gang.go
+++ b/internal/queue/placer/gang.go
@@ -24,8 +24,10 @@
 		return
 	}
 	if allocations := p.bestFit(u, domains, func(c *candidate) Vector { return c.projected }); allocations != nil {
-		// Pending stops will free enough capacity.
-		reserveCapacity(u, allocations)
+		// Pending stops will free enough capacity, unless it is reserved for earlier gangs.
+		if !u.isKeptFrom(allocations) || !p.placeRelaxedGang(u) {
+			reserveCapacity(u, allocations)
+		}
 		return
 	}
 	if u.urgent && p.evict(u, domains) != nil || p.placeRelaxedGang(u) {
@@ -56,7 +58,7 @@
 
 // available returns the capacity that the unit may use on the worker in this pass.
 func (c *candidate) available(u *unit) Vector {
-	if c.reservedIn > 0 && u.estimate > c.reservedIn {
+	if u.isKeptOff(c) {
 		return Vector{}
 	}
 	// Reservations for earlier units are deducted from projected, not from free, so both limits apply.
@@ -67,6 +69,16 @@
 	}
 }
 
+// isKeptOff reports whether the worker is reserved for an earlier gang that starts before the unit would end.
+func (u *unit) isKeptOff(c *candidate) bool {
+	return c.reservedIn > 0 && u.estimate > c.reservedIn && !u.anyReserved
+}
+
+// isKeptFrom reports whether the unit is kept off one of the workers of its allocations.
+func (u *unit) isKeptFrom(allocations []allocation) bool {
+	return slices.ContainsFunc(allocations, func(a allocation) bool { return u.isKeptOff(a.candidate) })
+}
+
 // domains returns the sets of workers in which a gang may be placed. For a compact gang, which is slow across
 // racks, these are single racks, or the whole pool if no rack can become free enough.
 func (p *pass) domains(u *unit) [][]*candidate {
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -99,6 +99,7 @@
 	// say something about the task.
 	needsOldWorker bool
 	anyRack        bool // it no longer waits for a single rack
+	anyReserved    bool // it no longer waits for workers that are not reserved
 	incautious     bool // it no longer waits for workers that nothing speaks against
 	estimate       time.Duration
 	objective      time.Duration
@@ -120,6 +121,7 @@
 	trials       map[string]int        // trials that may still start, by pool
 	old          map[string]int        // usable workers that have not started lately, by pool
 	tried        map[*tracker.Job]bool // jobs with a trial
+	idle         map[string]bool       // pools of which less than half is in use, once known
 }
 
 // maxStarts limits the starts of a plan, so that they fit into one change. A gang that exceeds it starts nevertheless, as a
@@ -153,7 +155,7 @@
 	p := &pass{
 		input: in, racks: map[string][]*candidate{}, pools: map[string][]*candidate{},
 		gangs: map[*tracker.Step][]*ActiveRun{}, workerOf: map[*ActiveRun]*candidate{}, costs: map[*ActiveRun]int64{},
-		trials: map[string]int{}, old: map[string]int{}, tried: map[*tracker.Job]bool{},
+		trials: map[string]int{}, old: map[string]int{}, tried: map[*tracker.Job]bool{}, idle: map[string]bool{},
 	}
 	p.planTrials()
 	for _, w := range in.Workers {
--- a/internal/queue/placer/preference.go
+++ b/internal/queue/placer/preference.go
@@ -1,6 +1,11 @@
 package placer
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
 
 // Running work can keep the workers that a unit prefers from ever becoming free, so each preference is dropped in the end.
 const (
@@ -32,8 +37,8 @@
 // relaxation is a unit without some of its preferences.
 type relaxation struct {
 	unit    *unit
-	dropped string
-	limit   time.Duration // the unit keeps its preferences at most so long
+	dropped []string
+	limit   time.Duration // the unit keeps its preferences at most so long in a busy pool, 0 for ever
 }
 
 func (u *unit) key() StepKey {
@@ -56,6 +61,13 @@
 	return !u.incautious && (u.lastAttempt || u.needsOldWorker || !u.provenSince.IsZero() || u.startsAlone())
 }
 
+// onReserved returns the unit for placement on workers that are reserved for gangs.
+func (u *unit) onReserved() *unit {
+	v := *u
+	v.anyReserved = true
+	return &v
+}
+
 // withoutCaution returns the unit for placement on workers in doubt.
 func (u *unit) withoutCaution() *unit {
 	v := *u
@@ -63,21 +75,53 @@
 	return &v
 }
 
-// relaxations returns the unit without some of its preferences, or all.
+// preference is what a unit waits for.
+type preference struct {
+	name  string
+	limit time.Duration // how long the unit waits for it in a busy pool, 0 for ever
+	drop  func(*unit) *unit
+}
+
+// preferences returns what a unit waits for. The last ones are dropped last.
+func (p *pass) preferences(u *unit) []preference {
+	var list []preference
+	if u.isCautious() {
+		list = append(list, preference{"sound workers", maxBusyWait, (*unit).withoutCaution})
+	}
+	if p.reservations > 0 && !u.anyReserved && p.isIdle(u) {
+		list = append(list, preference{"workers not reserved for gangs", 0, (*unit).onReserved})
+	}
+	if u.step.Spec.GetGang() && u.prefersRack() {
+		gain := time.Duration(float64(u.estimate) * (p.input.RackFactor - 1))
+		drop := func(u *unit) *unit { return u.acrossRacks(p.input.RackFactor) }
+		list = append(list, preference{"a single rack", max(gain, maxBusyWait), drop})
+	}
+	return list
+}
+
+// relaxations returns the unit without some of its preferences, or all, first those without the fewest.
 func (p *pass) relaxations(u *unit) []relaxation {
-	anyHealth := relaxation{u.withoutCaution(), "sound workers", maxBusyWait}
-	if !u.step.Spec.GetGang() || !u.prefersRack() {
-		if u.isCautious() {
-			return []relaxation{anyHealth}
+	preferences := p.preferences(u)
+	var list []relaxation
+	for set := 1; set < 1<<len(preferences); set++ {
+		r := relaxation{unit: u}
+		for i, f := range preferences {
+			if set&(1<<i) != 0 {
+				r.drop(f)
+			}
 		}
-		return nil
+		list = append(list, r)
 	}
-	gain := time.Duration(float64(u.estimate) * (p.input.RackFactor - 1))
-	anyRack := relaxation{u.acrossRacks(p.input.RackFactor), "a single rack", max(gain, maxBusyWait)}
-	if !u.isCautious() {
-		return []relaxation{anyRack}
+	slices.SortStableFunc(list, func(a, b relaxation) int { return cmp.Compare(len(a.dropped), len(b.dropped)) })
+	return list
+}
+
+// drop removes a preference. The unit waits for the one with the longest limit.
+func (r *relaxation) drop(f preference) {
+	if r.unit = f.drop(r.unit); len(r.dropped) == 0 || r.limit > 0 && (f.limit == 0 || f.limit > r.limit) {
+		r.limit = f.limit
 	}
-	return []relaxation{anyHealth, anyRack, {anyHealth.unit.acrossRacks(p.input.RackFactor), "a single rack of sound workers", anyRack.limit}}
+	r.dropped = append(r.dropped, f.name)
 }
 
 // relax returns the unit without the preferences for which it has waited long enough, or nil. fits reports whether a unit
@@ -87,9 +131,9 @@
 		if !fits(r.unit) {
 			continue
 		}
-		d := Deferral{Key: u.key(), Preferred: r.dropped, Idle: p.isMostlyIdle(r.unit)}
+		d := Deferral{Key: u.key(), Preferred: strings.Join(r.dropped, ", "), Idle: p.isIdle(r.unit) && p.fitsTwice(r.unit)}
 		wait := p.input.Deferred(d.Key)
-		if wait.Total >= r.limit || d.Idle && wait.Idle >= maxIdleWait {
+		if r.limit > 0 && wait.Total >= r.limit || d.Idle && wait.Idle >= maxIdleWait {
 			p.plan.Relaxed = append(p.plan.Relaxed, d)
 			return r.unit
 		}
@@ -98,18 +142,28 @@
 	return nil
 }
 
-// isMostlyIdle reports whether less than half of the unit's pool is in use and the unit fits twice.
-func (p *pass) isMostlyIdle(u *unit) bool {
-	total, free := int64(0), int64(0)
-	for _, w := range p.input.Workers {
-		if w.Pool == u.pool {
-			total += w.Capacity.Weight()
-			free += w.Free.Weight()
-		}
+// isIdle reports whether less than half of the unit's pool is in use. A lasting task need not wait for that.
+func (p *pass) isIdle(u *unit) bool {
+	if u.step.Spec.GetLasting() {
+		return true
 	}
-	if 2*free <= total {
-		return false
+	idle, known := p.idle[u.pool]
+	if !known {
+		total, free := int64(0), int64(0)
+		for _, w := range p.input.Workers {
+			if w.Pool == u.pool {
+				total += w.Capacity.Weight()
+				free += w.Free.Weight()
+			}
+		}
+		idle = 2*free > total
+		p.idle[u.pool] = idle
 	}
+	return idle
+}
+
+// fitsTwice reports whether there is room for the unit, or one of its single tasks, twice over.
+func (p *pass) fitsTwice(u *unit) bool {
 	tasks := 1
 	if u.step.Spec.GetGang() {
 		tasks = len(u.tasks)
--- a/internal/queue/placer/preference_test.go
+++ b/internal/queue/placer/preference_test.go
@@ -116,3 +116,43 @@
 		})
 	}
 }
+
+// TestReservationsEndInIdlePool guards against work that waits beside idle workers for as long as a gang waits for all of
+// them. In a busy pool the gang would starve, so there the reservations hold, but for lasting tasks.
+func TestReservationsEndInIdlePool(t *testing.T) {
+	long := Wait{Total: time.Minute, Idle: maxIdleWait}
+	for _, c := range []struct {
+		name   string
+		busy   int // of eight workers
+		step   *messages.Step
+		wait   Wait
+		starts int
+	}{
+		{"idle pool, not for long", 2, &messages.Step{Count: 1, Accelerators: 1, Estimate: 60_000}, Wait{Total: time.Minute, Idle: maxIdleWait - 1}, 0},
+		{"idle pool, for long", 2, &messages.Step{Count: 1, Accelerators: 1, Estimate: 60_000}, long, 1},
+		{"idle pool, room for one", 2, &messages.Step{Count: 4, Processors: 64_000, Accelerators: 8, Gang: true, Estimate: 60_000}, long, 0},
+		{"idle pool, gang", 2, &messages.Step{Count: 3, Processors: 64_000, Accelerators: 8, Gang: true, Estimate: 60_000}, long, 3},
+		{"busy pool", 5, &messages.Step{Count: 1, Accelerators: 1, Estimate: 60_000}, long, 0},
+		{"busy pool, lasting task", 5, &messages.Step{Count: 1, Accelerators: 1, Estimate: 60_000, Lasting: true}, long, 1},
+		{"busy pool, lasting task without room for two", 7, &messages.Step{Count: 1, Accelerators: 8, Estimate: 60_000, Lasting: true}, long, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			tr := tracker.New()
+			workers := fleet(8)
+			submit(tr, "batch", 1, &messages.Step{Count: 8, Processors: 64_000, Accelerators: 8})
+			occupy(tr, "batch", workers[:c.busy]...)
+			submit(tr, "waiting", 1, &messages.Step{Count: 7, Processors: 64_000, Accelerators: 8, Gang: true})
+			submit(tr, "j", 1, c.step)
+			in := input(workers, tr)
+			in.Jobs = []*tracker.Job{tr.Job("waiting"), tr.Job("j")}
+			in.Deferred = func(key StepKey) Wait {
+				if key.Job == "j" {
+					return c.wait
+				}
+				return Wait{}
+			}
+			is.Equal(len(workersOf(NewPlan(in), "j")), c.starts)
+		})
+	}
+}
