--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -1,14 +1,11 @@
 package coordinator
 
 import (
-	"cmp"
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/placer"
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
@@ -285,22 +282,6 @@
 	return w != nil && (r.GetBorn() < w.born || r.GetBorn() == w.born && r.GetSequence() <= w.sequence)
 }
 
-// maxGap bounds by how much a number in a report exceeds the last known one.
-const maxGap = 1 << 20
-
-// isCredible reports whether the numbers of a report and of its ends continue those that are known of the worker. A report
-// by another writer that does not do so would make all later ones stale, and their ends count as committed.
-func isCredible(state *tracker.Tracker, w *worker, r *messages.FleetReport) bool {
-	if w != nil && w.born == r.GetBorn() && r.GetSequence() > w.sequence+maxGap {
-		return false
-	}
-	committed := uint64(0)
-	if incarnation, known := state.Incarnation(r.GetWorker()); known && incarnation.Started == r.GetBorn() {
-		committed = incarnation.Sequence
-	}
-	return !slices.ContainsFunc(r.GetEnds(), func(e *messages.NumberedEnd) bool { return e.GetSequence() > committed+maxGap })
-}
-
 // addIncarnation adds a worker that is new or has restarted.
 func (c *Coordinator) addIncarnation(state *tracker.Tracker, r *messages.FleetReport) *worker {
 	w := &worker{id: r.GetWorker(), born: r.GetBorn(), startOrders: map[tracker.RunKey]uint64{}}
@@ -444,93 +425,3 @@
 	}
 	return earlier, ok
 }
-
-// ordersFor returns the orders for a worker that follow from the replicated state.
-func (c *Coordinator) ordersFor(state *tracker.Tracker, r *messages.FleetReport) *messages.FleetOrders {
-	w := c.workers[r.GetWorker()]
-	o := &messages.FleetOrders{Term: c.term, Address: c.opts.Address, Again: c.pacer.Interval().Milliseconds()}
-	if w == nil || w.born != r.GetBorn() || w.sequence != r.GetSequence() || w.left || w.expiring {
-		// The worker no longer waits for this response, or must not get orders.
-		return o
-	}
-	if incarnation, ok := state.Incarnation(w.id); ok && incarnation.Started == w.born {
-		o.Acknowledged = incarnation.Sequence
-	}
-	o.Lease = c.opts.Timing.Lease.Milliseconds()
-	w.leaseEnd = c.opts.Timing.leaseExpiry(w.lastContact, c.opts.Timing.Lease)
-	runs := state.RunsOn(w.id)
-	for key, run := range runs {
-		if run.GetBorn() != w.born {
-			continue
-		}
-		j := state.Job(key.Job)
-		switch {
-		case c.mustStop(j, key):
-			o.Stops = append(o.Stops, run)
-		case !w.listed[key] && !w.oversized[key]:
-			o.Starts = append(o.Starts, &messages.StartOrder{Run: run, Body: j.Work.GetBody()})
-		}
-	}
-	o.Stops = append(o.Stops, w.unexpectedRuns(runs)...)
-	slices.SortFunc(o.Stops, func(a, b *messages.Run) int { return tracker.CompareKeys(tracker.KeyOf(a), tracker.KeyOf(b)) })
-	o.Starts, w.unsent = firstOrders(o.GetStarts())
-	for _, s := range o.GetStarts() {
-		w.startOrders[tracker.KeyOf(s.GetRun())] = r.GetSequence()
-	}
-	return o
-}
-
-// maxOrderBytes limits the texts of the starts in one response. A worker takes 4 MiB, and a character takes up to six bytes
-// of it.
-const maxOrderBytes = 600 << 10
-
-// firstOrders returns the starts for one response, the oldest first, and whether some are left for the next one.
-func firstOrders(starts []*messages.StartOrder) (first []*messages.StartOrder, more bool) {
-	slices.SortFunc(starts, func(a, b *messages.StartOrder) int {
-		return cmp.Or(
-			cmp.Compare(a.GetRun().GetStarted(), b.GetRun().GetStarted()),
-			tracker.CompareKeys(tracker.KeyOf(a.GetRun()), tracker.KeyOf(b.GetRun())),
-		)
-	})
-	size := 0
-	for i, s := range starts {
-		if size += len(s.GetBody()) + proto.Size(s.GetRun()); size > maxOrderBytes && i > 0 {
-			return starts[:i], true
-		}
-	}
-	return starts, false
-}
-
-// unexpectedRuns returns the listed runs that are committed as ended, or were not committed at all.
-func (w *worker) unexpectedRuns(runs map[tracker.RunKey]*messages.Run) []*messages.Run {
-	var list []*messages.Run
-	for key := range w.listed {
-		if run := runs[key]; run == nil || run.GetBorn() != w.born {
-			list = append(list, &messages.Run{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number})
-		}
-	}
-	return list
-}
-
-// mustStop reports whether a run that has not ended must be stopped.
-func (c *Coordinator) mustStop(j *tracker.Job, key tracker.RunKey) bool {
-	switch j.Phase {
-	case tracker.Cancelled, tracker.Failed:
-		return true
-	case tracker.Pending, tracker.Running, tracker.Completed:
-	}
-	if c.stopping[key] {
-		return true
-	}
-	s := j.Step(key.Occurrence, key.Step)
-	if !s.Spec.GetGang() || s.Done {
-		return false
-	}
-	for i := range s.Tasks {
-		// A gang cannot make progress after one of its members has ended.
-		if s.Tasks[i].Active == 0 {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/queue/placer/gang.go
+++ b/internal/queue/placer/gang.go
@@ -25,7 +25,7 @@
 	}
 	if allocations := p.bestFit(u, domains, func(c *candidate) Vector { return c.projected }); allocations != nil {
 		// Pending stops will free enough capacity, unless it is reserved for earlier gangs.
-		if !u.isKeptFrom(allocations) || !p.placeRelaxedGang(u) {
+		if !u.usesReserved(allocations) || !p.placeRelaxedGang(u) {
 			reserveCapacity(u, allocations)
 		}
 		return
@@ -58,7 +58,7 @@
 
 // available returns the capacity that the unit may use on the worker in this pass.
 func (c *candidate) available(u *unit) Vector {
-	if u.isKeptOff(c) {
+	if u.isExcludedFrom(c) {
 		return Vector{}
 	}
 	// Reservations for earlier units are deducted from projected, not from free, so both limits apply.
@@ -69,14 +69,14 @@
 	}
 }
 
-// isKeptOff reports whether the worker is reserved for an earlier gang that starts before the unit would end.
-func (u *unit) isKeptOff(c *candidate) bool {
+// isExcludedFrom reports whether the worker is reserved for an earlier gang, which starts before the unit would end.
+func (u *unit) isExcludedFrom(c *candidate) bool {
 	return c.reservedIn > 0 && u.estimate > c.reservedIn && !u.anyReserved
 }
 
-// isKeptFrom reports whether the unit is kept off one of the workers of its allocations.
-func (u *unit) isKeptFrom(allocations []allocation) bool {
-	return slices.ContainsFunc(allocations, func(a allocation) bool { return u.isKeptOff(a.candidate) })
+// usesReserved reports whether one of the workers of the allocations is reserved for an earlier gang.
+func (u *unit) usesReserved(allocations []allocation) bool {
+	return slices.ContainsFunc(allocations, func(a allocation) bool { return u.isExcludedFrom(a.candidate) })
 }
 
 // domains returns the sets of workers in which a gang may be placed. For a compact gang, which is slow across
--- a/internal/queue/placer/preference.go
+++ b/internal/queue/placer/preference.go
@@ -61,8 +61,8 @@
 	return !u.incautious && (u.lastAttempt || u.needsOldWorker || !u.provenSince.IsZero() || u.startsAlone())
 }
 
-// onReserved returns the unit for placement on workers that are reserved for gangs.
-func (u *unit) onReserved() *unit {
+// withoutReservations returns the unit for placement on workers that are reserved for gangs, too.
+func (u *unit) withoutReservations() *unit {
 	v := *u
 	v.anyReserved = true
 	return &v
@@ -82,14 +82,14 @@
 	drop  func(*unit) *unit
 }
 
-// preferences returns what a unit waits for. The last ones are dropped last.
+// preferences returns what a unit waits for.
 func (p *pass) preferences(u *unit) []preference {
 	var list []preference
 	if u.isCautious() {
 		list = append(list, preference{"sound workers", maxBusyWait, (*unit).withoutCaution})
 	}
 	if p.reservations > 0 && !u.anyReserved && p.isIdle(u) {
-		list = append(list, preference{"workers not reserved for gangs", 0, (*unit).onReserved})
+		list = append(list, preference{"workers not reserved for gangs", 0, (*unit).withoutReservations})
 	}
 	if u.step.Spec.GetGang() && u.prefersRack() {
 		gain := time.Duration(float64(u.estimate) * (p.input.RackFactor - 1))
