placer: relaxed tasks respect the spread of their step

Cause: tasks that start without preferences later in the same pass were placed with counts of the runs that existed before it, so the tasks that the same pass had just started were not in them.

Fix: the counts of the pass are passed on. TestRelaxedTasksRespectSpread fails before: two tasks on w00, want one on each of four.

The tests of placer and coordinator pass.

--- a/internal/queue/placer/preference_test.go
+++ b/internal/queue/placer/preference_test.go
@@ -156,3 +156,21 @@
 		})
 	}
 }
+
+// TestRelaxedTasksRespectSpread guards against a step that gets more tasks on a worker than its spread allows: some start in
+// a pass as the step prefers, the others of it later in the same pass without preferences.
+func TestRelaxedTasksRespectSpread(t *testing.T) {
+	is := is.New(t)
+	tr := tracker.New()
+	workers := fleet(4)
+	workers[1].Suspect, workers[2].Suspect, workers[3].Suspect = true, true, true
+	submit(tr, "j", 1, &messages.Step{Count: 4, Accelerators: 1, Spread: 1})
+	fail(tr, "j", 2)
+	in := input(workers, tr)
+	in.Deferred = func(StepKey) Wait { return Wait{Total: maxIdleWait, Idle: maxIdleWait} }
+	used := map[string]int{}
+	for _, r := range NewPlan(in).Starts {
+		used[r.GetWorker()]++
+	}
+	is.Equal(used, map[string]int{"w00": 1, "w01": 1, "w02": 1, "w03": 1})
+}
--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -5,8 +5,10 @@
 )
 
 // placeTasks starts as many tasks of a unit that is no gang as fit.
-func (p *pass) placeTasks(u *unit) {
-	counts := p.runsPerWorker(u)
+func (p *pass) placeTasks(u *unit) { p.placeCounted(u, p.runsPerWorker(u)) }
+
+// placeCounted is placeTasks with the number of the step's runs on each worker, those that start in this pass included.
+func (p *pass) placeCounted(u *unit, counts map[string]int) {
 	for i, task := range u.tasks {
 		if len(p.plan.Starts) >= maxStarts {
 			return
@@ -30,7 +32,7 @@
 	rest.tasks = tasks
 	v := p.relax(&rest, func(v *unit) bool { return p.selectWorker(v, counts) != nil || p.canEvictForTask(v, counts) })
 	if v != nil {
-		p.placeTasks(v)
+		p.placeCounted(v, counts)
 	}
 }
 
