coordinator: workers with lasting tasks get leases of at most 6 s

Fix: a worker that runs lasting tasks gets leases of at most 6 s. A lease that it has is never shortened: the leader keeps the later of the two ends, as other work there goes on until then. A leader still waits for leases of up to hold_max_ms that an earlier one may have granted, so that a worker lost at a change of leader takes longer.

Price: all runs beside a lasting task end after 6 s without a leader instead of 10 s.

--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -28,6 +28,7 @@
 // Timing sets the lease duration and the report intervals of workers.
 type Timing struct {
 	Lease             time.Duration // lease on a worker's runs, counted from the time its report was sent
+	LastingLease      time.Duration // the same while it runs lasting tasks, which start elsewhere once it ends, 0 for Lease
 	MaxLease          time.Duration // longest lease that any leader may have granted
 	MinReportInterval time.Duration // minimum time between two reports of a worker
 	ReportCost        time.Duration // expected processor time of one report, with its share of the decisions
--- a/internal/queue/coordinator/orders.go
+++ b/internal/queue/coordinator/orders.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -21,9 +22,12 @@
 	if incarnation, ok := state.Incarnation(w.id); ok && incarnation.Started == w.born {
 		o.Acknowledged = incarnation.Sequence
 	}
-	o.Lease = c.opts.Timing.Lease.Milliseconds()
-	w.leaseEnd = c.opts.Timing.leaseExpiry(w.lastContact, c.opts.Timing.Lease)
 	runs := state.RunsOn(w.id)
+	lease := c.leaseFor(state, runs)
+	o.Lease = lease.Milliseconds()
+	if expiry := c.opts.Timing.leaseExpiry(w.lastContact, lease); expiry.After(w.leaseEnd) {
+		w.leaseEnd = expiry // a worker never shortens a lease
+	}
 	for key, run := range runs {
 		if run.GetBorn() != w.born {
 			continue
@@ -45,6 +49,20 @@
 	return o
 }
 
+// leaseFor returns the lease for a worker with these runs.
+func (c *Coordinator) leaseFor(state *tracker.Tracker, runs map[tracker.RunKey]*messages.Run) time.Duration {
+	t := c.opts.Timing
+	if t.LastingLease == 0 || t.LastingLease >= t.Lease {
+		return t.Lease
+	}
+	for key := range runs {
+		if state.Job(key.Job).Step(key.Occurrence, key.Step).Spec.GetLasting() {
+			return t.LastingLease
+		}
+	}
+	return t.Lease
+}
+
 // maxOrderBytes limits the texts of the starts in one response. A worker takes 4 MiB, and a character takes up to six bytes
 // of it.
 const maxOrderBytes = 600 << 10
