coordinator: lasting tasks are moved from workers that leave

Cause: lasting runs were exempt from evacuation.

Fix: they are stopped when there is just time for the stop to be reported, like runs with checkpoints, and start elsewhere at once. Runs of lasting tasks are not ended by the exit notice alone: the worker goes on for some seconds if the response is lost, and two would run.

TestLastingTaskOfLeavingWorker fails before.

--- a/internal/queue/coordinator/evacuate.go
+++ b/internal/queue/coordinator/evacuate.go
@@ -23,8 +23,8 @@
 
 // evacuate stops the runs on leaving workers that will not end before the worker exits. They can then start
 // elsewhere as soon as their ends are reported, and not only after the lease of a worker that is gone. Runs that
-// write checkpoints work on until there is just time to stop them; other ones would work for nothing. From that time
-// on, only runs whose ends are sure to be reported work on: the worker does not report an end in its last moments, and
+// write checkpoints, and those of lasting tasks, work on until there is just time to stop them; other ones would work for
+// nothing. From that time on, only runs whose ends are sure to be reported work on: the worker does not report an end in its last moments, and
 // finished work would be repeated.
 func (c *Coordinator) evacuate(state *tracker.Tracker) {
 	now := c.opts.Now()
@@ -43,9 +43,10 @@
 			}
 			s := j.Step(key.Occurrence, key.Step)
 			remaining, measured := c.progress[key].extrapolate(now, c.estimate(j, s))
-			hopeless := !s.Spec.GetCheckpoints() && remaining*hopelessPercent/100 > left
-			inTime := measured && remaining+remaining*extrapolationErrorPercent/100+reportTime <= left
-			if s.Spec.GetLasting() || inTime || !hopeless && left > stopTime {
+			lasting := s.Spec.GetLasting()
+			hopeless := !s.Spec.GetCheckpoints() && !lasting && remaining*hopelessPercent/100 > left
+			inTime := measured && !lasting && remaining+remaining*extrapolationErrorPercent/100+reportTime <= left
+			if inTime || !hopeless && left > stopTime {
 				continue
 			}
 			c.stopping[key] = true
--- a/internal/queue/coordinator/evacuate_test.go
+++ b/internal/queue/coordinator/evacuate_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
 
@@ -56,3 +57,39 @@
 		})
 	}
 }
+
+// TestLastingTaskOfLeavingWorker guards against a lasting task that runs until its worker exits and then waits for the end
+// of a lease: it is moved while the worker can still report that it has stopped, and not earlier.
+func TestLastingTaskOfLeavingWorker(t *testing.T) {
+	is := is.New(t)
+	f := startService(t)
+	host := f.host()
+	exit := f.now.Add(3 * time.Second)
+	for f.now.Before(exit) {
+		f.now = f.now.Add(testInterval)
+		f.sequence++
+		for _, id := range f.workers {
+			o := f.report(t, f.sequence, func(r *messages.FleetReport) {
+				r.Worker = id
+				if id == host {
+					r.Leaving, r.Remaining = true, exit.Sub(f.now).Milliseconds()
+				}
+				f.addRuns(r)
+			})
+			for _, run := range o.GetStops() {
+				is.True(exit.Sub(f.now) < 1500*time.Millisecond)
+				f.stop(id, run)
+			}
+		}
+		f.Pass(context.Background())
+	}
+	is.True(f.host() != host)
+	is.Equal(f.state.Job("service").Active(), 1)
+}
+
+// stop makes the next report of a worker say that a run was stopped.
+func (f *rackFleet) stop(worker string, run *messages.Run) {
+	f.ends[worker] = append(f.ends[worker], &messages.NumberedEnd{
+		Sequence: uint64(len(f.ends[worker]) + 1), End: &messages.End{Job: run.GetJob(), Number: run.GetNumber(), How: tracker.EndStopped},
+	})
+}
