placer: a lasting task is never late

Cause: work that can't meet its objective any more yields to later work of its priority. A lasting task has an objective too, by its estimate, and is past it soon after its start; it has no end to be late for.

TestLastingTasksAreNeverLate fails before.

--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -254,7 +254,7 @@
 	if u.lastAttempt {
 		u.provenSince = p.input.FailedAt(j)
 	}
-	u.late = u.objective > 0 && u.age+u.estimate > u.objective
+	u.late = u.objective > 0 && u.age+u.estimate > u.objective && !s.Spec.GetLasting() // a lasting task has no end to be late for
 	return u
 }
 
--- a/internal/queue/placer/preference_test.go
+++ b/internal/queue/placer/preference_test.go
@@ -174,3 +174,25 @@
 	}
 	is.Equal(used, map[string]int{"w00": 1, "w01": 1, "w02": 1, "w03": 1})
 }
+
+// TestLastingTasksAreNeverLate guards against a lasting task that stands still behind each later gang of its priority, as it
+// is older than the objective of its job.
+func TestLastingTasksAreNeverLate(t *testing.T) {
+	is := is.New(t)
+	tr := tracker.New()
+	workers := fleet(4)
+	submit(tr, "service", 1, &messages.Step{Count: 1, Accelerators: 4, Estimate: 60_000, Lasting: true})
+	submit(tr, "batch", 1, &messages.Step{Count: 1, Accelerators: 8})
+	submit(tr, "gang", 1, &messages.Step{Count: 4, Accelerators: 8, Gang: true})
+	occupy(tr, "batch", workers[0])
+	in := input(workers, tr)
+	in.Age = func(j *tracker.Job) time.Duration {
+		if j.Work.GetId() == "service" {
+			return time.Hour
+		}
+		return 0
+	}
+	plan := NewPlan(in)
+	is.Equal(len(plan.Starts), 1)
+	is.Equal(plan.Starts[0].GetJob(), "service")
+}
