--- a/internal/queue/simulator/simulator_test.go
+++ b/internal/queue/simulator/simulator_test.go
@@ -54,22 +54,25 @@
 // jobs end.
 func TestInvariantsUnderSimulatedFaults(t *testing.T) {
 	for seed := range uint64(12) {
-		fleet, load := Reports(1)
-		if seed%2 == 1 {
-			fleet, load = Listings(1)
-		}
-		r := Run(Options{Seed: seed, Fleet: fleet, Load: load, Faults: faults(), Log: zap.NewNop()})
-		for _, v := range r.Violations {
-			t.Errorf("seed %d: %s", seed, v)
-		}
-		for _, j := range r.Unfinished {
-			t.Errorf("seed %d: unfinished: %s", seed, j)
-		}
-		unfinished := 0
-		for _, q := range r.Queues {
-			unfinished += q.Unserved
-		}
-		t.Logf("seed %d: earned %.3f, unserved %d, ends %v", seed, r.EarnedShare(), unfinished, r.Ends)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			fleet, load := Reports(1)
+			if seed%2 == 1 {
+				fleet, load = Listings(1)
+			}
+			r := Run(Options{Seed: seed, Fleet: fleet, Load: load, Faults: faults(), Log: zap.NewNop()})
+			for _, v := range r.Violations {
+				t.Error(v)
+			}
+			for _, j := range r.Unfinished {
+				t.Errorf("unfinished: %s", j)
+			}
+			unserved := 0
+			for _, q := range r.Queues {
+				unserved += q.Unserved
+			}
+			t.Logf("earned %.3f, unserved %d, ends %v", r.EarnedShare(), unserved, r.Ends)
+		})
 	}
 }
 
@@ -78,19 +81,22 @@
 // expire.
 func TestReconnectAtLeaseExpiry(t *testing.T) {
 	for seed := range uint64(6) {
-		fleet, load := Reports(1.1)
-		load.CancelledReads = 0.1
-		var injected []Fault
-		for i := range 60 {
-			injected = append(injected, Fault{
-				Kind: []FaultKind{Partition, Unreachable}[i%2], Start: time.Duration(2000+i*450) * time.Millisecond,
-				Duration: fleet.MaxLease + time.Duration(100+i*17)*time.Millisecond, Workers: []int{i * 7 % 48, i * 11 % 48},
-			})
-		}
-		r := Run(Options{Seed: seed, Fleet: fleet, Load: load, Faults: injected, Log: zap.NewNop()})
-		for _, v := range r.Violations {
-			t.Errorf("seed %d: %s", seed, v)
-		}
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			fleet, load := Reports(1.1)
+			load.CancelledReads = 0.1
+			var injected []Fault
+			for i := range 60 {
+				injected = append(injected, Fault{
+					Kind: []FaultKind{Partition, Unreachable}[i%2], Start: time.Duration(2000+i*450) * time.Millisecond,
+					Duration: fleet.MaxLease + time.Duration(100+i*17)*time.Millisecond, Workers: []int{i * 7 % 48, i * 11 % 48},
+				})
+			}
+			r := Run(Options{Seed: seed, Fleet: fleet, Load: load, Faults: injected, Log: zap.NewNop()})
+			for _, v := range r.Violations {
+				t.Error(v)
+			}
+		})
 	}
 }
 
