coordinator: a start for a replaced incarnation of a worker can be ended

What callers would see: nothing starts any more, for the rest of the leader's term and under later ones, though workers are idle (LOST).

Cause: a start is committed for an incarnation of a worker whose successor, under the same id, is committed already: it was decided before the report of the new one. If the worker is lost before its next report, the leader ends its runs by the incarnation that they name. The replicated state drops what names an earlier incarnation than the last one, so the run stays, the same end is committed in each pass, and a pass with ends starts nothing.

Fix: the end of a lost worker names the last committed incarnation. What the replicated state does with an entry is unchanged, so that keepers of both builds agree.

TestStartOfReplacedIncarnation fails before, with the same leader and with a new one: the run is still there after 10 s and the job of the other worker has not started.

--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -47,6 +47,10 @@
 		for _, r := range runs {
 			born = max(born, r.GetBorn())
 		}
+		// The end of an earlier incarnation than the committed one would be without effect.
+		if incarnation, known := state.Incarnation(id); known {
+			born = max(born, incarnation.Started)
+		}
 		expiry, replaced, lost := c.isLost(id, born)
 		if !lost {
 			return
--- a/internal/queue/coordinator/ends_test.go
+++ b/internal/queue/coordinator/ends_test.go
@@ -152,3 +152,28 @@
 		is.Equal(f.state.Job("b").Active(), 0)
 	})
 }
+
+// TestStartOfReplacedIncarnation guards against a queue that starts nothing any more: a start is committed for a worker that
+// has restarted in the same moment, and the worker is lost before it reports again. The end of that run named the earlier
+// incarnation, was dropped, and was committed again in each pass, in place of all starts.
+func TestStartOfReplacedIncarnation(t *testing.T) {
+	for _, sameLeader := range []bool{true, false} {
+		is := is.New(t)
+		f := newFixture()
+		is.Equal(f.submit(t, "/q/a", "k1"), StatusOK)
+		f.report(t, 1, nil)
+		f.report(t, 1, func(r *messages.FleetReport) { r.Born = 6 })
+		f.state.Apply(&messages.QueueChange{Ends: []*messages.WorkerEnds{{Worker: "w", Born: 6, Sequence: 1}}})
+		f.state.Apply(&messages.QueueChange{Starts: []*messages.Run{{Job: "a", Number: 1, Worker: "w", Born: 5}}})
+		if !sameLeader {
+			f.leaderTerm++
+		}
+		for n := range uint64(40) {
+			f.now = f.now.Add(250 * time.Millisecond)
+			f.report(t, n+1, func(r *messages.FleetReport) { r.Worker = "v" })
+			f.Pass(context.Background())
+		}
+		is.Equal(len(f.state.RunsOn("w")), 0)
+		is.Equal(len(f.state.RunsOn("v")), 1)
+	}
+}
