placer: an urgent task does not wait without end for workers reserved for an earlier gang

Fix: such a task first drops its preferences, if it has waited long enough, as gangs of that priority do already; suspect tasks likewise.

TestReservationsEndInIdlePool runs its cases for both priorities now; "idle pool, for long" and "busy pool, lasting task" fail before with priority 0.

--- a/internal/queue/placer/preference_test.go
+++ b/internal/queue/placer/preference_test.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -136,24 +137,26 @@
 		{"busy pool, lasting task", 5, &messages.Step{Count: 1, Accelerators: 1, Estimate: 60_000, Lasting: true}, long, 1},
 		{"busy pool, lasting task without room for two", 7, &messages.Step{Count: 1, Accelerators: 8, Estimate: 60_000, Lasting: true}, long, 0},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			is := is.New(t)
-			tr := tracker.New()
-			workers := fleet(8)
-			submit(tr, "batch", 1, &messages.Step{Count: 8, Processors: 64_000, Accelerators: 8})
-			occupy(tr, "batch", workers[:c.busy]...)
-			submit(tr, "waiting", 1, &messages.Step{Count: 7, Processors: 64_000, Accelerators: 8, Gang: true})
-			submit(tr, "j", 1, c.step)
-			in := input(workers, tr)
-			in.Jobs = []*tracker.Job{tr.Job("waiting"), tr.Job("j")}
-			in.Deferred = func(key StepKey) Wait {
-				if key.Job == "j" {
-					return c.wait
+		for _, priority := range []int32{0, 1} {
+			t.Run(fmt.Sprintf("%s, priority %d", c.name, priority), func(t *testing.T) {
+				is := is.New(t)
+				tr := tracker.New()
+				workers := fleet(8)
+				submit(tr, "batch", priority, &messages.Step{Count: 8, Processors: 64_000, Accelerators: 8})
+				occupy(tr, "batch", workers[:c.busy]...)
+				submit(tr, "waiting", priority, &messages.Step{Count: 7, Processors: 64_000, Accelerators: 8, Gang: true})
+				submit(tr, "j", priority, c.step)
+				in := input(workers, tr)
+				in.Jobs = []*tracker.Job{tr.Job("waiting"), tr.Job("j")}
+				in.Deferred = func(key StepKey) Wait {
+					if key.Job == "j" {
+						return c.wait
+					}
+					return Wait{}
 				}
-				return Wait{}
-			}
-			is.Equal(len(workersOf(NewPlan(in), "j")), c.starts)
-		})
+				is.Equal(len(workersOf(NewPlan(in), "j")), c.starts)
+			})
+		}
 	}
 }
 
--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -14,26 +14,40 @@
 			return
 		}
 		c := p.selectWorker(u, counts)
-		if c == nil {
-			if u.urgent && p.evictForTask(u, counts) {
-				continue
-			}
+		switch {
+		case c != nil:
+			counts[c.ID]++
+			p.start(u, task, c)
+		case p.waitsForReserved(u, counts) && p.placeRelaxedTasks(u, u.tasks[i:], counts):
+			return
+		case u.urgent && p.evictForTask(u, counts): // it has reserved capacity for the task
+		default:
 			p.placeRelaxedTasks(u, u.tasks[i:], counts)
 			return
 		}
-		counts[c.ID]++
-		p.start(u, task, c)
 	}
 }
 
-// placeRelaxedTasks places tasks of a unit without preferences for which it has waited long enough.
-func (p *pass) placeRelaxedTasks(u *unit, tasks []int32, counts map[string]int) {
+// waitsForReserved reports whether an urgent task would wait for a worker that is reserved for an earlier gang.
+func (p *pass) waitsForReserved(u *unit, counts map[string]int) bool {
+	if !u.urgent || p.reservations == 0 {
+		return false
+	}
+	single, candidates := p.singleTask(u, counts)
+	allocations, ok := single.pack(candidates, func(c *candidate) Vector { return c.projected })
+	return ok && single.usesReserved(allocations)
+}
+
+// placeRelaxedTasks places tasks of a unit without preferences for which it has waited long enough. It reports false if
+// there are none.
+func (p *pass) placeRelaxedTasks(u *unit, tasks []int32, counts map[string]int) bool {
 	rest := *u
 	rest.tasks = tasks
 	v := p.relax(&rest, func(v *unit) bool { return p.selectWorker(v, counts) != nil || p.canEvictForTask(v, counts) })
 	if v != nil {
 		p.placeCounted(v, counts)
 	}
+	return v != nil
 }
 
 // canEvictForTask reports whether evictions can make room for one task of an urgent unit.
--- a/internal/queue/placer/trial.go
+++ b/internal/queue/placer/trial.go
@@ -126,10 +126,7 @@
 	if u.step.Spec.GetGang() {
 		p.placeGang(u)
 	} else if c := p.selectTrialWorker(u); c == nil {
-		if u.urgent && p.evictForTask(u, p.runsPerWorker(u)) {
-			return
-		}
-		p.placeRelaxedTrial(u)
+		p.placeWaitingTrial(u)
 	} else {
 		if !c.assigned && !c.starting {
 			p.start(u, u.tasks[0], c)
@@ -152,11 +149,23 @@
 	}
 }
 
-// placeRelaxedTrial places a suspect task without preferences for which it has waited long enough.
-func (p *pass) placeRelaxedTrial(u *unit) {
-	if v := p.relax(u, func(v *unit) bool { return p.selectTrialWorker(v) != nil }); v != nil {
+// placeWaitingTrial reserves room for a suspect task that fits on no worker now, or places it without preferences.
+func (p *pass) placeWaitingTrial(u *unit) {
+	counts := p.runsPerWorker(u)
+	if p.waitsForReserved(u, counts) && p.placeRelaxedTrial(u) || u.urgent && p.evictForTask(u, counts) {
+		return
+	}
+	p.placeRelaxedTrial(u)
+}
+
+// placeRelaxedTrial places a suspect task without preferences for which it has waited long enough. It reports false if
+// there are none.
+func (p *pass) placeRelaxedTrial(u *unit) bool {
+	v := p.relax(u, func(v *unit) bool { return p.selectTrialWorker(v) != nil })
+	if v != nil {
 		p.placeTrial(v)
 	}
+	return v != nil
 }
 
 // selectTrialWorker returns the worker on which a crash would cost the least work, nil if the task fits on none.
