placer: workers that are lost are no part of an idle pool

What callers would see: for up to a minute after the loss of workers a job waits longer beside idle ones than 3 s, as long as a gang waits for all of them.

Cause: a pool is idle when less than half of it is in use. A lost worker counted with its capacity, and with the runs of its last report as used, until it is forgotten after a minute.

Fix: only workers that may get work count. TestLostWorkersAreNoPartOfAPool fails before.

--- a/internal/queue/placer/preference.go
+++ b/internal/queue/placer/preference.go
@@ -142,7 +142,7 @@
 	return nil
 }
 
-// isIdle reports whether less than half of the unit's pool is in use. A lasting task need not wait for that.
+// isIdle reports whether less than half of the usable part of the unit's pool is in use. A lasting task need not wait for that.
 func (p *pass) isIdle(u *unit) bool {
 	if u.step.Spec.GetLasting() {
 		return true
@@ -151,7 +151,7 @@
 	if !known {
 		total, free := int64(0), int64(0)
 		for _, w := range p.input.Workers {
-			if w.Pool == u.pool {
+			if w.Pool == u.pool && w.Usable {
 				total += w.Capacity.Weight()
 				free += w.Free.Weight()
 			}
--- a/internal/queue/placer/preference_test.go
+++ b/internal/queue/placer/preference_test.go
@@ -160,6 +160,25 @@
 	}
 }
 
+// TestLostWorkersAreNoPartOfAPool guards against a pool that counts as busy because of workers that are lost: the runs that
+// they last reported count as theirs for a minute.
+func TestLostWorkersAreNoPartOfAPool(t *testing.T) {
+	is := is.New(t)
+	tr := tracker.New()
+	workers := fleet(8)
+	for _, w := range workers[:4] {
+		w.Usable, w.Free = false, Vector{}
+	}
+	submit(tr, "batch", 1, &messages.Step{Count: 1, Processors: 64_000, Accelerators: 8})
+	occupy(tr, "batch", workers[4])
+	submit(tr, "waiting", 1, &messages.Step{Count: 4, Processors: 64_000, Accelerators: 8, Gang: true})
+	submit(tr, "j", 1, &messages.Step{Count: 1, Accelerators: 1, Estimate: 60_000})
+	in := input(workers, tr)
+	in.Jobs = []*tracker.Job{tr.Job("waiting"), tr.Job("j")}
+	in.Deferred = func(StepKey) Wait { return Wait{Total: maxIdleWait, Idle: maxIdleWait} }
+	is.Equal(len(workersOf(NewPlan(in), "j")), 1)
+}
+
 // TestRelaxedTasksRespectSpread guards against a step that gets more tasks on a worker than its spread allows: some start in
 // a pass as the step prefers, the others of it later in the same pass without preferences.
 func TestRelaxedTasksRespectSpread(t *testing.T) {
