placer: quarantine and probation keep no job waiting without end

What callers would see: a job on its last attempt never runs beside a service that fails at each start on two workers, the only ones of eight that both may use; six are idle.

Cause: a worker in quarantine (2 s to 16 s) gets no work, and in the 6 s after it, in probation, no last attempt and no gang.

Fix: both are preferences now like the others: they hold for 1.5 s in an idle pool and for 30 s in a busy one, counted from when the work would fit without them. A lasting task is never on its last attempt, as its failures have no limit.

The price is an attempt where all workers on which the work fits are faulty; it fails then sooner than after 16 s.

TestLastAttemptBesideFailingService/on_two_workers fails before: the job is still running after 30 s. TestQuarantineIsLimited counts workers outside of quarantine, which is a field of its own now.

--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -225,7 +225,7 @@
 		}
 		v := c.workerView(state, w, now)
 		if quarantined[w.pool]*quarantineDivisor <= total[w.pool] {
-			v.Usable = v.Usable && !w.health.isQuarantined(now)
+			v.Quarantined = w.health.isQuarantined(now)
 			v.Probed = w.health.isProbing(now)
 		}
 		in.Workers = append(in.Workers, v)
--- a/internal/queue/placer/evict.go
+++ b/internal/queue/placer/evict.go
@@ -97,7 +97,7 @@
 // excludesMoreThan reports whether canRunOn excludes workers for u that it allows for v, because of their health or age.
 func (u *unit) excludesMoreThan(v *unit) bool {
 	return u.needsOldWorker && !v.needsOldWorker || u.startsAlone() && !v.startsAlone() || u.provenSince.After(v.provenSince) ||
-		u.lastAttempt && !v.lastAttempt || u.avoidsSuspects() && !v.avoidsSuspects() || u.step.Spec.GetGang() && !v.step.Spec.GetGang()
+		u.lastAttempt && !v.lastAttempt || !u.incautious && v.incautious || u.step.Spec.GetGang() && !v.step.Spec.GetGang()
 }
 
 // stop adds a run to the plan's stops and counts its resources as projected capacity.
--- a/internal/queue/placer/gang.go
+++ b/internal/queue/placer/gang.go
@@ -142,7 +142,9 @@
 		}
 		remaining := int64(0)
 		for _, c := range d {
-			remaining += free(c).Weight()
+			if !c.Quarantined {
+				remaining += free(c).Weight()
+			}
 		}
 		if u.isDataRemote(allocations) {
 			remaining += remotePenalty
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -21,11 +21,13 @@
 	Capacity Vector
 	Free     Vector    // capacity minus all runs that have not ended
 	Usable   bool      // new tasks may start on it
-	Suspect  bool      // used only if no other worker fits, and never for a last attempt
-	Probed   bool      // used for one task at a time, never for a gang or a last attempt
+	Suspect  bool      // used only if no other worker fits, and not for a last attempt
+	Probed   bool      // used for one task at a time, not for a gang or a last attempt
 	ProvenAt time.Time // when a run that had just started was last seen at work on it, zero if not lately
 	Young    bool      // it has started lately
 	Runs     []*ActiveRun
+	// Quarantined: too many runs have failed on it. It is used only by units that have waited long enough for others.
+	Quarantined bool
 }
 
 // ActiveRun is a run that has not ended.
@@ -122,6 +124,7 @@
 	old          map[string]int        // usable workers that have not started lately, by pool
 	tried        map[*tracker.Job]bool // jobs with a trial
 	idle         map[string]bool       // pools of which less than half is in use, once known
+	doubtful     map[string]bool       // pools with workers in quarantine or probation
 }
 
 // maxStarts limits the starts of a plan, so that they fit into one change. A gang that exceeds it starts nevertheless, as a
@@ -156,6 +159,7 @@
 		input: in, racks: map[string][]*candidate{}, pools: map[string][]*candidate{},
 		gangs: map[*tracker.Step][]*ActiveRun{}, workerOf: map[*ActiveRun]*candidate{}, costs: map[*ActiveRun]int64{},
 		trials: map[string]int{}, old: map[string]int{}, tried: map[*tracker.Job]bool{}, idle: map[string]bool{},
+		doubtful: map[string]bool{},
 	}
 	p.planTrials()
 	for _, w := range in.Workers {
@@ -174,6 +178,7 @@
 			c.close()
 		}
 		if w.Usable {
+			p.doubtful[w.Pool] = p.doubtful[w.Pool] || w.Quarantined || w.Probed
 			p.pools[w.Pool] = append(p.pools[w.Pool], c)
 			p.racks[w.Pool+"\x00"+w.Rack] = append(p.racks[w.Pool+"\x00"+w.Rack], c)
 		}
@@ -250,7 +255,7 @@
 	for _, task := range tasks {
 		failures = max(failures, s.Failures(task))
 	}
-	u.lastAttempt = failures > 0 && failures+1 >= uint32(max(j.Work.GetAttempts(), 1))
+	u.lastAttempt = !s.Spec.GetLasting() && failures > 0 && failures+1 >= uint32(max(j.Work.GetAttempts(), 1))
 	if u.lastAttempt {
 		u.provenSince = p.input.FailedAt(j)
 	}
@@ -311,16 +316,13 @@
 	if u.needsOldWorker && w.Young || !u.provenSince.IsZero() && !w.ProvenAt.After(u.provenSince) {
 		return false
 	}
-	if w.Suspect && u.avoidsSuspects() || w.Probed && (u.step.Spec.GetGang() || u.lastAttempt || len(w.Runs) > 0) {
+	if !u.incautious && (w.Suspect && u.lastAttempt || w.Quarantined || w.Probed && (u.step.Spec.GetGang() || u.lastAttempt || len(w.Runs) > 0)) {
 		return false
 	}
 	label := u.step.Spec.GetLabel()
 	return label == "" || slices.Contains(w.Labels, label)
 }
 
-// avoidsSuspects reports whether the unit waits for workers that have not failed lately.
-func (u *unit) avoidsSuspects() bool { return u.lastAttempt && !u.incautious }
-
 // start adds a task to the plan and deducts its resources from the worker.
 func (p *pass) start(u *unit, task int32, c *candidate) {
 	number, checkpoint := u.step.NextRun(task)
--- a/internal/queue/placer/preference.go
+++ b/internal/queue/placer/preference.go
@@ -56,9 +56,9 @@
 	return &v
 }
 
-// isCautious reports whether the unit may only use workers that nothing speaks against.
-func (u *unit) isCautious() bool {
-	return !u.incautious && (u.lastAttempt || u.needsOldWorker || !u.provenSince.IsZero() || u.startsAlone())
+// isCautious reports whether workers are kept from the unit because something speaks against them.
+func (p *pass) isCautious(u *unit) bool {
+	return !u.incautious && (p.doubtful[u.pool] || u.lastAttempt || u.needsOldWorker || !u.provenSince.IsZero() || u.startsAlone())
 }
 
 // withoutReservations returns the unit for placement on workers that are reserved for gangs, too.
@@ -85,7 +85,7 @@
 // preferences returns what a unit waits for.
 func (p *pass) preferences(u *unit) []preference {
 	var list []preference
-	if u.isCautious() {
+	if p.isCautious(u) {
 		list = append(list, preference{"sound workers", maxBusyWait, (*unit).withoutCaution})
 	}
 	if p.reservations > 0 && !u.anyReserved && p.isIdle(u) {
--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -87,7 +87,7 @@
 
 func (u *unit) canStartOn(c *candidate, counts map[string]int) bool {
 	spread := int(u.step.Spec.GetSpread())
-	return u.mayUse(c) && (!c.Probed || !c.assigned) && (spread == 0 || counts[c.ID] < spread)
+	return u.mayUse(c) && (u.incautious || !c.Probed || !c.assigned) && (spread == 0 || counts[c.ID] < spread)
 }
 
 // selectWorker returns the worker with the least free capacity on which a task fits, preferring the rack of
