applier: slow writes of the log and changes of leadership are logged

On call, a leader that stepped down because of its disk could not be told from one that lost its contact: no line named either.

`slow write of the log` says how long a write of 100 ms or longer took and whether the replica led; `leadership changed` says when it began and ceased to lead.

That a write keeps a leader from its messages is not mended.

--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -45,6 +45,7 @@
 	maxResumeWait  = 5 * time.Second        // the same, while its probes succeed and other writes fail
 	settleTime     = 5 * time.Second        // of running, after which a suspension counts as over
 	snapshotRetry  = 5 * time.Second        // after a snapshot for which there was no space
+	slowWrite      = 100 * time.Millisecond // a write of the log that is reported
 )
 
 // Options are the dependencies and parameters of a replica.
@@ -447,6 +448,9 @@
 		a.leader.Store(&leader)
 	}
 	leading := a.node.Role() == replicator.Leader
+	if a.leading != leading {
+		a.opts.Log.Info("leadership changed", zap.Bool("leading", leading), zap.Uint64("term", a.node.Term()), zap.String("leader", a.node.Leader()))
+	}
 	if a.leading && !leading {
 		a.failPending(ErrOutcomeUnknown)
 		a.tickPending = false
@@ -475,7 +479,7 @@
 		}
 	}
 	if out.HardState != nil || out.Truncate > 0 || len(out.Entries) > 0 {
-		if err := a.storage.Append(out.Truncate, out.HardState, out.Entries); err != nil {
+		if err := a.write(out); err != nil {
 			return err
 		}
 	}
@@ -491,6 +495,18 @@
 	return nil
 }
 
+// write appends the output to the log. Until it returns, the replica handles no messages, and a leader steps down if that
+// takes as long as an election timeout.
+func (a *Applier) write(out *replicator.Output) error {
+	start := a.opts.Elapsed()
+	err := a.storage.Append(out.Truncate, out.HardState, out.Entries)
+	if took := a.opts.Elapsed() - start; took >= slowWrite {
+		a.opts.Log.Warn("slow write of the log", zap.Duration("took", took), zap.Int("entries", len(out.Entries)),
+			zap.Uint64("term", a.node.Term()), zap.Bool("leading", a.leading))
+	}
+	return err
+}
+
 // install replaces the state with a snapshot from the leader.
 func (a *Applier) install(s *replicator.Snapshot) error {
 	if s.Index < a.applied {
--- a/internal/state/applier/disk_test.go
+++ b/internal/state/applier/disk_test.go
@@ -25,6 +25,7 @@
 	full    bool
 	fillsAt func(op filer.Operation, path string) bool // fills the disk; nil for never
 	fast    bool                                       // skips syncs
+	delay   time.Duration                              // of each sync of the log
 }
 
 func (d *testDisk) files() filer.Files { return filer.Faulty{Files: filer.Disk{}, Fault: d.fault} }
@@ -38,6 +39,9 @@
 	if d.full {
 		return syscall.ENOSPC
 	}
+	if op == filer.OpSync {
+		time.Sleep(d.delay)
+	}
 	if d.fast && (op == filer.OpSync || op == filer.OpSyncFolder) {
 		return filer.ErrSkip
 	}
