--- a/internal/queue/coordinator/evacuate.go
+++ b/internal/queue/coordinator/evacuate.go
@@ -23,9 +23,9 @@
 
 // evacuate stops the runs on leaving workers that will not end before the worker exits. They can then start
 // elsewhere as soon as their ends are reported, and not only after the lease of a worker that is gone. Runs that
-// write checkpoints, and those of lasting tasks, work on until there is just time to stop them; other ones would work for
-// nothing. From that time on, only runs whose ends are sure to be reported work on: the worker does not report an end in its last moments, and
-// finished work would be repeated.
+// write checkpoints, and those of lasting tasks, work on until there is just time to stop them; other ones would work
+// for nothing. From that time on, only runs whose ends are sure to be reported work on: the worker does not report an
+// end in its last moments, and finished work would be repeated.
 func (c *Coordinator) evacuate(state *tracker.Tracker) {
 	now := c.opts.Now()
 	reportTime := c.pacer.Interval() + exitMargin
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -325,13 +325,18 @@
 	if u.needsOldWorker && w.Young || !u.provenSince.IsZero() && !w.ProvenAt.After(u.provenSince) {
 		return false
 	}
-	if !u.incautious && (w.Suspect && u.lastAttempt || w.Quarantined || w.Probed && (u.step.Spec.GetGang() || u.lastAttempt || len(w.Runs) > 0)) {
+	if !u.incautious && u.isDoubtful(w) {
 		return false
 	}
 	label := u.step.Spec.GetLabel()
 	return label == "" || slices.Contains(w.Labels, label)
 }
 
+// isDoubtful reports whether too many runs have failed on the worker for the unit to use it while others may become free.
+func (u *unit) isDoubtful(w *Worker) bool {
+	return w.Quarantined || w.Suspect && u.lastAttempt || w.Probed && (u.step.Spec.GetGang() || u.lastAttempt || len(w.Runs) > 0)
+}
+
 // start adds a task to the plan and deducts its resources from the worker.
 func (p *pass) start(u *unit, task int32, c *candidate) {
 	number, checkpoint := u.step.NextRun(task)
--- a/internal/queue/placer/preference.go
+++ b/internal/queue/placer/preference.go
@@ -142,7 +142,8 @@
 	return nil
 }
 
-// isIdle reports whether less than half of the usable part of the unit's pool is in use. A lasting task need not wait for that.
+// isIdle reports whether less than half of the usable part of the unit's pool is in use. A lasting task need not wait
+// for that.
 func (p *pass) isIdle(u *unit) bool {
 	if u.step.Spec.GetLasting() {
 		return true
--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -20,7 +20,8 @@
 			p.start(u, task, c)
 		case p.waitsForReserved(u, counts) && p.placeRelaxedTasks(u, u.tasks[i:], counts):
 			return
-		case u.urgent && p.evictForTask(u, counts): // it has reserved capacity for the task
+		case u.urgent && p.evictForTask(u, counts):
+			// Capacity is reserved for the task.
 		default:
 			p.placeRelaxedTasks(u, u.tasks[i:], counts)
 			return
