--- a/internal/queue/coordinator/deferral_test.go
+++ b/internal/queue/coordinator/deferral_test.go
@@ -152,17 +152,18 @@
 func TestLastAttemptBesideFailingService(t *testing.T) {
 	for _, c := range []struct {
 		name     string
+		racks    int
 		service  *messages.Step
 		failTime time.Duration
 		label    string // of the workers that the job needs
 	}{
-		{"on all workers", &messages.Step{Count: 16, Processors: 500, Estimate: 60_000, Lasting: true, Spread: 2}, 50 * time.Millisecond, ""},
+		{"on all workers", 2, &messages.Step{Count: 16, Processors: 500, Estimate: 60_000, Lasting: true, Spread: 2}, 50 * time.Millisecond, ""},
 		// It fails on too few workers to show that it is not their fault, and keeps them quarantined.
-		{"on two workers", &messages.Step{Count: 2, Processors: 4000, Estimate: 60_000, Lasting: true, Label: "first"}, 300 * time.Millisecond, "first"},
+		{"on two workers", 3, &messages.Step{Count: 2, Processors: 4000, Estimate: 60_000, Lasting: true, Label: "first"}, 300 * time.Millisecond, "first"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			f := newRackFleet(3, func(_ string, run *messages.Run, elapsed time.Duration) string {
+			f := newRackFleet(c.racks, func(_ string, run *messages.Run, elapsed time.Duration) string {
 				switch {
 				case run.GetJob() == "service" && elapsed >= c.failTime:
 					return tracker.EndFailed
