platform: a planned stop leaves no request without an answer

What callers saw: requests that ended by a reset or an end of file at a planned stop, the first request of a connection as well as one on a connection that they had kept open.

Cause: the stop closed sockets without knowing what they carried. 2.5 s after SIGTERM it called http.Server.Shutdown, which (1) closes the listener, and the kernel resets what is queued there; (2) does not know of a connection between its accept and its registration, which Close then cut, also under a request that had been read; (3) takes a connection for idle until the whole header of a request is read, and closes it; (4) closes connections that were never told to end. Close cut (5) requests that took longer than the grace period. The class: a connection is closed on a state that only its reader, or the kernel, knows.

Fix: the package drainer. Responses end their connections from SIGTERM on; the daemon accepts connections as long as any is open, until 1 s before the end of the grace period; the last accept of what is queued and the end of listening are two system calls in a row; connections that are kept open stay until 0.5 s before the end; one is closed only by its own reader, woken by a deadline, if no byte has arrived; contexts of requests in progress end 0.2 s before the end, so that they are answered with 502. A connection that ends with an unanswered request is logged.

--- /dev/null
+++ b/internal/entry/drainer/conn.go
@@ -0,0 +1,153 @@
+package drainer
+
+import (
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// conn is a connection that knows whether it carries a request.
+type conn struct {
+	*net.TCPConn
+	drainer *Drainer
+	opened  time.Time
+
+	mu         sync.Mutex
+	busy       bool      // has read bytes since the last response, or a handler runs
+	quietSince time.Time // end of the last response, or the start of the connection
+	retiring   bool      // ends unless a request arrives
+	streams    bool      // of HTTP/2, whose frames need not belong to a request
+	handlers   int       // running
+	reading    bool      // has read bytes of a request that has no handler yet
+	method     string    // of the last request with a handler
+	path       string
+	closed     bool
+}
+
+// unwrap returns the conn below a connection of the HTTP server.
+func unwrap(c net.Conn) *conn {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	return c.(*conn) // Accept returns no other type
+}
+
+// setState is the ConnState hook of the HTTP server.
+func setState(n net.Conn, state http.ConnState) {
+	c := unwrap(n)
+	t, encrypted := n.(*tls.Conn)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateActive:
+		c.busy = true
+		c.streams = encrypted && t.ConnectionState().NegotiatedProtocol == "h2"
+	case http.StateIdle:
+		c.busy, c.reading, c.quietSince = false, false, time.Now()
+	case http.StateNew, http.StateHijacked, http.StateClosed:
+	}
+}
+
+// Read implements net.Conn. A connection that retires ends with the error of its deadline, unless a request has arrived.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.TCPConn.Read(p)
+		if n > 0 {
+			c.received()
+			return n, err
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.revive() {
+			return n, err
+		}
+	}
+}
+
+// received notes that bytes of a request were read.
+func (c *conn) received() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.streams {
+		return
+	}
+	c.busy = true
+	// The bytes of a TLS connection need not belong to a request.
+	c.reading = c.reading || c.handlers == 0 && c.drainer.opts.TLS == nil
+	if c.retiring {
+		c.unretire()
+	}
+}
+
+// revive reports whether a connection that retires has bytes to read. It then carries a request and stays.
+func (c *conn) revive() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.retiring || !hasUnread(c.TCPConn) {
+		return false
+	}
+	c.unretire()
+	return true
+}
+
+// unretire gives the request that has arrived time to be read. The caller must hold the lock.
+func (c *conn) unretire() {
+	c.retiring = false
+	var deadline time.Time
+	if limit := c.drainer.opts.ReadHeaderTimeout; limit > 0 {
+		deadline = time.Now().Add(limit)
+	}
+	_ = c.SetReadDeadline(deadline) // fails only on a closed connection
+}
+
+// retire ends the connection if it carries no request: its reader, which is the only one to know whether a request has
+// arrived, is woken by a deadline.
+func (c *conn) retire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy || c.closed || time.Since(c.quietSince) < quietTime {
+		return
+	}
+	c.retiring = true
+	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+}
+
+// begin notes that a handler starts.
+func (c *conn) begin(r *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handlers++
+	c.reading = false
+	c.method, c.path = r.Method, r.URL.Path
+}
+
+// finish notes that a handler has returned.
+func (c *conn) finish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handlers--
+}
+
+// Close implements net.Conn. It logs a request without an answer.
+func (c *conn) Close() error {
+	c.drainer.forget(c)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed && (c.handlers > 0 || c.reading) {
+		c.drainer.opts.Log.Warn("connection ends with an unanswered request", zap.Stringer("peer", c.RemoteAddr()),
+			zap.String("method", c.method), zap.String("path", c.path), zap.Bool("read", c.handlers > 0),
+			zap.Duration("open", time.Since(c.opened)), zap.Bool("stopping", c.drainer.draining.Load()))
+	}
+	c.closed = true
+	return c.TCPConn.Close()
+}
+
+func (d *Drainer) forget(c *conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.conns, c)
+}
--- /dev/null
+++ b/internal/entry/drainer/drainer.go
@@ -0,0 +1,198 @@
+// Package drainer serves HTTP and stops without leaving a request unanswered: it tells clients to close their
+// connections, answers what they have sent until then, and closes only connections that carry no request.
+package drainer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// RefuseTime is the time before the end of a stop at which a server should refuse connections, so that the requests of
+	// those that it has accepted are answered.
+	RefuseTime = time.Second
+	// retireTime is the time before the end of a stop from which connections without a request are closed.
+	retireTime = 500 * time.Millisecond
+	// abortTime is the time before the end of a stop at which the contexts of the requests in progress are cancelled, so
+	// that they are still answered.
+	abortTime = 200 * time.Millisecond
+	// quietTime is the time without a request after which a connection may be closed.
+	quietTime    = 200 * time.Millisecond
+	pollInterval = 10 * time.Millisecond
+)
+
+// ErrStopping is the cause by which the contexts of requests in progress end shortly before the end of a stop.
+var ErrStopping = errors.New("the server stops")
+
+// Options are the dependencies of a server.
+type Options struct {
+	Handler           http.Handler
+	ReadHeaderTimeout time.Duration
+	IdleTimeout       time.Duration // of connections without a request, 0 for no limit
+	TLS               *tls.Config   // nil for plain connections
+	// Fail receives the error that ends the server, unless it was stopped.
+	Fail func(error)
+	Log  *zap.Logger
+}
+
+// Drainer is a running HTTP server.
+type Drainer struct {
+	opts     Options
+	server   *http.Server
+	listener *net.TCPListener
+	abort    context.CancelCauseFunc
+	draining atomic.Bool
+	stopping atomic.Bool
+	served   chan struct{} // closed once no connection is accepted any more
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// New starts a server on a listener, which it closes on Stop and Kill.
+func New(listener *net.TCPListener, opts Options) *Drainer {
+	ctx, abort := context.WithCancelCause(context.Background())
+	d := &Drainer{opts: opts, listener: listener, abort: abort, served: make(chan struct{}), conns: map[*conn]struct{}{}}
+	d.server = &http.Server{
+		Handler: http.HandlerFunc(d.serveHTTP), ReadHeaderTimeout: opts.ReadHeaderTimeout, IdleTimeout: opts.IdleTimeout,
+		BaseContext: func(net.Listener) context.Context { return ctx },
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, unwrap(c))
+		},
+		ConnState: setState,
+	}
+	var accepting net.Listener = &acceptor{Drainer: d}
+	if opts.TLS != nil {
+		accepting = tls.NewListener(accepting, opts.TLS)
+	}
+	go func() {
+		defer close(d.served)
+		if err := d.server.Serve(accepting); !d.stopping.Load() {
+			opts.Fail(err)
+		}
+	}()
+	return d
+}
+
+// connKey is the key of a request's *conn in its context.
+type connKey struct{}
+
+func (d *Drainer) serveHTTP(w http.ResponseWriter, r *http.Request) {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	c.begin(r)
+	defer c.finish()
+	if d.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	d.opts.Handler.ServeHTTP(w, r)
+}
+
+// Drain ends each connection with its next response. It does not block.
+func (d *Drainer) Drain() { d.draining.Store(true) }
+
+// Stop drains the server and returns once all clients have left, at the latest at end. From refuse on, or once no connection
+// is open, no connection is accepted. Shortly before end the connections without a request are closed, and then the contexts
+// of requests that are still in progress are cancelled with ErrStopping, so that they are answered.
+func (d *Drainer) Stop(refuse, end time.Time) {
+	d.Drain()
+	for d.open() > 0 && time.Now().Before(refuse) {
+		time.Sleep(pollInterval)
+	}
+	d.stopping.Store(true)
+	d.stopListening()
+	timer := time.AfterFunc(time.Until(end.Add(-abortTime)), func() { d.abort(ErrStopping) })
+	defer timer.Stop()
+	for d.open() > 0 && time.Now().Before(end) {
+		if time.Until(end) <= retireTime {
+			d.retire()
+		}
+		time.Sleep(pollInterval)
+	}
+	d.Kill()
+}
+
+// Kill closes all connections at once.
+func (d *Drainer) Kill() {
+	d.stopping.Store(true)
+	_ = d.server.Close() // connections still open are dropped
+	_ = d.listener.Close()
+	<-d.served
+	d.abort(ErrStopping)
+}
+
+func (d *Drainer) open() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.conns)
+}
+
+// retire ends the connections that carry no request.
+func (d *Drainer) retire() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for c := range d.conns {
+		c.retire()
+	}
+}
+
+// stopListening returns once no connection is accepted any more.
+func (d *Drainer) stopListening() {
+	_ = d.listener.SetDeadline(time.Unix(1, 0)) // wakes Accept; fails only on a closed listener
+	<-d.served
+	_ = d.listener.Close() // it listens no more
+}
+
+// acceptor accepts the connections of a server.
+type acceptor struct {
+	*Drainer
+	stopped bool           // the socket does not listen any more
+	queued  []*net.TCPConn // accepted before that
+}
+
+// Accept implements net.Listener.
+func (a *acceptor) Accept() (net.Conn, error) {
+	t, err := a.accept()
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	c := &conn{TCPConn: t, drainer: a.Drainer, opened: now, quietSince: now}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.conns[c] = struct{}{}
+	return c, nil
+}
+
+func (a *acceptor) accept() (*net.TCPConn, error) {
+	if !a.stopped {
+		t, err := a.listener.AcceptTCP()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return t, err
+		}
+		a.stopped = true
+		if a.queued, err = acceptQueued(a.listener); err != nil {
+			a.opts.Log.Warn("queue of the listener not accepted whole", zap.Int("accepted", len(a.queued)), zap.Error(err))
+		}
+	}
+	if len(a.queued) == 0 {
+		return nil, net.ErrClosed
+	}
+	t := a.queued[0]
+	a.queued = a.queued[1:]
+	return t, nil
+}
+
+// Close implements net.Listener.
+func (a *acceptor) Close() error { return a.listener.Close() }
+
+// Addr implements net.Listener.
+func (a *acceptor) Addr() net.Addr { return a.listener.Addr() }
--- /dev/null
+++ b/internal/entry/drainer/drainer_test.go
@@ -0,0 +1,129 @@
+package drainer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+)
+
+const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+func newServer(t *testing.T, handler http.HandlerFunc) (*Drainer, string, *observer.ObservedLogs) {
+	t.Helper()
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	is.New(t).NoErr(err)
+	core, logs := observer.New(zapcore.InfoLevel)
+	d := New(l, Options{Handler: handler, ReadHeaderTimeout: time.Second, Fail: func(err error) { t.Error(err) }, Log: zap.New(core)})
+	t.Cleanup(d.Kill)
+	return d, l.Addr().String(), logs
+}
+
+func ok(http.ResponseWriter, *http.Request) {}
+
+// TestStopEndsWithLastClient checks that a stop ends as soon as no connection is open, and that connections in the queue of
+// the listener are served.
+func TestStopEndsWithLastClient(t *testing.T) {
+	is := is.New(t)
+	d, address, _ := newServer(t, ok)
+	c, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	go func() {
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.WriteString(c, request)
+	}()
+	start := time.Now()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.Stop(start.Add(10*time.Second), start.Add(12*time.Second))
+	}()
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.True(response.Close) // the client was asked to leave
+	is.NoErr(c.Close())
+	<-done
+	is.True(time.Since(start) < 5*time.Second)
+}
+
+// TestStopRefusesConnections checks that a server that stops accepts no connections once it refuses them, and that one that
+// it has accepted keeps its time to send a request.
+func TestStopRefusesConnections(t *testing.T) {
+	is := is.New(t)
+	d, address, _ := newServer(t, ok)
+	c, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	start := time.Now()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.Stop(start, start.Add(2*time.Second))
+	}()
+	time.Sleep(400 * time.Millisecond)
+	_, err = net.DialTimeout("tcp", address, 200*time.Millisecond)
+	is.True(err != nil)
+	_, err = io.WriteString(c, request)
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	<-done
+	is.NoErr(c.Close())
+}
+
+// TestStopCancelsRequests checks that requests in progress learn of the end of a stop in time for a response.
+func TestStopCancelsRequests(t *testing.T) {
+	is := is.New(t)
+	started := make(chan struct{})
+	d, address, logs := newServer(t, func(w http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		if errors.Is(context.Cause(r.Context()), ErrStopping) {
+			w.WriteHeader(http.StatusBadGateway)
+		}
+	})
+	c, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	_, err = io.WriteString(c, request)
+	is.NoErr(err)
+	<-started
+	go d.Stop(time.Now(), time.Now().Add(time.Second))
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(response.StatusCode, http.StatusBadGateway)
+	is.Equal(logs.FilterMessage("connection ends with an unanswered request").Len(), 0)
+	is.NoErr(c.Close())
+}
+
+// TestUnansweredRequestIsLogged checks that a connection that ends with a request in progress is logged with the request.
+func TestUnansweredRequestIsLogged(t *testing.T) {
+	is := is.New(t)
+	started, hold := make(chan struct{}), make(chan struct{})
+	d, address, logs := newServer(t, func(http.ResponseWriter, *http.Request) {
+		close(started)
+		<-hold
+	})
+	c, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	_, err = io.WriteString(c, request)
+	is.NoErr(err)
+	<-started
+	d.Kill()
+	close(hold)
+	entries := logs.FilterMessage("connection ends with an unanswered request").All()
+	is.Equal(len(entries), 1)
+	is.Equal(entries[0].ContextMap()["path"], "/")
+	is.Equal(entries[0].ContextMap()["read"], true)
+	is.NoErr(c.Close())
+}
