bluebellplatformd: a SIGTERM is not lost behind a SIGHUP

Where it happens, readiness never fails, the lead is not handed over, and SIGKILL ends all requests in progress at the end of the grace period.

Cause: all signals went through one channel of one element, and the runtime drops a signal for which a channel has no room. A SIGHUP that was not handled yet, as during the start or while settings are read, made the process miss the SIGTERM behind it. The class: an event that must not be lost in a queue that may drop.

Fix: a channel for each kind of signal; one element then is enough, as repeated signals of a kind mean the same. SIGHUP is logged.

--- a/cmd/bluebellplatformd/main.go
+++ b/cmd/bluebellplatformd/main.go
@@ -42,9 +42,10 @@
 // run runs the command on the given files and returns its exit code.
 func run(files filer.Files) int {
 	// Signals are registered first: the settings may change during startup, and an unhandled SIGHUP
-	// ends the process.
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	// ends the process. Each channel keeps one signal, which is enough for signals of its kind.
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reload, syscall.SIGHUP)
 	var opts options
 	if _, err := flags.Parse(&opts); err != nil {
 		var usage *flags.Error
@@ -72,7 +73,7 @@
 	sink := logger.New(os.Stdout)
 	defer sink.Close()
 	log := newLogger(sink)
-	a, err := startWhenWritable(files, s.Daemon.Data, func() (*platform.Adapter, error) { return platform.New(s, files, dial, log) }, signals, log)
+	a, err := startWhenWritable(files, s.Daemon.Data, func() (*platform.Adapter, error) { return platform.New(s, files, dial, log) }, stop, log)
 	if err != nil {
 		log.Error("start failed", zap.Error(err))
 		return exitFailure
@@ -80,7 +81,7 @@
 	if a == nil {
 		return 0
 	}
-	return watch(a, signals, log)
+	return watch(a, stop, reload, log)
 }
 
 // proxyDial returns a dial function through a SOCKS5 proxy, nil for direct connections.
@@ -102,7 +103,7 @@
 // startWhenWritable starts the daemon once its data folder, if it has one, is writable. Waiting avoids a restart loop on
 // a full disk. The result is nil if a signal to stop arrives first.
 func startWhenWritable(
-	files filer.Files, folder string, start func() (*platform.Adapter, error), signals <-chan os.Signal, log *zap.Logger,
+	files filer.Files, folder string, start func() (*platform.Adapter, error), stop <-chan os.Signal, log *zap.Logger,
 ) (*platform.Adapter, error) {
 	for waiting := false; ; waiting = true {
 		a, err := startIfWritable(files, folder, start)
@@ -112,7 +113,7 @@
 		if !waiting {
 			log.Warn("start waits for the disk", zap.String("folder", folder), zap.Error(err))
 		}
-		if !sleep(pollInterval, signals) {
+		if !sleep(pollInterval, stop) {
 			return nil, nil
 		}
 	}
@@ -128,18 +129,14 @@
 }
 
 // sleep returns after an interval, or with false on a signal to stop.
-func sleep(interval time.Duration, signals <-chan os.Signal) bool {
+func sleep(interval time.Duration, stop <-chan os.Signal) bool {
 	timer := time.NewTimer(interval)
 	defer timer.Stop()
-	for {
-		select {
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				return false
-			}
-		case <-timer.C:
-			return true
-		}
+	select {
+	case <-stop:
+		return false
+	case <-timer.C:
+		return true
 	}
 }
 
@@ -151,21 +148,20 @@
 }
 
 // watch handles signals, changed settings and fatal errors. It returns the exit code.
-func watch(a *platform.Adapter, signals <-chan os.Signal, log *zap.Logger) int {
+func watch(a *platform.Adapter, stop, reload <-chan os.Signal, log *zap.Logger) int {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	last, _ := os.ReadFile(platform.SettingsPath()) // an error is reported by the next poll
 	for {
 		select {
-		case s := <-signals:
-			if s == syscall.SIGHUP {
-				last = reload(a, last, log)
-				continue
-			}
+		case <-stop:
 			a.Stop()
 			return 0
+		case <-reload:
+			log.Info("SIGHUP received")
+			last = applySettings(a, last, log)
 		case <-ticker.C:
-			last = reload(a, last, log)
+			last = applySettings(a, last, log)
 		case err := <-a.Failed():
 			log.Error("server failed", zap.Error(err))
 			return exitFailure
@@ -176,8 +172,8 @@
 	}
 }
 
-// reload applies the settings file if it has changed, and returns the text now in force.
-func reload(a *platform.Adapter, last []byte, log *zap.Logger) []byte {
+// applySettings applies the settings file if it has changed, and returns the text now in force.
+func applySettings(a *platform.Adapter, last []byte, log *zap.Logger) []byte {
 	text, err := os.ReadFile(platform.SettingsPath())
 	if err != nil {
 		log.Warn("cannot read settings", zap.Error(err))
