runner: planned stops of the own interface answer all requests too

Drain called SetKeepAlivesEnabled(false), which closes idle connections at once, without their clients having been told, and Stop ended with Shutdown.

Fix: the entry is served by a drainer. After the drain it refuses connections, and waits up to 3 s for the next request on connections that clients keep open. bluebellgauged registers its signals before it serves: a SIGTERM during the start ended the process without a drain.

Evidence: the tests of drainer and TestRollingRestart.

--- a/cmd/bluebellgauged/main.go
+++ b/cmd/bluebellgauged/main.go
@@ -38,13 +38,14 @@
 		}
 		return exitSettings
 	}
+	// The daemon serves requests before start returns.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	d, log, err := start(opts.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "bluebellgauged:", err)
 		return exitSettings
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	select {
 	case <-signals:
 		d.Stop()
--- a/internal/daemon/runner/peering.go
+++ b/internal/daemon/runner/peering.go
@@ -256,18 +256,30 @@
 	}
 }
 
-// openListener listens on an address, with TLS if it is configured. The certificate is reloaded for each
-// connection, so that renewed files take effect without a restart.
+// openListener listens on an address, with TLS if it is configured.
 func openListener(address netip.AddrPort, t *parser.TLS) (net.Listener, error) {
-	l, err := net.Listen("tcp", address.String())
+	l, config, err := listenTCP(address, t)
 	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+		return nil, err
 	}
-	if t == nil {
+	if config == nil {
 		return l, nil
 	}
+	return tls.NewListener(l, config), nil
+}
+
+// listenTCP listens on an address and returns the TLS configuration for its connections, nil without TLS. The certificate is
+// reloaded for each connection, so that renewed files take effect without a restart.
+func listenTCP(address netip.AddrPort, t *parser.TLS) (*net.TCPListener, *tls.Config, error) {
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, nil, fmt.Errorf("listen: %w", err)
+	}
+	if t == nil {
+		return l, nil, nil
+	}
 	if _, err := tls.LoadX509KeyPair(t.Certificate, t.Key); err != nil {
-		return nil, errors.Join(fmt.Errorf("load certificate: %w", err), l.Close())
+		return nil, nil, errors.Join(fmt.Errorf("load certificate: %w", err), l.Close())
 	}
 	config := &tls.Config{
 		MinVersion: tls.VersionTLS12,
@@ -280,12 +292,12 @@
 	if t.Authority != "" {
 		pool, err := readCertPool(t.Authority)
 		if err != nil {
-			return nil, errors.Join(err, l.Close())
+			return nil, nil, errors.Join(err, l.Close())
 		}
 		config.ClientCAs = pool
 		config.ClientAuth = tls.RequireAndVerifyClientCert
 	}
-	return tls.NewListener(l, config), nil
+	return l, config, nil
 }
 
 func clientTLSConfig(t *parser.TLS) (*tls.Config, error) {
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -23,6 +23,7 @@
 
 	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
 	"github.com/bluebellgauge/bluebellgauge/internal/config/provider"
+	"github.com/bluebellgauge/bluebellgauge/internal/entry/drainer"
 	"github.com/bluebellgauge/bluebellgauge/internal/entry/forwarder"
 	"github.com/bluebellgauge/bluebellgauge/internal/entry/router"
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/coordinator"
@@ -37,6 +38,7 @@
 	maxPeerStreams    = 8192 // concurrent calls per daemon; consensus messages must not wait behind long polls of worker reports
 	drainPollInterval = 20 * time.Millisecond
 	minDrainTime      = 1500 * time.Millisecond // until the load balancer and the workers have noticed the drain
+	idleWait          = 3 * time.Second         // for the next request on connections that clients keep open
 )
 
 // Options are the settings and dependencies of a daemon.
@@ -109,7 +111,7 @@
 	peering       *peering
 	forwarder     *forwarder.Forwarder
 	replica       *replica // nil without a data folder
-	entryServer   *http.Server
+	entry         *drainer.Drainer
 	peerServer    *http.Server
 	metricsServer *http.Server // nil without a metrics address
 	closers       []func()
@@ -211,7 +213,7 @@
 
 func (r *Runner) listen() error {
 	s := r.opts.Settings
-	entry, err := openListener(s.ListenAddr(), s.TLS)
+	entry, encryption, err := listenTCP(s.ListenAddr(), s.TLS)
 	if err != nil {
 		return err
 	}
@@ -219,12 +221,11 @@
 	if err != nil {
 		return errors.Join(err, entry.Close())
 	}
-	r.entryServer = &http.Server{Handler: r.router, ReadHeaderTimeout: headerTimeout}
+	r.entry = drainer.New(entry, drainer.Options{Handler: r.router, ReadHeaderTimeout: headerTimeout, TLS: encryption, Fail: r.fail, Log: r.log})
 	r.peerServer = &http.Server{
 		Handler: r.peering.requireSecret(r.peerHandler()), ReadHeaderTimeout: headerTimeout, Protocols: peerProtocols(),
 		HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxPeerStreams},
 	}
-	r.serve(r.entryServer, entry)
 	r.serve(r.peerServer, peer)
 	return nil
 }
@@ -345,7 +346,7 @@
 	r.drainOnce.Do(func() {
 		close(r.draining)
 		r.router.SetDraining()
-		r.entryServer.SetKeepAlivesEnabled(false)
+		r.entry.Drain()
 		r.log.Info("draining")
 	})
 }
@@ -360,11 +361,11 @@
 	for time.Now().Before(deadline) && (r.router.InFlight() > 0 || time.Now().Before(earliest)) {
 		time.Sleep(drainPollInterval)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(time.Second))
-	defer cancel()
-	if err := r.entryServer.Shutdown(ctx); err != nil {
-		r.log.Warn("requests aborted at the end of the drain", zap.Error(err))
+	now := time.Now()
+	if last := now.Add(idleWait); last.Before(deadline) {
+		deadline = last
 	}
+	r.entry.Stop(now, deadline.Add(drainer.RefuseTime))
 	r.Kill()
 }
 
@@ -372,7 +373,10 @@
 func (r *Runner) Kill() {
 	r.stopOnce.Do(func() {
 		r.cancel()
-		for _, server := range []*http.Server{r.entryServer, r.peerServer, r.metricsServer} {
+		if r.entry != nil {
+			r.entry.Kill()
+		}
+		for _, server := range []*http.Server{r.peerServer, r.metricsServer} {
 			if server != nil {
 				_ = server.Close()
 			}
