drainer: the servers of a process stop to listen together

Cause: each server of a process stopped by itself; the one for callers closed as soon as it had no connection, while another waited for its clients up to the end of the grace period.

Fix: all servers of a process accept until none has a connection, and refuse from 0.6 s before the end on.

--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -365,7 +365,7 @@
 	if last := now.Add(idleWait); last.Before(deadline) {
 		deadline = last
 	}
-	r.entry.Stop(now, deadline.Add(drainer.RefuseTime))
+	drainer.Stop(now, deadline.Add(drainer.RefuseTime), r.entry)
 	r.Kill()
 }
 
--- a/internal/entry/drainer/drainer.go
+++ b/internal/entry/drainer/drainer.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,7 +20,7 @@
 const (
 	// RefuseTime is the time before the end of a stop at which a server should refuse connections, so that the requests of
 	// those that it has accepted are answered.
-	RefuseTime = time.Second
+	RefuseTime = 600 * time.Millisecond
 	// retireTime is the time before the end of a stop from which connections without a request are closed.
 	retireTime = 500 * time.Millisecond
 	// abortTime is the time before the end of a stop at which the contexts of the requests in progress are cancelled, so
@@ -99,25 +100,34 @@
 // Drain ends each connection with its next response. It does not block.
 func (d *Drainer) Drain() { d.draining.Store(true) }
 
-// Stop drains the server and returns once all clients have left, at the latest at end. From refuse on, or once no connection
-// is open, no connection is accepted. Shortly before end the connections without a request are closed, and then the contexts
-// of requests that are still in progress are cancelled with ErrStopping, so that they are answered.
-func (d *Drainer) Stop(refuse, end time.Time) {
-	d.Drain()
-	for d.open() > 0 && time.Now().Before(refuse) {
+// Stop drains the servers of a process and returns once all clients have left, at the latest at end. From refuse on, or once no
+// connection is open at any of them, no connection is accepted. Shortly before end the connections without a request are
+// closed, and then the contexts of requests that are still in progress are cancelled with ErrStopping, so that they are
+// answered.
+func Stop(refuse, end time.Time, servers ...*Drainer) {
+	isOpen := func(d *Drainer) bool { return d.open() > 0 }
+	for _, d := range servers {
+		d.Drain()
+	}
+	for slices.ContainsFunc(servers, isOpen) && time.Now().Before(refuse) {
 		time.Sleep(pollInterval)
 	}
-	d.stopping.Store(true)
-	d.stopListening()
-	timer := time.AfterFunc(time.Until(end.Add(-abortTime)), func() { d.abort(ErrStopping) })
-	defer timer.Stop()
-	for d.open() > 0 && time.Now().Before(end) {
+	for _, d := range servers {
+		d.stopListening()
+		timer := time.AfterFunc(time.Until(end.Add(-abortTime)), func() { d.abort(ErrStopping) })
+		defer timer.Stop()
+	}
+	for slices.ContainsFunc(servers, isOpen) && time.Now().Before(end) {
 		if time.Until(end) <= retireTime {
-			d.retire()
+			for _, d := range servers {
+				d.retire()
+			}
 		}
 		time.Sleep(pollInterval)
 	}
-	d.Kill()
+	for _, d := range servers {
+		d.Kill()
+	}
 }
 
 // Kill closes all connections at once.
@@ -146,6 +156,7 @@
 
 // stopListening returns once no connection is accepted any more.
 func (d *Drainer) stopListening() {
+	d.stopping.Store(true)
 	_ = d.listener.SetDeadline(time.Unix(1, 0)) // wakes Accept; fails only on a closed listener
 	<-d.served
 	_ = d.listener.Close() // it listens no more
--- a/internal/entry/drainer/drainer_test.go
+++ b/internal/entry/drainer/drainer_test.go
@@ -45,7 +45,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		d.Stop(start.Add(10*time.Second), start.Add(12*time.Second))
+		Stop(start.Add(10*time.Second), start.Add(12*time.Second), d)
 	}()
 	response, err := http.ReadResponse(bufio.NewReader(c), nil)
 	is.NoErr(err)
@@ -56,6 +56,28 @@
 	is.True(time.Since(start) < 5*time.Second)
 }
 
+// TestStopWaitsForAllServers guards against connections that are refused by a process that goes on to serve others: a server
+// without a connection stopped to listen while another one of the process waited for its clients.
+func TestStopWaitsForAllServers(t *testing.T) {
+	is := is.New(t)
+	first, address, _ := newServer(t, ok)
+	second, other, _ := newServer(t, ok)
+	c, err := net.Dial("tcp", other)
+	is.NoErr(err)
+	start := time.Now()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		Stop(start.Add(5*time.Second), start.Add(6*time.Second), first, second)
+	}()
+	time.Sleep(300 * time.Millisecond)
+	late, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	is.NoErr(late.Close())
+	is.NoErr(c.Close())
+	<-done
+}
+
 // TestStopRefusesConnections checks that a server that stops accepts no connections once it refuses them, and that one that
 // it has accepted keeps its time to send a request.
 func TestStopRefusesConnections(t *testing.T) {
@@ -67,7 +89,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		d.Stop(start, start.Add(2*time.Second))
+		Stop(start, start.Add(2*time.Second), d)
 	}()
 	time.Sleep(400 * time.Millisecond)
 	_, err = net.DialTimeout("tcp", address, 200*time.Millisecond)
@@ -97,7 +119,7 @@
 	_, err = io.WriteString(c, request)
 	is.NoErr(err)
 	<-started
-	go d.Stop(time.Now(), time.Now().Add(time.Second))
+	go Stop(time.Now(), time.Now().Add(time.Second), d)
 	response, err := http.ReadResponse(bufio.NewReader(c), nil)
 	is.NoErr(err)
 	is.NoErr(response.Body.Close())
