--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -234,11 +234,13 @@
 	return s.Identity
 }
 
-// transferLeadership transfers the leadership and waits, up to transferTimeout, until this replica is no longer the
-// leader.
-func (p *replica) transferLeadership(ctx context.Context) {
-	deadline := time.Now().Add(transferTimeout)
-	for time.Now().Before(deadline) && p.isLeader(ctx) {
+// transferLeadership transfers the leadership and waits, up to transferTimeout and until end, until this replica is no longer
+// the leader.
+func (p *replica) transferLeadership(ctx context.Context, end time.Time) {
+	if limit := time.Now().Add(transferTimeout); limit.Before(end) {
+		end = limit
+	}
+	for time.Now().Before(end) && p.isLeader(ctx) {
 		if ok, err := p.applier.Transfer(ctx); err != nil || !ok {
 			return
 		}
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -267,10 +267,10 @@
 // Fresh reports whether a leader has responded to this daemon within the given time.
 func (r *Runner) Fresh(bound time.Duration) bool { return r.registrar.Fresh(bound) }
 
-// TransferLeadership transfers the leadership if this daemon is the leader.
-func (r *Runner) TransferLeadership() {
+// TransferLeadership transfers the leadership if this daemon is the leader. It gives up at end.
+func (r *Runner) TransferLeadership(end time.Time) {
 	if r.replica != nil {
-		r.replica.transferLeadership(r.ctx)
+		r.replica.transferLeadership(r.ctx, end)
 	}
 }
 
@@ -355,7 +355,7 @@
 // settings, and shuts the daemon down.
 func (r *Runner) Stop() {
 	r.Drain()
-	r.TransferLeadership()
+	r.TransferLeadership(time.Now().Add(transferTimeout))
 	deadline := time.Now().Add(r.opts.Settings.Drain.Std())
 	earliest := time.Now().Add(min(minDrainTime, r.opts.Settings.Drain.Std()))
 	for time.Now().Before(deadline) && (r.router.InFlight() > 0 || time.Now().Before(earliest)) {
