persister: the names of an opened log are synced before entries are appended

Callers could lose jobs and configurations that had been accepted: the log that a keeper reads after a restart and appends to may bear a name that isn't on the disk yet.

The next process read the new log, appended, synced the file and acknowledged. After a loss of power the old log was back under that name: entries and votes acknowledged since the restart were gone, under the same identity. The replica then voted and counted as if it still had them.

The folder is synced before the log is opened for appending, so that what was read is durable before anything follows it.

--- a/internal/state/persister/persister.go
+++ b/internal/state/persister/persister.go
@@ -94,7 +94,7 @@
 		// A crash between the two renames of SaveSnapshot. New entries follow the snapshot, not this log.
 		err = p.rewriteAfter(initial)
 	} else {
-		err = p.openLog(contents.size)
+		err = p.continueLog(contents.size)
 	}
 	if err != nil {
 		return initial, unwritable("open log", err)
@@ -178,6 +178,15 @@
 	return nil
 }
 
+// continueLog opens a log that was read. The process that wrote it may have been killed between a rename and the sync of
+// the folder: the names must be durable before anything is appended.
+func (p *Persister) continueLog(size int64) error {
+	if err := p.files.SyncFolder(p.folder); err != nil {
+		return err
+	}
+	return p.openLog(size)
+}
+
 // openLog opens the log file for appending and truncates it to size, which drops a partial write at its end.
 func (p *Persister) openLog(size int64) error {
 	f, err := p.files.Open(p.path(logName), os.O_RDWR)
