runner: all changes of learners that are due are made by one membership change

Callers could lose all that was accepted if disks were lost early in a group's life, or again soon after a first loss: the group counted on fewer sound voters than its target for seconds.

Cause: each identity, each learner added and each one removed was a membership change of its own, 250 ms apart, and all of them came before the promotion of a voter. A group that starts with three seeds and is to have five voters kept its acknowledged entries on two disks of three until eleven changes had been made; if two disks are lost in that time, a quorum never comes back.

Only the voters have to change one at a time. The identities, the learners and one voter change together.

--- a/internal/daemon/runner/repair.go
+++ b/internal/daemon/runner/repair.go
@@ -26,32 +26,39 @@
 	return &repairer{voters: voters, timeout: timeout}
 }
 
-// next returns the membership to propose, or nil if no change is needed. The steps have this order: identities of
-// voters are recorded at their first heartbeat, unavailable learners are removed, standby replicas become learners, a
-// caught-up learner is promoted if a voter is unavailable, and only then the unavailable voter is removed. A second
-// failure right after a repair therefore still leaves a quorum. A voter whose disk was replaced is removed if no
-// learner can replace it.
+// next returns the membership to propose, or nil if no change is needed. One membership contains all changes that are due
+// except those of voters, which change one at a time: a caught-up learner is promoted if a voter is unavailable or missing,
+// and only then the unavailable voter is removed. A second failure right after a repair therefore still leaves a quorum.
+// A voter whose disk was replaced is removed if no learner can replace it.
 func (r *repairer) next(now time.Time, m *messages.Members, seen []registrar.KeeperStatus, caughtUp []string) *messages.Members {
 	m = proto.Clone(m).(*messages.Members)
-	if recordIdentity(m, seen) || r.removeLearner(now, m, seen) || addLearner(now, r.timeout, m, seen) {
-		return m
+	changed := recordIdentities(m, seen)
+	changed = r.updateLearners(now, m, seen) || changed
+	changed = r.changeVoter(now, m, seen, caughtUp) || changed
+	if !changed {
+		return nil
 	}
+	return m
+}
+
+// changeVoter adds or removes at most one voter.
+func (r *repairer) changeVoter(now time.Time, m *messages.Members, seen []registrar.KeeperStatus, caughtUp []string) bool {
 	unavailable := slices.IndexFunc(m.GetVoters(), func(v *messages.Member) bool { return r.isUnavailable(now, v, seen) })
 	if unavailable >= 0 && len(m.GetVoters()) > r.voters {
 		m.Voters = slices.Delete(m.Voters, unavailable, unavailable+1)
-		return m
+		return true
 	}
 	if (unavailable >= 0 || len(m.GetVoters()) < r.voters) && r.promoteLearner(now, m, seen, caughtUp) {
-		return m
+		return true
 	}
 	replaced := slices.IndexFunc(m.GetVoters(), func(v *messages.Member) bool { return isDiskReplaced(v, seen) })
 	if replaced >= 0 && len(m.GetVoters()) >= r.voters && r.voters > 1 {
 		// Its vote is lost with its disk, so that the quorum needs the same other voters with or without it. The
 		// replica can only rejoin, as a learner, once it has been removed.
 		m.Voters = slices.Delete(m.Voters, replaced, replaced+1)
-		return m
+		return true
 	}
-	return nil
+	return false
 }
 
 // isDiskReplaced reports whether the daemon with the member's name has another data folder than the member.
@@ -91,33 +98,32 @@
 	return now.Sub(last) > r.timeout
 }
 
-func recordIdentity(m *messages.Members, seen []registrar.KeeperStatus) bool {
+// recordIdentities records the identities of voters at their first heartbeats.
+func recordIdentities(m *messages.Members, seen []registrar.KeeperStatus) bool {
+	changed := false
 	for _, v := range m.GetVoters() {
 		if s := findReplica(seen, v.GetName()); v.GetIdentity() == "" && s != nil {
 			v.Identity = s.Identity
-			return true
+			changed = true
 		}
 	}
-	return false
+	return changed
 }
 
-func (r *repairer) removeLearner(now time.Time, m *messages.Members, seen []registrar.KeeperStatus) bool {
-	unavailable := slices.IndexFunc(m.GetLearners(), func(l *messages.Member) bool { return r.isUnavailable(now, l, seen) })
-	if unavailable >= 0 {
-		m.Learners = slices.Delete(m.Learners, unavailable, unavailable+1)
-	}
-	return unavailable >= 0
-}
-
-func addLearner(now time.Time, timeout time.Duration, m *messages.Members, seen []registrar.KeeperStatus) bool {
+// updateLearners removes unavailable learners and adds standby replicas. A learner that has lost its disk is added again by a
+// later change, so that the leader forgets what the disk held.
+func (r *repairer) updateLearners(now time.Time, m *messages.Members, seen []registrar.KeeperStatus) bool {
+	var added []*messages.Member
 	for _, s := range seen {
-		if replicator.FindMember(m, s.Name) != nil || now.Sub(s.Last) > timeout {
-			continue
+		if replicator.FindMember(m, s.Name) == nil && now.Sub(s.Last) <= r.timeout {
+			added = append(added, &messages.Member{Name: s.Name, Place: s.Place, Address: s.Address, Identity: s.Identity})
 		}
-		m.Learners = append(m.Learners, &messages.Member{Name: s.Name, Place: s.Place, Address: s.Address, Identity: s.Identity})
-		return true
 	}
-	return false
+	before := len(m.GetLearners())
+	m.Learners = slices.DeleteFunc(m.GetLearners(), func(l *messages.Member) bool { return r.isUnavailable(now, l, seen) })
+	changed := len(added) > 0 || len(m.GetLearners()) < before
+	m.Learners = append(m.Learners, added...)
+	return changed
 }
 
 // repairMembership proposes the next membership change, if this replica is the leader of the term.
