runner: a learner whose disk was replaced is not promoted

Callers could lose a job or a configuration that had just been accepted: an entry could be committed with the vote of a replica that no longer has it.

Cause: a learner counts as caught up for an election timeout after its last reply. If its disk is replaced in that time and a voter has to be replaced too, as when several disks are lost at once, the learner was promoted, and the leader went on to count what the old disk had held (progress.match). It stayed a voter that nobody accepts messages from.

Such a learner is removed as soon as its new disk is seen, and is added by a later change. The leader's record of what it holds begins anew then.

--- a/internal/daemon/runner/repair.go
+++ b/internal/daemon/runner/repair.go
@@ -110,8 +110,8 @@
 	return changed
 }
 
-// updateLearners removes unavailable learners and adds standby replicas. A learner that has lost its disk is added again by a
-// later change, so that the leader forgets what the disk held.
+// updateLearners removes learners that are unavailable or have lost their disk, and adds standby replicas. A learner that
+// has lost its disk is added again by a later change, so that the leader forgets what the disk held.
 func (r *repairer) updateLearners(now time.Time, m *messages.Members, seen []registrar.KeeperStatus) bool {
 	var added []*messages.Member
 	for _, s := range seen {
@@ -120,7 +120,9 @@
 		}
 	}
 	before := len(m.GetLearners())
-	m.Learners = slices.DeleteFunc(m.GetLearners(), func(l *messages.Member) bool { return r.isUnavailable(now, l, seen) })
+	m.Learners = slices.DeleteFunc(m.GetLearners(), func(l *messages.Member) bool {
+		return r.isUnavailable(now, l, seen) || isDiskReplaced(l, seen)
+	})
 	changed := len(added) > 0 || len(m.GetLearners()) < before
 	m.Learners = append(m.Learners, added...)
 	return changed
--- a/internal/daemon/runner/repair_test.go
+++ b/internal/daemon/runner/repair_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/bluebellgauge/bluebellgauge/internal/state/replicator"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 	"github.com/bluebellgauge/bluebellgauge/internal/worker/registrar"
 )
@@ -78,6 +79,9 @@
 		if !found {
 			t.Fatalf("%s was promoted but is not caught up", name)
 		}
+		if isDiskReplaced(replicator.FindMember(after, name), seen) {
+			t.Fatalf("%s was promoted but its disk was replaced", name)
+		}
 	}
 	if changed > 1 || len(newVoters) < 2 || len(newVoters) > 4 {
 		t.Fatalf("voters changed from %v to %v", oldVoters, newVoters)
@@ -101,3 +105,22 @@
 	is.True(r.isUnavailable(now, voter, []registrar.KeeperStatus{{Name: "k0", Identity: "new", Last: now}}))
 	is.True(!r.isUnavailable(now, voter, []registrar.KeeperStatus{{Name: "k0", Identity: "old", Last: now}}))
 }
+
+// TestWipedLearnerIsNotPromoted replaces the disk of a learner right after it has caught up. The leader counts what the old
+// disk held as stored, so that an entry could be acknowledged on fewer disks than a quorum.
+func TestWipedLearnerIsNotPromoted(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r := newRepairer(2, time.Minute)
+	r.termStart = now
+	m := &messages.Members{
+		Voters:   []*messages.Member{{Name: "k0", Identity: "first"}},
+		Learners: []*messages.Member{{Name: "k1", Identity: "old"}},
+	}
+	seen := []registrar.KeeperStatus{{Name: "k0", Identity: "first", Last: now}, {Name: "k1", Identity: "new", Last: now}}
+	next := r.next(now, m, seen, []string{"k1"})
+	is.Equal(len(next.GetVoters()), 1)
+	is.Equal(len(next.GetLearners()), 0) // it is added again by the next change
+	next = r.next(now, next, seen, nil)
+	is.Equal(next.GetLearners()[0].GetIdentity(), "new")
+}
