forwarder: a replica follows a leader whose disk was replaced before it learned of that

Callers could lose all that was accepted after fewer losses than are tolerated: a keeper that had been away, or caught up from an empty disk, stayed behind without a sign, and counted as a sound voter or standby all the while.

Cause: a replica refuses all messages from a data folder that isn't the one in its own membership. Its membership is that of its own log. A replica that lags knows the old folder of a leader whose disk was replaced since, refused its entries, and could therefore never learn of the new one while that leader led. The same holds for a replica that replays a log, whose first part names the leader's old folder.

TestReplacedLeaderIsFollowed failed before (permission denied) and passes.

What the check guards are votes and acknowledgements, which count for the folder.

--- a/internal/entry/forwarder/server.go
+++ b/internal/entry/forwarder/server.go
@@ -43,15 +43,31 @@
 
 // Exchange handles messages of the consensus protocol.
 func (s *Server) Exchange(ctx context.Context, b *messages.Batch) (*messages.Taken, error) {
+	list := b.GetMessages()
 	if !s.Replica.IdentityMatches(b.GetFrom(), b.GetIdentity()) {
+		list = leaderMessages(list)
+	}
+	if len(list) == 0 && len(b.GetMessages()) > 0 {
 		return nil, twirp.NewError(twirp.PermissionDenied, "the data folder of "+b.GetFrom()+" is not the one that is a member")
 	}
-	if err := s.Replica.Step(ctx, b.GetMessages()); err != nil {
+	if err := s.Replica.Step(ctx, list); err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
 	return &messages.Taken{}, nil
 }
 
+// leaderMessages returns the messages that only an elected leader sends. They are valid from any data folder: a replica that
+// lags may not have learned yet that the leader's folder was replaced. Votes and acknowledgements count for the folder.
+func leaderMessages(list []*messages.Message) []*messages.Message {
+	var fromLeader []*messages.Message
+	for _, m := range list {
+		if m.GetKind() == messages.Kind_KIND_APPEND || m.GetKind() == messages.Kind_KIND_SNAPSHOT {
+			fromLeader = append(fromLeader, m)
+		}
+	}
+	return fromLeader
+}
+
 // Propose commits an event.
 func (s *Server) Propose(ctx context.Context, p *messages.Proposal) (*messages.Decision, error) {
 	_, event, err := scheduler.Decode(p.GetEvent())
