--- a/cmd/bluebellplatformd/disk_test.go
+++ b/cmd/bluebellplatformd/disk_test.go
@@ -104,6 +104,9 @@
 	t.Cleanup(func() {
 		_ = k.command.Process.Kill()
 		<-k.exited
+		if t.Failed() {
+			t.Logf("log of %s:\n%s", k.control, k.log.String())
+		}
 	})
 	return k
 }
