coordinator: a run that ended as done after it was given up completes its task

Callers saw: a job waits for work that is finished.

Cause: a task ends as done on a worker behind a partition that outlasts the worker's lease. The leader commits the run as lapsed and starts the task again. Seconds later the worker is back and lists the end; the leader commits it, as the end of a run that is not in the state, and acknowledges it. The tracker drops it, so the worker forgets it and the repetition goes on. An end that is handled while the end of the lease is being committed was dropped in the same way.

Why it works: the leader commits such an end as "recovered", which completes the task or the gang if the run is not active and the task is not done. Runs that repeat it are stopped.

What was ruled out: a shorter lease repeats more work in each partition; waiting longer before the repetition delays the tasks of workers that crashed.

--- a/internal/queue/coordinator/metrics.go
+++ b/internal/queue/coordinator/metrics.go
@@ -41,7 +41,7 @@
 		m.submits[status] = scope.Tagged(map[string]string{"status": status}).Counter("submits")
 	}
 	for _, how := range []string{
-		tracker.EndDone, tracker.EndFailed, tracker.EndStopped, tracker.EndExpired, tracker.EndGangEnded, tracker.EndGangIncomplete, tracker.EndRefused,
+		tracker.EndDone, tracker.EndFailed, tracker.EndStopped, tracker.EndExpired, tracker.EndGangEnded, tracker.EndGangIncomplete, tracker.EndRefused, tracker.EndRecovered,
 	} {
 		m.ends[how] = scope.Tagged(map[string]string{"how": how}).Counter("ends")
 	}
--- a/internal/queue/coordinator/orders.go
+++ b/internal/queue/coordinator/orders.go
@@ -106,7 +106,10 @@
 		return true
 	}
 	s := j.Step(key.Occurrence, key.Step)
-	if !s.Spec.GetGang() || s.Done {
+	switch {
+	case s.Tasks[key.Task].Done:
+		return true // an earlier run has completed the task
+	case !s.Spec.GetGang() || s.Done:
 		return false
 	}
 	for i := range s.Tasks {
--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -182,7 +182,7 @@
 				c.wakeJobWorkers(j)
 				continue
 			}
-			if s := j.Step(e.GetOccurrence(), e.GetStep()); s != nil && s.Spec.GetGang() {
+			if s := j.Step(e.GetOccurrence(), e.GetStep()); s != nil && (s.Spec.GetGang() || e.GetHow() == tracker.EndRecovered) {
 				c.wakeStepWorkers(s)
 			}
 		}
@@ -389,11 +389,17 @@
 			continue
 		}
 		ends.Sequence = max(ends.Sequence, e.GetSequence())
+		if e.GetEnd().GetHow() == tracker.EndRecovered {
+			continue // only a leader says so
+		}
 		key := tracker.EndKeyOf(e.GetEnd())
 		c.observeOrder(w, key)
 		// An end of a run that is not in the state is committed too: what is acknowledged is recorded if the run is in
 		// the state by then.
 		ends.Ends = append(ends.Ends, e.GetEnd())
+		if recovered := c.recoveredEnd(state, w, e.GetEnd()); recovered != nil {
+			ends.Ends = append(ends.Ends, recovered)
+		}
 		if run := runs[key]; run == nil || run.GetBorn() != w.born {
 			c.metrics.unknownEnds.Inc(1)
 			c.opts.Log.Info("end of an unknown run", zap.String("request", key.Job), zap.Int32("occurrence", key.Occurrence), zap.Int32("step", key.Step),
--- a/internal/queue/tracker/job.go
+++ b/internal/queue/tracker/job.go
@@ -194,18 +194,39 @@
 	} else {
 		s.endTask(t, how, checkpoint)
 	}
+	j.finishStep(s, time)
+	if s.Failures(r.GetTask()) >= uint32(max(j.Work.GetAttempts(), 1)) {
+		j.finish(Failed, time)
+	}
+}
+
+// finishStep marks a step as done if no task of it remains, and the job as completed if no step does.
+func (j *Job) finishStep(s *Step, time int64) {
 	if s.remaining == 0 {
 		s.Done = true
 		j.remaining--
 	}
-	switch {
-	case j.remaining == 0:
+	if j.remaining == 0 {
 		j.finish(Completed, time)
-	case s.Failures(r.GetTask()) >= uint32(max(j.Work.GetAttempts(), 1)):
-		j.finish(Failed, time)
 	}
 }
 
+// completeTask completes a task, or its gang, with an earlier run than the active one, which is of no more use.
+func (j *Job) completeTask(key RunKey, time int64) {
+	s := j.Step(key.Occurrence, key.Step)
+	if s.Spec.GetGang() {
+		s.remaining = 0
+		for i := range s.Tasks {
+			t := &s.Tasks[i]
+			t.Done = t.Active > 0 && t.Number > key.Number
+		}
+	} else {
+		s.Tasks[key.Task].Done = true
+		s.remaining--
+	}
+	j.finishStep(s, time)
+}
+
 // endMember records the end of a member of a gang. The gang is done when any member is done, and several
 // failed members of one run count as one failure.
 func (s *Step) endMember(number uint32, how, checkpoint string) {
--- a/internal/queue/tracker/tracker.go
+++ b/internal/queue/tracker/tracker.go
@@ -68,13 +68,14 @@
 
 // Reasons for the end of a run.
 const (
-	EndDone           = "done"    // the task is complete
-	EndFailed         = "failed"  // because of the task or the worker
-	EndStopped        = "stopped" // by a stop order
-	EndExpired        = "lapsed"  // its lease expired
-	EndGangEnded      = "broken"  // another member of its gang ended
-	EndGangIncomplete = "alone"   // the other members of its gang did not join
-	EndRefused        = "refused" // it was never started
+	EndDone           = "done"      // the task is complete
+	EndFailed         = "failed"    // because of the task or the worker
+	EndStopped        = "stopped"   // by a stop order
+	EndExpired        = "lapsed"    // its lease expired
+	EndGangEnded      = "broken"    // another member of its gang ended
+	EndGangIncomplete = "alone"     // the other members of its gang did not join
+	EndRefused        = "refused"   // it was never started
+	EndRecovered      = "recovered" // the task is complete, though the end of the run was committed in another way before
 )
 
 // New returns an empty state.
@@ -221,6 +222,10 @@
 	runs := t.runs[e.GetWorker()]
 	for _, end := range e.GetEnds() {
 		key := EndKeyOf(end)
+		if end.GetHow() == EndRecovered {
+			t.recoverRun(key, time)
+			continue
+		}
 		r := runs[key]
 		if r == nil || r.GetBorn() != e.GetBorn() {
 			continue
@@ -247,6 +252,30 @@
 	}
 }
 
+// IsRecoverable reports whether a task that waits or runs again is complete if a run of it that is not active ended as
+// done.
+func (t *Tracker) IsRecoverable(key RunKey) bool {
+	j := t.jobs[key.Job]
+	if j == nil || j.Ended() {
+		return false
+	}
+	s := j.Step(key.Occurrence, key.Step)
+	if s == nil || s.Done || s.Spec.GetLasting() || key.Task < 0 || int(key.Task) >= len(s.Tasks) {
+		return false
+	}
+	task := &s.Tasks[key.Task]
+	return !task.Done && key.Number > 0 && key.Number <= task.Number && !t.IsActive(key)
+}
+
+// recoverRun completes the task, or the gang, of a run that has ended as done after its end was committed in another way.
+func (t *Tracker) recoverRun(key RunKey, time int64) {
+	if !t.IsRecoverable(key) {
+		return
+	}
+	t.jobs[key.Job].completeTask(key, time)
+	t.clearCrashes(key)
+}
+
 // isLost reports whether a run ended with the incarnation of its worker.
 func isLost(r *messages.Run, e *messages.WorkerEnds) bool {
 	return r.GetBorn() < e.GetBorn() || e.GetOver() && r.GetBorn() == e.GetBorn()
--- a/internal/queue/tracker/tracker_test.go
+++ b/internal/queue/tracker/tracker_test.go
@@ -133,7 +133,7 @@
 	}
 	e := &messages.End{
 		Job: job(), Occurrence: smallInt("k"), Step: smallInt("step") % 2, Task: smallInt("task"), Number: uint32(smallInt("number")) + 1, Saved: "s",
-		How: rapid.SampledFrom([]string{EndDone, EndFailed, EndStopped, EndExpired, EndGangEnded, EndGangIncomplete, EndRefused}).Draw(t, "how"),
+		How: rapid.SampledFrom([]string{EndDone, EndFailed, EndStopped, EndExpired, EndGangEnded, EndGangIncomplete, EndRefused, EndRecovered}).Draw(t, "how"),
 	}
 	return &messages.QueueChange{Ends: []*messages.WorkerEnds{{Worker: worker(), Born: int64(smallInt("born")), Sequence: 1, Ends: []*messages.End{e}}}}
 }
