forwarder: calls leave an unresponsive leader after a redirect too

Callers saw calls that took two seconds more than a change of leader: a call in flight to a leader that does not respond (frozen, cut off, waiting for its disk) is moved once another call finds the new leader. That did not happen if the new leader was named by another replica first: the redirect made it the known leader, and its first reply then counted as nothing new. The calls waited for callTimeout (2 s).

Only a reply makes a leader confirmed now, and the first one moves the calls.

TestCallsMoveAfterRedirect: 2.04 s before, the limit is 1 s.

--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -45,6 +45,8 @@
 
 	mu     sync.Mutex
 	leader netip.AddrPort // last known, zero if none
+	// confirmed means that leader has replied as the leader. Otherwise another replica named it.
+	confirmed bool
 	// failedLeader is the address of the last failed call. It is not used even if the local replica still
 	// names it as the leader, because a replica that was removed from the membership is not informed of later
 	// leaders.
@@ -108,13 +110,13 @@
 	}
 	f.failedLeader = address
 	if f.leader == address {
-		f.leader = netip.AddrPort{}
+		f.leader, f.confirmed = netip.AddrPort{}, false
 	}
 	f.nextKeeper++
 	var te twirp.Error
 	if errors.As(err, &te) {
 		if hint, parseErr := netip.ParseAddrPort(te.Meta(leaderMeta)); parseErr == nil && hint != address && !f.leader.IsValid() {
-			f.leader = hint
+			f.leader, f.confirmed = hint, false
 		}
 	}
 }
@@ -125,10 +127,10 @@
 	if f.failedLeader == address {
 		f.failedLeader = netip.AddrPort{}
 	}
-	if f.leader == address {
+	if f.leader == address && f.confirmed {
 		return // other calls were cancelled when it was found; scanning thousands on each reply would be slow
 	}
-	f.leader = address
+	f.leader, f.confirmed = address, true
 	for c := range f.inFlight {
 		if c.address != address {
 			c.cancel(errLeaderChanged)
--- a/internal/entry/forwarder/forwarder_test.go
+++ b/internal/entry/forwarder/forwarder_test.go
@@ -125,3 +125,35 @@
 	f.recordResult(first, errors.New("request timed out"))
 	is.Equal(f.leader, second)
 }
+
+// TestCallsMoveAfterRedirect guards against calls that wait for an unresponsive leader until they time out, although another
+// call was redirected to the new leader and answered there.
+func TestCallsMoveAfterRedirect(t *testing.T) {
+	is := is.New(t)
+	unresponsive := &keeperStub{blocked: make(chan struct{})}
+	unresponsiveAddress := serveStub(t, unresponsive)
+	t.Cleanup(func() { close(unresponsive.blocked) })
+	follower := serveStub(t, &keeperStub{leader: serveStub(t, &keeperStub{})})
+	f := New("http", http.DefaultClient, fixedDirectory{unresponsiveAddress, follower})
+	f.recordResult(unresponsiveAddress, nil)
+	served := make(chan error)
+	start := time.Now()
+	for range 3 {
+		go func() {
+			_, err := f.Fetch(context.Background())
+			served <- err
+		}()
+	}
+	for pending := 0; pending < 3; time.Sleep(time.Millisecond) {
+		f.mu.Lock()
+		pending = len(f.inFlight)
+		f.mu.Unlock()
+	}
+	f.recordResult(unresponsiveAddress, context.DeadlineExceeded) // of a heartbeat
+	_, err := f.Fetch(context.Background())
+	is.NoErr(err)
+	for range 3 {
+		is.NoErr(<-served)
+	}
+	is.True(time.Since(start) < callTimeout/2)
+}
