bluebellplatformd: tests of calls during changes of leader; addresses of their own

Real processes, three keepers and an entry: 24 callers hand in jobs, ask for them and cancel some while leaders are stopped or killed in a row, or syncs take 200 to 900 ms on one keeper after the other. Each call must be answered within its deadline, accepted jobs must be known and cancelled ones stay so, and refused ones must not exist.

--- a/cmd/bluebellplatformd/disk_test.go
+++ b/cmd/bluebellplatformd/disk_test.go
@@ -21,7 +21,8 @@
 
 // fullVariable names the environment variable with the path of a file that describes the operations that the
 // command's disk has no space for: an operation and the end of a path as in "write /log". A path alone stands for all
-// operations. Without that file there is space for all.
+// operations. Without that file there is space for all. After the word "slow" and a duration, the operations are not
+// refused but take as long.
 const fullVariable = "BLUEBELLGAUGE_TEST_FULL"
 
 // testDisk returns the disk of the command when it is run by a test.
@@ -31,19 +32,44 @@
 		return filer.Disk{}
 	}
 	return filer.Faulty{Files: filer.Disk{}, Fault: func(op filer.Operation, file string) error {
-		refused, err := os.ReadFile(path)
-		kind, suffix, one := strings.Cut(string(refused), " ")
+		text, err := os.ReadFile(path)
+		refused, delay := cutDelay(string(text))
+		kind, suffix, one := strings.Cut(refused, " ")
 		if !one {
 			kind, suffix = op.String(), kind
 		}
-		if err == nil && kind == op.String() && strings.HasSuffix(file, suffix) {
+		affected := err == nil && kind == op.String() && strings.HasSuffix(file, suffix)
+		if affected && delay == 0 {
 			return syscall.ENOSPC
 		}
+		if affected {
+			time.Sleep(delay)
+		}
 		return nil
 	}}
 }
 
-// keeper is the command, run as a keeper of a system.
+// cutDelay returns the operations that a text names and how long they take, 0 if they are refused.
+func cutDelay(text string) (operations string, delay time.Duration) {
+	rest, slow := strings.CutPrefix(text, "slow ")
+	if !slow {
+		return text, 0
+	}
+	duration, operations, _ := strings.Cut(rest, " ")
+	delay, err := time.ParseDuration(duration)
+	if err != nil {
+		panic("delay of a disk: " + err.Error())
+	}
+	return operations, delay
+}
+
+// testAddress returns an address that no other test process uses at this time, as the ports are fixed.
+func testAddress(host byte) netip.Addr {
+	pid := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, byte(128 + pid>>8%64), byte(pid), host})
+}
+
+// keeper is the command, run as a keeper of a system or, without a disk, as an entry.
 type keeper struct {
 	t       *testing.T
 	folder  string
@@ -51,8 +77,9 @@
 	command *exec.Cmd
 	exited  chan struct{}
 
-	mu  sync.Mutex
-	log bytes.Buffer
+	mu   sync.Mutex
+	log  bytes.Buffer
+	past int // times that processes before this one became the leader
 }
 
 // Write appends to the log.
@@ -71,7 +98,7 @@
 // startKeeper starts the command, as the only keeper of a system, on a disk without space for the given operations.
 func startKeeper(t *testing.T, refused string) *keeper {
 	t.Helper()
-	return startKeeperOf(t, []netip.Addr{netip.MustParseAddr("127.83.0.1")}, 0, refused)
+	return startKeeperOf(t, []netip.Addr{testAddress(1)}, 0, refused)
 }
 
 // startKeeperOf starts one of the keepers of a system.
@@ -79,7 +106,7 @@
 	t.Helper()
 	is := is.New(t)
 	address := addresses[index]
-	k := &keeper{t: t, folder: t.TempDir(), control: netip.AddrPortFrom(address, 8526), exited: make(chan struct{})}
+	k := &keeper{t: t, folder: t.TempDir(), control: netip.AddrPortFrom(address, 8526)}
 	var seeds []string
 	for _, a := range addresses {
 		seeds = append(seeds, netip.AddrPortFrom(a, 8526).String())
@@ -90,20 +117,11 @@
 		"seed_nodes": seeds, "bounds": map[string]any{"grace_s": 1.5}, "fault_tolerance": map[string]any{"machines": len(addresses) / 2},
 	})
 	is.NoErr(err)
-	path := filepath.Join(k.folder, "node.json")
-	is.NoErr(os.WriteFile(path, settings, 0o600))
+	is.NoErr(os.WriteFile(k.settingsPath(), settings, 0o600))
 	k.fill(refused)
-	k.command = exec.Command(os.Args[0])
-	k.command.Env = []string{runMainVariable + "=1", platform.SettingsVariable + "=" + path, fullVariable + "=" + k.fullPath()}
-	k.command.Stdout, k.command.Stderr = k, k
-	is.NoErr(k.command.Start())
-	go func() {
-		defer close(k.exited)
-		_ = k.command.Wait() // the exit code is read from the command
-	}()
+	k.run()
 	t.Cleanup(func() {
-		_ = k.command.Process.Kill()
-		<-k.exited
+		k.kill()
 		if t.Failed() {
 			t.Logf("log of %s:\n%s", k.control, k.log.String())
 		}
@@ -111,6 +129,28 @@
 	return k
 }
 
+// run starts the process on the settings and the disk that it had.
+func (k *keeper) run() {
+	is := is.New(k.t)
+	command, exited := exec.Command(os.Args[0]), make(chan struct{})
+	command.Env = []string{runMainVariable + "=1", platform.SettingsVariable + "=" + k.settingsPath(), fullVariable + "=" + k.fullPath()}
+	command.Stdout, command.Stderr = k, k
+	is.NoErr(command.Start())
+	k.command, k.exited = command, exited
+	go func() {
+		defer close(exited)
+		_ = command.Wait() // the exit code is read from the command
+	}()
+}
+
+// kill ends the process with SIGKILL.
+func (k *keeper) kill() {
+	_ = k.command.Process.Kill() // it may have exited
+	<-k.exited
+}
+
+func (k *keeper) settingsPath() string { return filepath.Join(k.folder, "node.json") }
+
 func (k *keeper) fullPath() string { return filepath.Join(k.folder, "full") }
 
 // fill takes the space for the given operations, and frees that for others.
--- a/cmd/bluebellplatformd/disks_test.go
+++ b/cmd/bluebellplatformd/disks_test.go
@@ -21,7 +21,8 @@
 type group struct {
 	t       *testing.T
 	keepers []*keeper
-	version int // of the last configuration that was sent
+	version int    // of the last configuration that was sent
+	routes  string // of the configurations, as JSON
 }
 
 func startGroup(t *testing.T, size int) *group {
@@ -29,7 +30,7 @@
 	g := &group{t: t}
 	var addresses []netip.Addr
 	for i := range size {
-		addresses = append(addresses, netip.AddrFrom4([4]byte{127, 83, 1, byte(i + 1)}))
+		addresses = append(addresses, testAddress(byte(i+1)))
 	}
 	for i := range size {
 		k := startKeeperOf(t, addresses, i, "none")
@@ -42,7 +43,7 @@
 // took. It gives up after a time.
 func (g *group) change(limit time.Duration) time.Duration {
 	g.version++
-	body := fmt.Appendf(nil, `{"version":%d,"services":[{"name":"s"}],"routes":[],"tenants":[]}`, g.version)
+	body := fmt.Appendf(nil, `{"version":%d,"services":[{"name":"s"}],"routes":[%s],"tenants":[]}`, g.version, g.routes)
 	client := &http.Client{Timeout: responseTime}
 	start := time.Now()
 	for n := g.version; time.Since(start) < limit; n++ {
