coordinator: accepted changes are logged with index and term of their entry

A job, cancellation or catalog that was accepted and later missing could not be looked up in the log of a replica: the lines of acceptance named no entry, and a copy of a known job was logged without its path or id. A cancellation or a catalog whose outcome was unknown left no line on the keeper.

applier.Propose returns a Receipt with index, term and orders, and Commit of the coordinator passes it on. With an unknown outcome the receipt names the entry that this leader appended, which a later leader may have kept or replaced. What is committed is unchanged; no new line is written for an accepted call.

--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -109,9 +109,8 @@
 		Read: func(ctx context.Context, read func(term uint64, state *tracker.Tracker)) error {
 			return a.Read(ctx, func(term uint64, state *scheduler.State) { read(term, state.Queues()) })
 		},
-		Commit: func(ctx context.Context, change *messages.QueueChange) error {
-			_, err := a.Propose(ctx, scheduler.ChangeQueues{Change: change})
-			return err
+		Commit: func(ctx context.Context, change *messages.QueueChange) (applier.Receipt, error) {
+			return a.Propose(ctx, scheduler.ChangeQueues{Change: change})
 		},
 		RedirectError: rep.server.RedirectError, Wait: coordinator.Wait, Now: time.Now, Wall: time.Now, Metrics: r.opts.Metrics.SubScope("queues"), Log: r.log,
 		Cores: cmp.Or(r.opts.Queues.Cores, float64(runtime.GOMAXPROCS(0))), RackFactor: r.opts.Queues.RackFactor,
--- a/internal/entry/forwarder/server.go
+++ b/internal/entry/forwarder/server.go
@@ -74,12 +74,12 @@
 	if err != nil {
 		return nil, twirp.NewError(twirp.InvalidArgument, err.Error())
 	}
-	orders, err := s.Replica.Propose(ctx, event)
+	receipt, err := s.Replica.Propose(ctx, event)
 	if err != nil {
 		return nil, s.RedirectError(ctx, err)
 	}
 	reply := scheduler.Reply{Status: scheduler.StatusOK}
-	for _, o := range orders {
+	for _, o := range receipt.Orders {
 		if r, ok := o.(scheduler.Reply); ok {
 			reply = r
 		}
--- a/internal/queue/coordinator/call.go
+++ b/internal/queue/coordinator/call.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/applier"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
 
@@ -58,24 +59,26 @@
 		return nil, c.opts.RedirectError(ctx, err)
 	}
 	if work == nil {
-		c.logSubmit(s.GetWork(), version, verdict)
+		c.logSubmit(s, s.GetWork(), version, verdict, applier.Receipt{})
 		return verdict, nil
 	}
-	err = c.commit(ctx, &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Submits: []*messages.Work{work}})
+	receipt, err := c.commit(ctx, &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Submits: []*messages.Work{work}})
 	if err != nil {
-		c.opts.Log.Warn("job submission outcome unknown", zap.String("request", work.GetId()), zap.Error(err))
+		c.opts.Log.Warn("job submission outcome unknown", zap.String("request", work.GetId()),
+			zap.Uint64("index", receipt.Index), zap.Uint64("term", receipt.Term), zap.Error(err))
 		return nil, c.opts.RedirectError(ctx, err)
 	}
-	c.logSubmit(work, version, verdict)
+	c.logSubmit(s, work, version, verdict, receipt)
 	c.triggerPass()
 	return verdict, nil
 }
 
-func (c *Coordinator) logSubmit(w *messages.Work, version uint64, v *messages.Verdict) {
+func (c *Coordinator) logSubmit(s *messages.Submission, w *messages.Work, version uint64, v *messages.Verdict, receipt applier.Receipt) {
 	count(c.metrics.submits, v.GetStatus())
-	c.opts.Log.Info("job submitted", zap.String("request", w.GetId()), zap.String("queue", w.GetQueue()),
+	c.opts.Log.Info("job submitted", zap.String("path", s.GetPath()), zap.String("request", w.GetId()), zap.String("queue", w.GetQueue()),
 		zap.String("organisation", w.GetOrganisation()), zap.Uint64("catalog", version),
-		zap.String("outcome", v.GetStatus()), zap.String("reason", v.GetReason()))
+		zap.String("outcome", v.GetStatus()), zap.String("reason", v.GetReason()),
+		zap.Uint64("index", receipt.Index), zap.Uint64("term", receipt.Term))
 }
 
 // admit decides whether a job is accepted. work is nil if there is nothing to commit.
@@ -149,10 +152,13 @@
 	if id == "" {
 		return verdict, nil
 	}
-	if err := c.commit(ctx, &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Cancels: []string{id}}); err != nil {
+	receipt, err := c.commit(ctx, &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Cancels: []string{id}})
+	if err != nil {
+		c.opts.Log.Warn("job cancellation outcome unknown", zap.String("request", id),
+			zap.Uint64("index", receipt.Index), zap.Uint64("term", receipt.Term), zap.Error(err))
 		return nil, c.opts.RedirectError(ctx, err)
 	}
-	c.opts.Log.Info("job cancelled", zap.String("request", id))
+	c.opts.Log.Info("job cancelled", zap.String("request", id), zap.Uint64("index", receipt.Index), zap.Uint64("term", receipt.Term))
 	if err := c.read(ctx, func(state *tracker.Tracker) { c.wakeJobWorkers(state.Job(id)) }); err != nil {
 		c.opts.Log.Info("workers not notified of cancellation", zap.String("request", id), zap.Error(err))
 	}
@@ -205,14 +211,19 @@
 		c.opts.Log.Warn("catalog refused", zap.Uint64("version", catalog.GetVersion()), zap.String("reason", refusal.GetReason()))
 		return refusal, nil
 	}
+	var receipt applier.Receipt
 	if catalog.GetVersion() > current {
-		if err := c.commit(ctx, &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Catalog: catalog}); err != nil {
+		receipt, err = c.commit(ctx, &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Catalog: catalog})
+		if err != nil {
+			c.opts.Log.Warn("catalog installation outcome unknown", zap.Uint64("version", catalog.GetVersion()),
+				zap.Uint64("index", receipt.Index), zap.Uint64("term", receipt.Term), zap.Error(err))
 			return nil, c.opts.RedirectError(ctx, err)
 		}
 		c.triggerPass()
 	}
 	c.opts.Log.Info("catalog received", zap.Uint64("version", catalog.GetVersion()), zap.Uint64("held", current),
-		zap.Int("queues", len(catalog.GetQueues())), zap.Bool("installed", catalog.GetVersion() > current))
+		zap.Int("queues", len(catalog.GetQueues())), zap.Bool("installed", catalog.GetVersion() > current),
+		zap.Uint64("index", receipt.Index), zap.Uint64("term", receipt.Term))
 	return &messages.Verdict{Status: StatusOK}, nil
 }
 
--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -15,6 +15,7 @@
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/pacer"
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/placer"
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/applier"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
 
@@ -82,7 +83,7 @@
 	// overlap.
 	Read func(ctx context.Context, read func(term uint64, state *tracker.Tracker)) error
 	// Commit returns after a change has been committed and applied.
-	Commit func(ctx context.Context, change *messages.QueueChange) error
+	Commit func(ctx context.Context, change *messages.QueueChange) (applier.Receipt, error)
 	// RedirectError converts an error of Read or Commit to one that names the leader.
 	RedirectError func(ctx context.Context, err error) error
 	// Wait returns at the limit, or earlier if wake receives or the context ends.
@@ -250,7 +251,7 @@
 	if err != nil || change == nil {
 		return took // another keeper leads, or there is nothing to commit
 	}
-	if err := c.commit(ctx, change); err != nil {
+	if _, err := c.commit(ctx, change); err != nil {
 		c.opts.Log.Warn("scheduling decisions not committed", zap.Int("starts", len(change.GetStarts())), zap.Int("ends", len(change.GetEnds())), zap.Error(err))
 		return took
 	}
@@ -279,11 +280,11 @@
 }
 
 // commit commits a change and records how long that took.
-func (c *Coordinator) commit(ctx context.Context, change *messages.QueueChange) error {
+func (c *Coordinator) commit(ctx context.Context, change *messages.QueueChange) (applier.Receipt, error) {
 	start := time.Now()
-	err := c.opts.Commit(ctx, change)
+	receipt, err := c.opts.Commit(ctx, change)
 	c.metrics.commit.RecordDuration(time.Since(start))
-	return err
+	return receipt, err
 }
 
 // clearExpiring allows orders to workers again after the ends of their runs have been committed.
--- a/internal/queue/coordinator/coordinator_test.go
+++ b/internal/queue/coordinator/coordinator_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/applier"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
 
@@ -20,6 +21,7 @@
 	*Coordinator
 	state      *tracker.Tracker
 	leaderTerm uint64
+	index      uint64 // of the last commit
 	now        time.Time
 	// wait replaces the wait of a long poll.
 	wait func(ctx context.Context, wake <-chan struct{}, limit time.Duration)
@@ -36,12 +38,13 @@
 			read(f.leaderTerm, f.state)
 			return nil
 		},
-		Commit: func(ctx context.Context, c *messages.QueueChange) error {
+		Commit: func(ctx context.Context, c *messages.QueueChange) (applier.Receipt, error) {
 			if ctx.Err() != nil {
-				return ctx.Err()
+				return applier.Receipt{}, ctx.Err()
 			}
 			f.state.Apply(c)
-			return nil
+			f.index++
+			return applier.Receipt{Index: f.index, Term: f.leaderTerm}, nil
 		},
 		RedirectError: func(_ context.Context, err error) error { return err },
 		Wait:          func(ctx context.Context, wake <-chan struct{}, limit time.Duration) { f.wait(ctx, wake, limit) },
--- a/internal/queue/coordinator/ends_test.go
+++ b/internal/queue/coordinator/ends_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/applier"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
 
@@ -20,7 +21,7 @@
 	is.Equal(f.submit(t, "/q/a", "k1"), StatusOK)
 	f.report(t, 1, nil)
 	commit := f.opts.Commit
-	f.opts.Commit = func(ctx context.Context, c *messages.QueueChange) error {
+	f.opts.Commit = func(ctx context.Context, c *messages.QueueChange) (applier.Receipt, error) {
 		f.state.Apply(&messages.QueueChange{Starts: []*messages.Run{{Job: "a", Number: 1, Worker: "w", Born: 5}}})
 		return commit(ctx, c)
 	}
@@ -71,7 +72,7 @@
 	f.startRun(t)
 	f.now = f.now.Add(time.Minute)
 	read, commit := f.opts.Read, f.opts.Commit
-	f.opts.Commit = func(ctx context.Context, c *messages.QueueChange) error {
+	f.opts.Commit = func(ctx context.Context, c *messages.QueueChange) (applier.Receipt, error) {
 		f.opts.Read = func(context.Context, func(uint64, *tracker.Tracker)) error {
 			f.opts.Read = read
 			return errors.New("no lease")
--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -86,7 +86,7 @@
 		return &messages.FleetOrders{Address: c.opts.Address}, nil
 	}
 	if change != nil {
-		if err := c.commit(receiveCtx, change); err != nil {
+		if _, err := c.commit(receiveCtx, change); err != nil {
 			return nil, c.opts.RedirectError(ctx, err)
 		}
 		c.triggerPass()
--- a/internal/queue/simulator/simulator.go
+++ b/internal/queue/simulator/simulator.go
@@ -19,6 +19,7 @@
 
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/coordinator"
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/applier"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
 
@@ -413,7 +414,9 @@
 			read(term, s.state)
 			return nil
 		},
-		Commit:        func(_ context.Context, change *messages.QueueChange) error { return s.commit(term, change) },
+		Commit: func(_ context.Context, change *messages.QueueChange) (applier.Receipt, error) {
+			return applier.Receipt{}, s.commit(term, change)
+		},
 		RedirectError: func(_ context.Context, err error) error { return err },
 		Wait:          s.wait,
 		Now:           func() time.Time { return s.now },
--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -118,8 +118,8 @@
 }
 
 type result struct {
-	orders []scheduler.Order
-	err    error
+	receipt Receipt
+	err     error
 }
 
 func (inputMessages) input() {}
@@ -405,7 +405,7 @@
 	}
 	p.term = a.node.Term()
 	if old := a.proposals[index]; old != nil {
-		old.reply <- result{err: ErrOutcomeUnknown}
+		old.reply <- result{receipt: Receipt{Index: index, Term: old.term}, err: ErrOutcomeUnknown}
 	}
 	a.proposals[index] = p
 }
@@ -567,9 +567,9 @@
 	switch {
 	case p == nil:
 	case p.term != e.GetTerm():
-		p.reply <- result{err: ErrOutcomeUnknown}
+		p.reply <- result{receipt: Receipt{Index: e.GetIndex(), Term: p.term}, err: ErrOutcomeUnknown}
 	default:
-		p.reply <- result{orders: orders}
+		p.reply <- result{receipt: Receipt{Index: e.GetIndex(), Term: p.term, Orders: orders}}
 	}
 }
 
@@ -603,7 +603,7 @@
 
 func (a *Applier) failPending(err error) {
 	for index, p := range a.proposals {
-		p.reply <- result{err: err}
+		p.reply <- result{receipt: Receipt{Index: index, Term: p.term}, err: err}
 		delete(a.proposals, index)
 	}
 }
--- a/internal/state/applier/requests.go
+++ b/internal/state/applier/requests.go
@@ -27,22 +27,30 @@
 	}
 }
 
-// Propose commits an event and returns the orders that resulted from applying it.
-func (a *Applier) Propose(ctx context.Context, e scheduler.Event) ([]scheduler.Order, error) {
+// Receipt identifies the log entry of a proposal. With ErrOutcomeUnknown or ErrStopped it is the entry that was
+// appended by this replica, zero if that is not known.
+type Receipt struct {
+	Index  uint64
+	Term   uint64
+	Orders []scheduler.Order // that resulted from applying the entry
+}
+
+// Propose commits an event and returns its receipt once the event is applied.
+func (a *Applier) Propose(ctx context.Context, e scheduler.Event) (Receipt, error) {
 	return a.commit(ctx, &proposal{kind: messages.EntryKind_ENTRY_EVENT, event: e, reply: make(chan result, 1)})
 }
 
-func (a *Applier) commit(ctx context.Context, p *proposal) ([]scheduler.Order, error) {
+func (a *Applier) commit(ctx context.Context, p *proposal) (Receipt, error) {
 	if err := a.enqueue(ctx, p); err != nil {
-		return nil, err
+		return Receipt{}, err
 	}
 	select {
 	case r := <-p.reply:
-		return r.orders, r.err
+		return r.receipt, r.err
 	case <-a.done:
-		return nil, ErrStopped
+		return Receipt{}, ErrStopped
 	case <-ctx.Done():
-		return nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, ctx.Err())
+		return Receipt{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, ctx.Err())
 	}
 }
 
