--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -152,9 +152,11 @@
 	if err := a.restore(initial); err != nil {
 		return nil, errors.Join(err, storage.Close())
 	}
+	a.logStart(initial)
 	go func() {
 		defer close(a.done)
 		a.failure = a.run()
+		a.logPosition("replica stopped", zap.Error(a.failure))
 		a.leader.Store(&none)
 		a.failPending(ErrStopped)
 		if err := storage.Close(); err != nil {
@@ -315,7 +317,11 @@
 		return err
 	}
 	a.suspended, a.resumedAt = false, a.opts.Elapsed()
-	return a.restore(initial)
+	if err := a.restore(initial); err != nil {
+		return err
+	}
+	a.logStart(initial)
+	return nil
 }
 
 // settle ends the series of suspensions once the replica has run for the settle time.
@@ -449,7 +455,7 @@
 	}
 	leading := a.node.Role() == replicator.Leader
 	if a.leading != leading {
-		a.opts.Log.Info("leadership changed", zap.Bool("leading", leading), zap.Uint64("term", a.node.Term()), zap.String("leader", a.node.Leader()))
+		a.logPosition("leadership changed", zap.Bool("leading", leading), zap.String("leader", a.node.Leader()))
 	}
 	if a.leading && !leading {
 		a.failPending(ErrOutcomeUnknown)
@@ -474,15 +480,21 @@
 func (a *Applier) process(out *replicator.Output) error {
 	a.opts.Send(out.Immediate)
 	if out.Install != nil {
+		previous := a.applied
 		if err := a.install(out.Install); err != nil {
 			return err
 		}
+		a.logPosition("snapshot installed", zap.Uint64("index", out.Install.Index), zap.Uint64("snapshotterm", out.Install.Term),
+			zap.Uint64("previous", previous), zap.Int("dropped", out.Dropped), zap.String("leader", a.node.Leader()))
 	}
 	if out.HardState != nil || out.Truncate > 0 || len(out.Entries) > 0 {
 		if err := a.write(out); err != nil {
 			return err
 		}
 	}
+	if out.Truncate > 0 {
+		a.logPosition("log truncated", zap.Uint64("from", out.Truncate), zap.Int("dropped", out.Dropped), zap.String("leader", a.node.Leader()))
+	}
 	if n := len(out.Entries); n > 0 {
 		a.node.Synced(out.Entries[n-1].GetIndex())
 	}
@@ -543,6 +555,8 @@
 			return fmt.Errorf("apply entry %d: %w", e.GetIndex(), err)
 		}
 		a.members = m
+		a.opts.Log.Info("membership applied", zap.Uint64("index", e.GetIndex()), zap.Uint64("term", e.GetTerm()),
+			zap.Strings("voters", memberNames(m.GetVoters())), zap.Strings("learners", memberNames(m.GetLearners())))
 	case messages.EntryKind_ENTRY_EVENT:
 		now, event, err := scheduler.Decode(e.GetData())
 		if err != nil {
--- a/internal/state/persister/persister.go
+++ b/internal/state/persister/persister.go
@@ -62,6 +62,13 @@
 	file      filer.File // nil while Reopen has not succeeded
 	size      int64
 	failed    error // of the write since which the contents of the log are unknown
+	recovery  Recovery
+}
+
+// Recovery describes what the last Open or Reopen found in the folder.
+type Recovery struct {
+	New     bool  // the folder held no log
+	Dropped int64 // bytes of a partial or torn write at the end of the log, which were discarded
 }
 
 // Open opens or creates the storage in a folder and returns its contents. A new folder starts with the bootstrap
@@ -87,6 +94,7 @@
 	}
 	if contents == nil {
 		initial.Members = p.bootstrap
+		p.recovery = Recovery{New: true}
 		return initial, p.createLog()
 	}
 	p.identity = contents.hello.GetIdentity()
@@ -120,6 +128,7 @@
 	if contents.hello.GetName() != p.name {
 		return initial, nil, fmt.Errorf("%w: %q, not %q", ErrNameMismatch, contents.hello.GetName(), p.name)
 	}
+	p.recovery = Recovery{Dropped: contents.dropped}
 	initial.HardState = contents.hard
 	initial.Members = contents.hello.GetMembers()
 	if initial.Members == nil {
@@ -207,6 +216,9 @@
 // Identity returns the random identifier that the folder got at its creation.
 func (p *Persister) Identity() string { return p.identity }
 
+// Recovery returns what the last Open or Reopen found in the folder.
+func (p *Persister) Recovery() Recovery { return p.recovery }
+
 // Size returns the size of the log file in bytes.
 func (p *Persister) Size() int64 { return p.size }
 
--- a/internal/state/persister/reader.go
+++ b/internal/state/persister/reader.go
@@ -21,6 +21,7 @@
 	hard    *messages.HardState
 	entries []*messages.Entry
 	size    int64 // of all complete frames, in bytes
+	dropped int64 // bytes of a partial or torn write after them
 }
 
 // readLog reads a log file. A power loss may leave the last write partial or torn, so a damaged last frame is
@@ -48,6 +49,7 @@
 	if c.hello == nil {
 		return nil, fmt.Errorf("%w: log has no header record", ErrCorrupt)
 	}
+	c.dropped = int64(len(data)) - c.size
 	return c, nil
 }
 
--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -61,6 +61,7 @@
 	Install   *Snapshot           // to replace the state and the log; must be synced
 	HardState *messages.HardState // to be synced, nil if unchanged
 	Truncate  uint64              // first index to remove from the stored log, 0 for none
+	Dropped   int                 // entries that Install and Truncate remove from the end of the log
 	Entries   []*messages.Entry   // to be appended and synced
 	AfterSync []*messages.Message // to be sent after all of the above is synced
 	Committed []*messages.Entry   // to be applied
@@ -103,6 +104,7 @@
 	hardState *messages.HardState // as of the last TakeOutput
 	out       Output
 	truncate  uint64
+	dropped   int // entries removed from the end of the log since the last TakeOutput
 }
 
 type membershipChange struct {
@@ -160,6 +162,9 @@
 // Committed returns the index of the last entry known to be committed.
 func (n *Node) Committed() uint64 { return n.log.committed }
 
+// LastSynced returns the index of the last entry that is synced, which is the last one that this node may have acknowledged.
+func (n *Node) LastSynced() uint64 { return n.log.synced }
+
 // LogLength returns the number of entries after the last snapshot.
 func (n *Node) LogLength() int { return len(n.log.entries) }
 
@@ -403,6 +408,7 @@
 	o := n.out
 	n.out = Output{}
 	o.Truncate, n.truncate = n.truncate, 0
+	o.Dropped, n.dropped = n.dropped, 0
 	o.Entries = n.log.takeUnsynced()
 	o.Committed = n.log.takeCommitted()
 	hard := &messages.HardState{Term: n.term, Vote: n.vote, Commit: n.log.committed, Led: n.led}
--- a/internal/state/replicator/replication.go
+++ b/internal/state/replicator/replication.go
@@ -108,6 +108,7 @@
 	if index <= n.log.committed {
 		panic(fmt.Sprintf("truncate log from entry %d: entries up to %d are committed", index, n.log.committed))
 	}
+	n.dropped += int(n.log.last() + 1 - index)
 	n.log.truncateFrom(index)
 	for len(n.pendingChanges) > 0 && n.pendingChanges[len(n.pendingChanges)-1].index >= index {
 		n.members = n.pendingChanges[len(n.pendingChanges)-1].previous
@@ -241,6 +242,9 @@
 
 func (n *Node) install(s *Snapshot) {
 	n.snapshot = s
+	if last := n.log.last(); last > s.Index {
+		n.dropped += int(last - s.Index)
+	}
 	n.log.reset(s.Index, s.Term)
 	n.members = s.Members
 	n.pendingChanges = nil
