bluebellplatformd, coordinator: tests follow the new log line and the receipt of a commit

The lines on leadership have the leader before the position in the log now, and Commit returns a receipt; two tests that were written before that follow. A failed test prints the end of a keeper's log, not all of it. No check is changed.

--- a/cmd/bluebellplatformd/disk_test.go
+++ b/cmd/bluebellplatformd/disk_test.go
@@ -69,6 +69,9 @@
 	return netip.AddrFrom4([4]byte{127, byte(128 + pid>>8%64), byte(pid), host})
 }
 
+// printedBytes is how much of a keeper's log is printed when a test fails.
+const printedBytes = 8 << 10
+
 // keeper is the command, run as a keeper of a system or, without a disk, as an entry.
 type keeper struct {
 	t       *testing.T
@@ -123,7 +126,8 @@
 	t.Cleanup(func() {
 		k.kill()
 		if t.Failed() {
-			t.Logf("log of %s:\n%s", k.control, k.log.String())
+			text := k.log.String()
+			t.Logf("end of the log of %s:\n%s", k.control, text[max(0, len(text)-printedBytes):])
 		}
 	})
 	return k
--- a/cmd/bluebellplatformd/leaders_test.go
+++ b/cmd/bluebellplatformd/leaders_test.go
@@ -214,8 +214,8 @@
 
 // Parts of the log lines of a keeper that becomes the leader or ceases to be it.
 const (
-	leadsLine   = `"leading":true,"term":`
-	followsLine = `"leading":false,"term":`
+	leadsLine   = `"leading":true,"leader":`
+	followsLine = `"leading":false,"leader":`
 )
 
 // leads reports whether a keeper leads according to its log.
--- a/internal/queue/coordinator/late_test.go
+++ b/internal/queue/coordinator/late_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/applier"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
 
@@ -83,18 +84,18 @@
 	f.startRun(t)
 	f.now = f.now.Add(time.Minute)
 	commit := f.opts.Commit
-	f.opts.Commit = func(_ context.Context, expiry *messages.QueueChange) error {
+	f.opts.Commit = func(_ context.Context, expiry *messages.QueueChange) (applier.Receipt, error) {
 		var reported []*messages.QueueChange
-		f.opts.Commit = func(_ context.Context, c *messages.QueueChange) error {
+		f.opts.Commit = func(_ context.Context, c *messages.QueueChange) (applier.Receipt, error) {
 			reported = append(reported, c)
-			return nil
+			return applier.Receipt{}, nil
 		}
 		f.report(t, 3, doneOnFirst(1))
 		f.opts.Commit = commit
 		for _, c := range append([]*messages.QueueChange{expiry}, reported...) {
 			f.state.Apply(c)
 		}
-		return nil
+		return applier.Receipt{}, nil
 	}
 	f.Pass(context.Background())
 	is.Equal(f.state.Job("a").Phase, tracker.Completed)
