forwarder: calls that lose their reply are logged at both ends

A request that an entry passed on and that ended without an answer could not be followed: the entry logged only the last error, without the keeper and the attempts before, and the keeper nothing when the connection ended before its reply.

The entry logs each repetition of a call whose outcome is open (at most 5 lines a call) and the call that is given up, and counts both by method. The keeper logs the calls whose context has ended, or whose reply could not be written, with the outcome that was not delivered.

--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -154,7 +154,7 @@
 		return err
 	}
 	r.peering = peers
-	r.forwarder = forwarder.New(peers.scheme, peers.client, peers)
+	r.forwarder = forwarder.New(peers.scheme, peers.client, peers, metrics.SubScope("forwarded"), r.log)
 	if r.opts.Queues.Timing.Lease == 0 {
 		r.opts.Queues = DefaultQueueOptions()
 	}
@@ -234,9 +234,10 @@
 	if r.replica == nil {
 		return http.NotFoundHandler()
 	}
+	unanswered := forwarder.UnansweredLog(r.log)
 	m := mux.NewRouter()
-	m.PathPrefix(messages.PeerPathPrefix).Handler(messages.NewPeerServer(r.replica.server))
-	m.PathPrefix(messages.QueuesPathPrefix).Handler(messages.NewQueuesServer(r.replica.queues))
+	m.PathPrefix(messages.PeerPathPrefix).Handler(messages.NewPeerServer(r.replica.server, unanswered...))
+	m.PathPrefix(messages.QueuesPathPrefix).Handler(messages.NewQueuesServer(r.replica.queues, unanswered...))
 	return m
 }
 
--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -15,6 +15,8 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/twitchtv/twirp"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/job/scheduler"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
@@ -42,6 +44,8 @@
 	scheme    string
 	client    *http.Client
 	directory Directory
+	metrics   map[string]callMetrics // by method
+	log       *zap.Logger
 
 	mu     sync.Mutex
 	leader netip.AddrPort // last known, zero if none
@@ -68,8 +72,10 @@
 var errLeaderChanged = errors.New("another replica is the leader")
 
 // New returns a forwarder without a known leader. client must send the daemons' credentials.
-func New(scheme string, client *http.Client, directory Directory) *Forwarder {
-	return &Forwarder{scheme: scheme, client: client, directory: directory, inFlight: map[*pendingCall]struct{}{}}
+func New(scheme string, client *http.Client, directory Directory, metrics tally.Scope, log *zap.Logger) *Forwarder {
+	return &Forwarder{
+		scheme: scheme, client: client, directory: directory, metrics: newMetrics(metrics), log: log, inFlight: map[*pendingCall]struct{}{},
+	}
 }
 
 // target returns the address of the next call.
@@ -154,33 +160,43 @@
 
 // call sends a request to the leader and retries until it gets a reply or the context ends. This requires
 // that all forwarded requests are idempotent.
-func call[T any](ctx context.Context, f *Forwarder, timeout time.Duration, send func(context.Context, netip.AddrPort) (T, error)) (T, error) {
+func call[T any](ctx context.Context, f *Forwarder, r request, send func(context.Context, netip.AddrPort) (T, error)) (T, error) {
 	wait := &backoff.ExponentialBackOff{
 		InitialInterval: initialBackoff, MaxInterval: maxBackoff, Multiplier: 1.5, RandomizationFactor: 0.5,
 	}
 	wait.Reset()
 	var zero T
-	for {
-		reply, err := attempt(ctx, f, timeout, send)
+	lines := 0
+	for n := 1; ; n++ {
+		start := time.Now()
+		reply, keeper, err := attempt(ctx, f, r.timeout, send)
 		if err == nil {
 			return reply, nil
 		}
 		if isPermanent(err) {
 			return zero, err
 		}
+		failed := failedAttempt{number: n, keeper: keeper, took: time.Since(start), err: err}
+		if ctx.Err() == nil {
+			lines = f.recordRepeat(r, failed, lines)
+		}
 		select {
 		case <-ctx.Done():
+			f.recordGivenUp(ctx, r, failed)
 			return zero, fmt.Errorf("%w: %w", ErrNoLeader, err)
 		case <-time.After(wait.NextBackOff()):
 		}
 	}
 }
 
-func attempt[T any](ctx context.Context, f *Forwarder, timeout time.Duration, send func(context.Context, netip.AddrPort) (T, error)) (T, error) {
+// attempt sends a request once and returns the replica that it was sent to, zero if none is known.
+func attempt[T any](
+	ctx context.Context, f *Forwarder, timeout time.Duration, send func(context.Context, netip.AddrPort) (T, error),
+) (T, netip.AddrPort, error) {
 	var zero T
 	address, ok := f.target()
 	if !ok {
-		return zero, ErrNoLeader
+		return zero, address, ErrNoLeader
 	}
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -203,7 +219,7 @@
 	if err != nil && moved {
 		err = fmt.Errorf("%w: %w", errLeaderChanged, err)
 	}
-	return reply, err
+	return reply, address, err
 }
 
 func (f *Forwarder) peer(address netip.AddrPort) messages.Peer {
@@ -231,8 +247,9 @@
 	if err != nil {
 		return reply, err
 	}
-	d, err := call(ctx, f, callTimeout, func(ctx context.Context, a netip.AddrPort) (*messages.Decision, error) {
-		return f.peer(a).Propose(ctx, &messages.Proposal{Event: event})
+	p := &messages.Proposal{Event: event}
+	d, err := call(ctx, f, request{methodPropose, p, callTimeout}, func(ctx context.Context, a netip.AddrPort) (*messages.Decision, error) {
+		return f.peer(a).Propose(ctx, p)
 	})
 	if err != nil {
 		return reply, err
@@ -243,7 +260,8 @@
 // Await returns a job as soon as it has its answer, or its current state after the wait.
 func (f *Forwarder) Await(ctx context.Context, org, key string, wait time.Duration) (view scheduler.JobView, known bool, err error) {
 	deadline := time.Now().Add(wait)
-	d, err := call(ctx, f, wait+callTimeout, func(ctx context.Context, a netip.AddrPort) (*messages.Decision, error) {
+	r := request{methodAwait, &messages.Wait{Organisation: org, Key: key}, wait + callTimeout}
+	d, err := call(ctx, f, r, func(ctx context.Context, a netip.AddrPort) (*messages.Decision, error) {
 		left := max(time.Until(deadline), 0)
 		return f.peer(a).Await(ctx, &messages.Wait{Organisation: org, Key: key, Milliseconds: left.Milliseconds()})
 	})
@@ -258,7 +276,7 @@
 
 // Query returns a view of the leader's state as JSON.
 func (f *Forwarder) Query(ctx context.Context, q *messages.Question) (json.RawMessage, error) {
-	d, err := call(ctx, f, callTimeout, func(ctx context.Context, a netip.AddrPort) (*messages.Decision, error) {
+	d, err := call(ctx, f, request{methodQuery, q, callTimeout}, func(ctx context.Context, a netip.AddrPort) (*messages.Decision, error) {
 		return f.peer(a).Query(ctx, q)
 	})
 	return json.RawMessage(d.GetBody()), err
@@ -266,14 +284,17 @@
 
 // Sync sends a heartbeat without retries and returns the leader's reply.
 func (f *Forwarder) Sync(ctx context.Context, b *messages.Beat) (*messages.Orders, error) {
-	return attempt(ctx, f, heartbeatTimeout, func(ctx context.Context, a netip.AddrPort) (*messages.Orders, error) {
+	orders, _, err := attempt(ctx, f, heartbeatTimeout, func(ctx context.Context, a netip.AddrPort) (*messages.Orders, error) {
 		return f.peer(a).Sync(ctx, b)
 	})
+	return orders, err
 }
 
+const notLeaderMessage = "not the leader"
+
 // NotLeader returns the error that redirects a caller to the leader. address may be empty.
 func NotLeader(address string) error {
-	err := twirp.NewError(twirp.Unavailable, "not the leader")
+	err := twirp.NewError(twirp.Unavailable, notLeaderMessage)
 	if address != "" {
 		err = err.WithMeta(leaderMeta, address)
 	}
--- a/internal/entry/forwarder/forwarder_test.go
+++ b/internal/entry/forwarder/forwarder_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/matryer/is"
 	"github.com/twitchtv/twirp"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
@@ -54,7 +56,7 @@
 	leaderAddress := serveStub(t, leader)
 	former := &keeperStub{leader: leaderAddress}
 	formerAddress := serveStub(t, former)
-	f := New("http", http.DefaultClient, fixedDirectory{formerAddress})
+	f := New("http", http.DefaultClient, fixedDirectory{formerAddress}, tally.NoopScope, zap.NewNop())
 	f.SetLocalReplica(LocalReplica{Leader: func() netip.AddrPort { return formerAddress }})
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
@@ -70,7 +72,7 @@
 func TestCancelledCallKeepsLeader(t *testing.T) {
 	is := is.New(t)
 	address := serveStub(t, &keeperStub{})
-	f := New("http", http.DefaultClient, fixedDirectory{address})
+	f := New("http", http.DefaultClient, fixedDirectory{address}, tally.NoopScope, zap.NewNop())
 	_, err := f.Fetch(context.Background())
 	is.NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -90,7 +92,7 @@
 	unresponsiveAddress := serveStub(t, unresponsive)
 	t.Cleanup(func() { close(unresponsive.blocked) })
 	newLeader := serveStub(t, &keeperStub{})
-	f := New("http", http.DefaultClient, fixedDirectory{unresponsiveAddress})
+	f := New("http", http.DefaultClient, fixedDirectory{unresponsiveAddress}, tally.NoopScope, zap.NewNop())
 	f.leader = unresponsiveAddress
 	served := make(chan error)
 	start := time.Now()
@@ -119,7 +121,7 @@
 func TestLateFailureKeepsNewLeader(t *testing.T) {
 	is := is.New(t)
 	first, second := netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")
-	f := New("http", http.DefaultClient, fixedDirectory{first, second})
+	f := New("http", http.DefaultClient, fixedDirectory{first, second}, tally.NoopScope, zap.NewNop())
 	f.recordResult(first, nil)
 	f.recordResult(second, nil)
 	f.recordResult(first, errors.New("request timed out"))
--- a/internal/entry/forwarder/queues.go
+++ b/internal/entry/forwarder/queues.go
@@ -36,36 +36,37 @@
 // Submit sends a job to the leader and retries until the context ends. The error is ErrNoLeader if the
 // outcome is unknown.
 func (f *Forwarder) Submit(ctx context.Context, s *messages.Submission) (*messages.Verdict, error) {
-	return call(ctx, f, callTimeout, func(ctx context.Context, a netip.AddrPort) (*messages.Verdict, error) {
+	return call(ctx, f, request{methodSubmit, s, callTimeout}, func(ctx context.Context, a netip.AddrPort) (*messages.Verdict, error) {
 		return f.queues(a).Submit(ctx, s)
 	})
 }
 
 // Cancel cancels a job on the leader.
 func (f *Forwarder) Cancel(ctx context.Context, l *messages.Lookup) (*messages.Verdict, error) {
-	return call(ctx, f, callTimeout, func(ctx context.Context, a netip.AddrPort) (*messages.Verdict, error) {
+	return call(ctx, f, request{methodCancel, l, callTimeout}, func(ctx context.Context, a netip.AddrPort) (*messages.Verdict, error) {
 		return f.queues(a).Cancel(ctx, l)
 	})
 }
 
 // Look returns the phase of a job or the length of a queue from the leader.
 func (f *Forwarder) Look(ctx context.Context, l *messages.Lookup) (*messages.Verdict, error) {
-	return call(ctx, f, callTimeout, func(ctx context.Context, a netip.AddrPort) (*messages.Verdict, error) {
+	return call(ctx, f, request{methodLook, l, callTimeout}, func(ctx context.Context, a netip.AddrPort) (*messages.Verdict, error) {
 		return f.queues(a).Look(ctx, l)
 	})
 }
 
 // Install installs a catalog on the leader.
 func (f *Forwarder) Install(ctx context.Context, c *messages.Catalog) (*messages.Verdict, error) {
-	return call(ctx, f, callTimeout, func(ctx context.Context, a netip.AddrPort) (*messages.Verdict, error) {
+	return call(ctx, f, request{methodInstall, c, callTimeout}, func(ctx context.Context, a netip.AddrPort) (*messages.Verdict, error) {
 		return f.queues(a).Install(ctx, c)
 	})
 }
 
 // Fetch returns the catalog in force from the leader.
 func (f *Forwarder) Fetch(ctx context.Context) (*messages.Catalog, error) {
-	return call(ctx, f, callTimeout, func(ctx context.Context, a netip.AddrPort) (*messages.Catalog, error) {
-		return f.queues(a).Fetch(ctx, &messages.Lookup{})
+	l := &messages.Lookup{}
+	return call(ctx, f, request{methodFetch, l, callTimeout}, func(ctx context.Context, a netip.AddrPort) (*messages.Catalog, error) {
+		return f.queues(a).Fetch(ctx, l)
 	})
 }
 
@@ -80,7 +81,7 @@
 		if !f.hasLeader() {
 			return nil, ErrNoLeader
 		}
-		orders, err := attempt(ctx, f, callTimeout, func(ctx context.Context, a netip.AddrPort) (*messages.FleetOrders, error) {
+		orders, _, err := attempt(ctx, f, callTimeout, func(ctx context.Context, a netip.AddrPort) (*messages.FleetOrders, error) {
 			return f.queues(a).Report(ctx, r)
 		})
 		if err == nil || n == maxReportAttempts || !isRedirect(err) {
--- a/internal/entry/forwarder/report_test.go
+++ b/internal/entry/forwarder/report_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
@@ -40,7 +42,7 @@
 	}
 	former, current := serve(unresponsive), serve(leader)
 	t.Cleanup(func() { close(unresponsive.released) })
-	f := New("http", http.DefaultClient, fixedDirectory{former})
+	f := New("http", http.DefaultClient, fixedDirectory{former}, tally.NoopScope, zap.NewNop())
 	f.leader = former
 	answered := make(chan error, 1)
 	ctx, cancel := context.WithTimeout(context.Background(), 950*time.Millisecond)
