--- a/internal/entry/forwarder/forwarder_test.go
+++ b/internal/entry/forwarder/forwarder_test.go
@@ -136,7 +136,7 @@
 	unresponsiveAddress := serveStub(t, unresponsive)
 	t.Cleanup(func() { close(unresponsive.blocked) })
 	follower := serveStub(t, &keeperStub{leader: serveStub(t, &keeperStub{})})
-	f := New("http", http.DefaultClient, fixedDirectory{unresponsiveAddress, follower})
+	f := New("http", http.DefaultClient, fixedDirectory{unresponsiveAddress, follower}, tally.NoopScope, zap.NewNop())
 	f.recordResult(unresponsiveAddress, nil)
 	served := make(chan error)
 	start := time.Now()
