applier: a slow write does not take the lead away

Callers saw calls that took up to 2.9 s, and some 502, each time a sync of the leader took longer than the shortest election timeout (560 ms): the goroutine that owns the replica waited for the sync, so no heartbeat left and no reply was handled, the leader stepped down, and the outcome of each submission in flight was unknown to it.

Writes run on a goroutine of their own, one at a time. During a write a leader sends heartbeats and new entries, handles replies and serves reads. No other output is taken from the node before the write has ended, so that the order of what is stored and what is promised stays the same; the leader's own entries count for the quorum only once they are synced. A replica that does not lead waits for its write as before. So that heartbeats don't keep the lead at a disk on which no commit gets through, a leader hands over after two writes in a row of 560 ms or longer, and resigns during one of 1.12 s. The order to campaign depends on nothing that is unsynced and no longer waits for a sync.

Synced takes the entry in place of its index: a node that is deposed during a write may have replaced the entries that were being written. The two tests that called it pass the entry; TestSchedules also draws slow and stuck disks.

--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -46,6 +46,8 @@
 	settleTime     = 5 * time.Second        // of running, after which a suspension counts as over
 	snapshotRetry  = 5 * time.Second        // after a snapshot for which there was no space
 	slowWrite      = 100 * time.Millisecond // a write of the log that is reported
+	maxWriteTicks  = 2 * electionTicks      // of a leader's write, after which it resigns
+	maxSlowWrites  = 2                      // of a leader in a row, each as long as an election timeout, after which it hands over
 )
 
 // Options are the dependencies and parameters of a replica.
@@ -85,6 +87,12 @@
 	resumeWait  time.Duration // between the probes of the next suspension
 	notSaved    bool          // there was no space for the last snapshot
 	nextSave    time.Duration // Options.Elapsed before which no snapshot is saved
+	slowWrites  int           // latest writes of this leader that took as long as an election timeout
+	logBytes    int64         // size of the stored log at the end of the last write
+
+	writing *pendingWrite // nil if no write is in progress
+	writes  chan func() error
+	written chan error // results of writes
 
 	inbox     chan input
 	peerInbox chan input    // consensus messages, handled before other inputs
@@ -142,6 +150,8 @@
 		opts: opts, storage: storage, state: scheduler.New(), members: initial.Members,
 		inbox:     make(chan input, inboxSize),
 		peerInbox: make(chan input, inboxSize),
+		writes:    make(chan func() error),
+		written:   make(chan error, 1),
 		proposals: map[uint64]*proposal{},
 		waiters:   map[string][]chan scheduler.JobView{},
 		done:      make(chan struct{}),
@@ -153,12 +163,21 @@
 		return nil, errors.Join(err, storage.Close())
 	}
 	a.logStart(initial)
+	writerDone := make(chan struct{})
+	go func() {
+		defer close(writerDone)
+		for write := range a.writes {
+			a.written <- write()
+		}
+	}()
 	go func() {
 		defer close(a.done)
 		a.failure = a.run()
 		a.logPosition("replica stopped", zap.Error(a.failure))
 		a.leader.Store(&none)
 		a.failPending(ErrStopped)
+		close(a.writes)
+		<-writerDone
 		if err := storage.Close(); err != nil {
 			opts.Log.Error("close storage", zap.Error(err))
 		}
@@ -211,6 +230,9 @@
 	}, initial)
 	a.latestMembers.Store(a.node.Members())
 	a.lastTick = a.opts.Elapsed()
+	if a.storage != nil {
+		a.logBytes = a.storage.Size()
+	}
 	return nil
 }
 
@@ -246,21 +268,30 @@
 	ticker := time.NewTicker(a.opts.Tick)
 	defer ticker.Stop()
 	for {
+		peerInbox, inbox, ticks := a.peerInbox, a.inbox, ticker.C
+		if a.writing != nil && a.node.Role() != replicator.Leader {
+			peerInbox, inbox, ticks = nil, nil, nil // all that it could answer has to wait for the write
+		}
 		select {
 		case <-a.stop:
 			return errStop
-		case in := <-a.peerInbox:
+		case err := <-a.written:
+			if err := a.finishWrite(err); err != nil {
+				return err
+			}
+		case in := <-peerInbox:
 			a.catchUp()
 			a.handle(in)
 			a.drain()
-		case in := <-a.inbox:
+		case in := <-inbox:
 			a.catchUp()
 			a.drainPeerInbox()
 			a.handle(in)
 			a.drain()
-		case <-ticker.C:
+		case <-ticks:
 			a.catchUp()
 			a.proposeTick()
+			a.resignIfStuck()
 		}
 		if err := a.processOutputs(); err != nil {
 			return err
@@ -438,9 +469,16 @@
 	a.propose(&proposal{kind: messages.EntryKind_ENTRY_EVENT, event: scheduler.Tick{}, reply: make(chan result, 1)})
 }
 
-// processOutputs processes the node's outputs until none are left, and then saves a snapshot if one is due.
+// processOutputs processes the node's outputs until none are left or a write is in progress, and saves a snapshot if one is
+// due.
 func (a *Applier) processOutputs() error {
-	for {
+	for a.writing == nil {
+		if a.isSnapshotDue() && a.opts.Elapsed() >= a.nextSave && a.node.CanCompact(a.applied) {
+			if err := a.saveSnapshot(); err != nil {
+				return err
+			}
+			break
+		}
 		out := a.node.TakeOutput()
 		if out.Empty() {
 			break
@@ -449,12 +487,22 @@
 			return err
 		}
 	}
+	if a.writing != nil {
+		a.opts.Send(a.node.TakeImmediate())
+	}
+	a.observeNode()
+	return nil
+}
+
+// observeNode takes note of changes of the members and of the leader.
+func (a *Applier) observeNode() {
 	a.latestMembers.Store(a.node.Members())
 	if leader := a.node.Leader(); leader != *a.leader.Load() {
 		a.leader.Store(&leader)
 	}
 	leading := a.node.Role() == replicator.Leader
 	if a.leading != leading {
+		a.slowWrites = 0
 		a.logPosition("leadership changed", zap.Bool("leading", leading), zap.String("leader", a.node.Leader()))
 	}
 	if a.leading && !leading {
@@ -462,21 +510,21 @@
 		a.tickPending = false
 	}
 	a.leading = leading
-	if a.isSnapshotDue() && a.applied > 0 && a.opts.Elapsed() >= a.nextSave {
-		return a.saveSnapshot()
-	}
-	return nil
 }
 
 // isSnapshotDue reports whether the applied entries are many, or large enough for the cost of a snapshot.
 func (a *Applier) isSnapshotDue() bool {
-	if a.node.LogLength() >= a.opts.SnapshotEvery {
+	if a.applied <= a.node.LogStart() {
+		return false
+	}
+	if a.applied-a.node.LogStart() >= uint64(a.opts.SnapshotEvery) {
 		return true
 	}
 	limit := max(a.opts.SnapshotBytes, a.node.SnapshotBytes()/2)
 	return a.opts.SnapshotBytes > 0 && a.node.LogBytes(a.applied, limit) >= limit
 }
 
+// process carries out an output. If something is to be written, finishWrite ends that.
 func (a *Applier) process(out *replicator.Output) error {
 	a.opts.Send(out.Immediate)
 	if out.Install != nil {
@@ -487,38 +535,23 @@
 		a.logPosition("snapshot installed", zap.Uint64("index", out.Install.Index), zap.Uint64("snapshotterm", out.Install.Term),
 			zap.Uint64("previous", previous), zap.Int("dropped", out.Dropped), zap.String("leader", a.node.Leader()))
 	}
-	if out.HardState != nil || out.Truncate > 0 || len(out.Entries) > 0 {
-		if err := a.write(out); err != nil {
+	for _, e := range out.Committed {
+		if err := a.apply(e); err != nil {
 			return err
 		}
 	}
+	if out.HardState == nil && out.Truncate == 0 && len(out.Entries) == 0 {
+		a.opts.Send(out.AfterSync)
+		return nil
+	}
 	if out.Truncate > 0 {
 		a.logPosition("log truncated", zap.Uint64("from", out.Truncate), zap.Int("dropped", out.Dropped), zap.String("leader", a.node.Leader()))
 	}
-	if n := len(out.Entries); n > 0 {
-		a.node.Synced(out.Entries[n-1].GetIndex())
-	}
-	a.opts.Send(out.AfterSync)
-	for _, e := range out.Committed {
-		if err := a.apply(e); err != nil {
-			return err
-		}
-	}
+	w := &pendingWrite{what: "log", entries: len(out.Entries), finish: func(err error) error { return a.finishAppend(out, err) }}
+	a.startWrite(w, func() error { return a.storage.Append(out.Truncate, out.HardState, out.Entries) })
 	return nil
 }
 
-// write appends the output to the log. Until it returns, the replica handles no messages, and a leader steps down if that
-// takes as long as an election timeout.
-func (a *Applier) write(out *replicator.Output) error {
-	start := a.opts.Elapsed()
-	err := a.storage.Append(out.Truncate, out.HardState, out.Entries)
-	if took := a.opts.Elapsed() - start; took >= slowWrite {
-		a.opts.Log.Warn("slow write of the log", zap.Duration("took", took), zap.Int("entries", len(out.Entries)),
-			zap.Uint64("term", a.node.Term()), zap.Bool("leading", a.leading))
-	}
-	return err
-}
-
 // install replaces the state with a snapshot from the leader.
 func (a *Applier) install(s *replicator.Snapshot) error {
 	if s.Index < a.applied {
@@ -622,6 +655,7 @@
 	}
 }
 
+// saveSnapshot starts to write a snapshot of the state.
 func (a *Applier) saveSnapshot() error {
 	data, err := a.state.Save()
 	if err != nil {
@@ -629,10 +663,15 @@
 	}
 	s := &replicator.Snapshot{Index: a.applied, Term: a.node.TermAt(a.applied), Members: a.members, Data: data}
 	hard, rest := a.node.Stored(a.applied)
-	err = a.storage.SaveSnapshot(s, hard, rest)
+	w := &pendingWrite{what: "snapshot", entries: len(rest), finish: func(err error) error { return a.finishSnapshot(s, err) }}
+	a.startWrite(w, func() error { return a.storage.SaveSnapshot(s, hard, rest) })
+	return nil
+}
+
+func (a *Applier) finishSnapshot(s *replicator.Snapshot, err error) error {
 	if errors.Is(err, persister.ErrNotSaved) {
 		if !a.notSaved {
-			a.opts.Log.Warn("no space for snapshots", zap.Uint64("index", s.Index), zap.Int("bytes", len(data)), zap.Error(err))
+			a.opts.Log.Warn("no space for snapshots", zap.Uint64("index", s.Index), zap.Int("bytes", len(s.Data)), zap.Error(err))
 		}
 		a.notSaved, a.nextSave = true, a.opts.Elapsed()+snapshotRetry
 		return nil
@@ -642,6 +681,6 @@
 	}
 	a.notSaved = false
 	a.node.Compact(s)
-	a.opts.Log.Info("snapshot saved", zap.Uint64("index", s.Index), zap.Int("bytes", len(data)))
+	a.opts.Log.Info("snapshot saved", zap.Uint64("index", s.Index), zap.Int("bytes", len(s.Data)))
 	return nil
 }
--- a/internal/state/applier/requests.go
+++ b/internal/state/applier/requests.go
@@ -163,7 +163,7 @@
 		s = Status{
 			Role: a.node.Role(), Leader: a.node.Leader(), Term: a.node.Term(), Lease: a.node.HasLease(),
 			Applied: a.applied, Committed: a.node.Committed(), Members: a.node.Members(),
-			Identity: a.storage.Identity(), LogBytes: a.storage.Size(), Suspended: a.suspended, CaughtUp: a.node.CaughtUp(),
+			Identity: a.storage.Identity(), LogBytes: a.logBytes, Suspended: a.suspended, CaughtUp: a.node.CaughtUp(),
 		}
 		return nil
 	})
--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -59,12 +59,12 @@
 type Output struct {
 	Immediate []*messages.Message // to be sent without waiting for a sync
 	Install   *Snapshot           // to replace the state and the log; must be synced
+	Committed []*messages.Entry   // to be applied
 	HardState *messages.HardState // to be synced, nil if unchanged
 	Truncate  uint64              // first index to remove from the stored log, 0 for none
 	Dropped   int                 // entries that Install and Truncate remove from the end of the log
 	Entries   []*messages.Entry   // to be appended and synced
 	AfterSync []*messages.Message // to be sent after all of the above is synced
-	Committed []*messages.Entry   // to be applied
 }
 
 // Empty reports whether there is no work to do.
@@ -165,8 +165,8 @@
 // LastSynced returns the index of the last entry that is synced, which is the last one that this node may have acknowledged.
 func (n *Node) LastSynced() uint64 { return n.log.synced }
 
-// LogLength returns the number of entries after the last snapshot.
-func (n *Node) LogLength() int { return len(n.log.entries) }
+// LogStart returns the index of the last entry covered by the last snapshot.
+func (n *Node) LogStart() uint64 { return n.log.offset }
 
 // LogBytes returns the approximate size of the entries after the last snapshot up to index. The result is exact only if it
 // is at least limit.
@@ -355,8 +355,7 @@
 }
 
 // Resign makes the node a follower that knows no leader. A leader's messages to be sent let the voter with the longest
-// matching log start an election at once. A node that has resigned may only be replaced by a new one: its successor
-// does not wait for a lease to expire.
+// matching log start an election at once, without waiting for the lease to expire.
 func (n *Node) Resign() []*messages.Message {
 	successor := ""
 	if n.role == Leader {
@@ -371,13 +370,16 @@
 
 func (n *Node) tryTransfer() {
 	if n.transferee != "" && n.peers[n.transferee].match == n.log.last() {
-		n.sendAfterSync(&messages.Message{Kind: messages.Kind_KIND_TIMEOUT_NOW, To: n.transferee})
+		n.sendImmediate(&messages.Message{Kind: messages.Kind_KIND_TIMEOUT_NOW, To: n.transferee})
 	}
 }
 
-// Synced records that all returned entries up to index are synced.
-func (n *Node) Synced(index uint64) {
-	n.log.synced = max(n.log.synced, min(index, n.log.last()))
+// Synced records that the returned entries up to e are synced, unless others have replaced them since.
+func (n *Node) Synced(e *messages.Entry) {
+	if term, ok := n.log.term(e.GetIndex()); !ok || term != e.GetTerm() {
+		return
+	}
+	n.log.synced = max(n.log.synced, e.GetIndex())
 	if n.role == Leader {
 		n.advanceCommit()
 	}
@@ -398,13 +400,28 @@
 	return term
 }
 
-// TakeOutput returns the pending output and clears it.
-func (n *Node) TakeOutput() Output {
-	if n.role == Leader {
-		for _, name := range n.peerNames() {
-			n.sendAppend(name, false)
-		}
+// TakeImmediate returns the pending messages that wait for no sync and clears them. It serves a leader during a write: its
+// heartbeats and new entries are sent before TakeOutput may be called again.
+func (n *Node) TakeImmediate() []*messages.Message {
+	n.sendEntries()
+	list := n.out.Immediate
+	n.out.Immediate = nil
+	return list
+}
+
+// sendEntries makes a leader send the entries that the other members lack.
+func (n *Node) sendEntries() {
+	if n.role != Leader {
+		return
 	}
+	for _, name := range n.peerNames() {
+		n.sendAppend(name, false)
+	}
+}
+
+// TakeOutput returns the pending output and clears it. What the last output had to sync must be synced.
+func (n *Node) TakeOutput() Output {
+	n.sendEntries()
 	o := n.out
 	n.out = Output{}
 	o.Truncate, n.truncate = n.truncate, 0
@@ -487,8 +504,14 @@
 // HardState returns the hard state as of the last TakeOutput that included it.
 func (n *Node) HardState() *messages.HardState { return n.hardState }
 
+// CanCompact reports whether a snapshot at index may be stored before the pending output is taken: the output replaces
+// no stored entries, and those up to index have been handed out to be applied.
+func (n *Node) CanCompact(index uint64) bool {
+	return n.truncate == 0 && n.out.Install == nil && index <= n.log.applying
+}
+
 // Stored returns the hard state and the entries after index that the storage must hold together with a snapshot
-// at that index.
+// at that index. CanCompact must be true.
 func (n *Node) Stored(index uint64) (*messages.HardState, []*messages.Entry) {
 	from, until := index-n.log.offset, n.log.syncing-n.log.offset
 	return n.hardState, n.log.entries[from:until:until]
--- a/internal/state/replicator/schedule_test.go
+++ b/internal/state/replicator/schedule_test.go
@@ -33,6 +33,7 @@
 	nodes         map[string]*Node
 	disks         map[string]*disk
 	applied       map[string][]*messages.Entry // by node, since its start or snapshot
+	writing       map[string]*Output           // by node, whose disk is slow; its write is not synced yet
 	snapshotIndex map[string]uint64            // by node, index of the snapshot that applied follows
 	members       *messages.Members
 	network       []*messages.Message
@@ -45,7 +46,7 @@
 
 func newCluster(t *rapid.T, voters, learners int) *cluster {
 	c := &cluster{
-		t: t, nodes: map[string]*Node{}, disks: map[string]*disk{}, applied: map[string][]*messages.Entry{},
+		t: t, nodes: map[string]*Node{}, disks: map[string]*disk{}, applied: map[string][]*messages.Entry{}, writing: map[string]*Output{},
 		snapshotIndex: map[string]uint64{}, members: &messages.Members{}, leaders: map[uint64]string{},
 		committed: map[uint64]*messages.Entry{}, blocked: map[link]bool{},
 	}
@@ -70,7 +71,7 @@
 	c.nodes[name] = New(Options{
 		Name: name, ElectionTicks: testElectionTicks, HeartbeatTicks: 2, DriftTicks: 1, MaxBatch: 64, ChunkSize: 8, Seed: seed,
 	}, InitialState{HardState: d.hard, Snapshot: d.snapshot, Members: c.members, Entries: slices.Clone(d.entries)})
-	c.applied[name] = nil
+	c.applied[name], c.writing[name] = nil, nil
 	c.snapshotIndex[name] = 0
 	if d.snapshot != nil {
 		c.snapshotIndex[name] = d.snapshot.Index
@@ -84,12 +85,17 @@
 	goOn     end = iota
 	crash        // before the first sync, which loses the unsynced writes
 	diskFull     // the same, but the node resigns before
+	slow         // the first write is not synced before finishWrite
 )
 
-// processOutputs processes all outputs of a node, unless it ends before.
+// processOutputs processes all outputs of a node, unless it ends before or waits for its disk.
 func (c *cluster) processOutputs(name string, end end) {
 	n := c.nodes[name]
 	for {
+		if c.writing[name] != nil {
+			c.send(n.TakeImmediate())
+			return
+		}
 		out := n.TakeOutput()
 		if out.Empty() {
 			return
@@ -99,24 +105,40 @@
 			c.send(n.Resign())
 			c.check()
 		}
-		if end != goOn {
+		if end == crash || end == diskFull {
 			c.start(name, uint64(len(c.network)))
 			return
 		}
-		c.sync(name, &out)
-		c.send(out.AfterSync)
+		if out.Install != nil {
+			c.install(name, out.Install)
+		}
 		for _, e := range out.Committed {
 			c.apply(name, e)
 		}
+		c.writing[name] = &out
+		if end != slow {
+			c.sync(name)
+		}
 	}
 }
 
-func (c *cluster) sync(name string, out *Output) {
-	d := c.disks[name]
-	if out.Install != nil {
-		d.snapshot, d.entries = out.Install, nil
-		c.snapshotIndex[name], c.applied[name] = out.Install.Index, nil
+// finishWrite ends the write of a node with a slow disk, if there is one.
+func (c *cluster) finishWrite(name string) {
+	if c.writing[name] != nil {
+		c.sync(name)
 	}
+	c.processOutputs(name, goOn)
+}
+
+func (c *cluster) install(name string, s *Snapshot) {
+	c.disks[name].snapshot, c.disks[name].entries = s, nil
+	c.snapshotIndex[name], c.applied[name] = s.Index, nil
+}
+
+// sync ends the write of a node.
+func (c *cluster) sync(name string) {
+	d, out := c.disks[name], c.writing[name]
+	c.writing[name] = nil
 	if out.HardState != nil {
 		d.hard = proto.Clone(out.HardState).(*messages.HardState)
 	}
@@ -134,8 +156,9 @@
 		}
 	}
 	if n := len(out.Entries); n > 0 {
-		c.nodes[name].Synced(out.Entries[n-1].GetIndex())
+		c.nodes[name].Synced(out.Entries[n-1])
 	}
+	c.send(out.AfterSync)
 }
 
 func (c *cluster) send(list []*messages.Message) {
@@ -255,7 +278,7 @@
 func (c *cluster) snapshot(name string) {
 	n := c.nodes[name]
 	index := c.snapshotIndex[name] + uint64(len(c.applied[name]))
-	if index == n.log.offset {
+	if index == n.log.offset || c.writing[name] != nil || !n.CanCompact(index) {
 		return
 	}
 	s := &Snapshot{Index: index, Term: n.TermAt(index), Members: c.members, Data: fmt.Appendf(nil, "state up to %d", index)}
@@ -266,7 +289,7 @@
 }
 
 // TestSchedules draws message loss, duplication and reordering, partitions, crashes that lose unsynced writes, full
-// disks, restarts of one or all nodes, snapshots and leadership transfers, and checks safety after each step.
+// disks, slow disks, restarts of one or all nodes, snapshots and leadership transfers, and checks safety after each step.
 func TestSchedules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		voters := rapid.SampledFrom([]int{3, 5}).Draw(t, "voters")
@@ -286,6 +309,8 @@
 					end = crash
 				case rapid.IntRange(0, 39).Draw(t, "full") == 39:
 					end = diskFull
+				case rapid.IntRange(0, 9).Draw(t, "slow") == 9:
+					end = slow
 				}
 				c.processOutputs(to, end)
 			}
@@ -331,6 +356,21 @@
 				c.nodes[name].Propose(messages.EntryKind_ENTRY_EVENT, []byte("not stored"))
 				c.processOutputs(name, diskFull)
 			},
+			"slow": func(t *rapid.T) {
+				c.t = t
+				for _, name := range c.names {
+					c.nodes[name].Propose(messages.EntryKind_ENTRY_EVENT, []byte("stored late"))
+					c.processOutputs(name, slow)
+				}
+			},
+			"finish": func(t *rapid.T) { c.t = t; c.finishWrite(c.drawNode()) },
+			"stuck": func(t *rapid.T) {
+				c.t = t
+				name := c.drawNode()
+				if c.writing[name] != nil {
+					c.send(c.nodes[name].Resign())
+				}
+			},
 			"snapshot": func(t *rapid.T) { c.t = t; c.snapshot(c.drawNode()) },
 			"transfer": func(t *rapid.T) {
 				c.t = t
@@ -347,6 +387,9 @@
 // converge removes all partitions. The nodes must then elect a leader and commit new proposals.
 func (c *cluster) converge() {
 	clear(c.blocked)
+	for _, name := range c.names {
+		c.finishWrite(name)
+	}
 	before := len(c.committed)
 	for range 400 {
 		c.tick()
