applier: a heartbeat after a delay of its receiver counts from its receipt

A follower that was held up (frozen, or without a processor) in the middle of a batch of inputs handled the rest of it at the tick from before. A heartbeat that had arrived since then counted as that much older, and the follower granted a vote while the sender held a lease on it. Two leaders could then answer reads, the former one with jobs missing. The window is one batch; no run of processes has shown it.

Each batch of messages is handled after the ticks that are due, as calls are already. TestHeartbeatAfterDelayHoldsVote failed before (the pre-vote was granted) and passes.

--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -410,6 +410,8 @@
 func (a *Applier) handle(in input) {
 	switch in := in.(type) {
 	case inputMessages:
+		// A heartbeat counts from now on, and not from before a delay of this replica.
+		a.catchUp()
 		for _, m := range in.list {
 			a.node.Step(m)
 		}
