--- a/internal/state/replicator/replication.go
+++ b/internal/state/replicator/replication.go
@@ -210,6 +210,11 @@
 func (n *Node) handleChunk(m *messages.Message) {
 	c := m.GetChunk()
 	reply := &messages.Message{Kind: messages.Kind_KIND_SNAPSHOT_REPLY, To: m.GetFrom(), Round: m.GetRound(), Index: c.GetIndex()}
+	// A log that holds the last entry of the snapshot holds all entries before it. Those after it may have been
+	// acknowledged, and must be kept.
+	if term, ok := n.log.term(c.GetIndex()); ok && term == c.GetTerm() {
+		n.commitTo(c.GetIndex())
+	}
 	if c.GetIndex() <= n.log.committed {
 		n.incoming = nil
 		reply.Kind = messages.Kind_KIND_APPEND_REPLY
