--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -537,6 +537,9 @@
 		a.logPosition("snapshot installed", zap.Uint64("index", out.Install.Index), zap.Uint64("snapshotterm", out.Install.Term),
 			zap.Uint64("previous", previous), zap.Int("dropped", out.Dropped), zap.String("leader", a.node.Leader()))
 	}
+	if out.Truncate > 0 {
+		a.logPosition("log truncated", zap.Uint64("from", out.Truncate), zap.Int("dropped", out.Dropped), zap.String("leader", a.node.Leader()))
+	}
 	for _, e := range out.Committed {
 		if err := a.apply(e); err != nil {
 			return err
@@ -546,9 +549,6 @@
 		a.opts.Send(out.AfterSync)
 		return nil
 	}
-	if out.Truncate > 0 {
-		a.logPosition("log truncated", zap.Uint64("from", out.Truncate), zap.Int("dropped", out.Dropped), zap.String("leader", a.node.Leader()))
-	}
 	w := &pendingWrite{what: "log", entries: len(out.Entries), finish: func(err error) error { return a.finishAppend(out, err) }}
 	a.startWrite(w, func() error { return a.storage.Append(out.Truncate, out.HardState, out.Entries) })
 	return nil
