persister, applier, runner: an empty disk can't stand in for a first voter whose identity isn't recorded

Callers could lose jobs and configurations that had been accepted: a keeper that had lost its disk could elect a leader without them.

Cause: the first members of a group have no recorded identity until their first heartbeats to a leader, and for a replica that lags, until it has read that entry. Messages from any data folder counted for such a voter, and the leader recorded whichever folder it saw first. A first voter whose disk was replaced early voted again in a term in which its old disk had voted, or for a replica without the entries that its old disk had acknowledged.

A folder's identity now says whether it was created with the first members; a later one is never taken for a voter without a recorded identity. Identities that are recorded, of older folders too, compare as before.

--- a/internal/daemon/runner/repair.go
+++ b/internal/daemon/runner/repair.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bluebellgauge/bluebellgauge/internal/state/persister"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/replicator"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 	"github.com/bluebellgauge/bluebellgauge/internal/worker/registrar"
@@ -64,7 +65,10 @@
 // isDiskReplaced reports whether the daemon with the member's name has another data folder than the member.
 func isDiskReplaced(m *messages.Member, seen []registrar.KeeperStatus) bool {
 	s := findReplica(seen, m.GetName())
-	return s != nil && m.GetIdentity() != "" && s.Identity != m.GetIdentity()
+	if s != nil && m.GetIdentity() == "" {
+		return !persister.IsFirst(s.Identity)
+	}
+	return s != nil && s.Identity != m.GetIdentity()
 }
 
 // promoteLearner makes a voter of the first learner that is caught up and available.
@@ -102,7 +106,7 @@
 func recordIdentities(m *messages.Members, seen []registrar.KeeperStatus) bool {
 	changed := false
 	for _, v := range m.GetVoters() {
-		if s := findReplica(seen, v.GetName()); v.GetIdentity() == "" && s != nil {
+		if s := findReplica(seen, v.GetName()); v.GetIdentity() == "" && s != nil && !isDiskReplaced(v, seen) {
 			v.Identity = s.Identity
 			changed = true
 		}
--- a/internal/daemon/runner/repair_test.go
+++ b/internal/daemon/runner/repair_test.go
@@ -31,7 +31,7 @@
 			for i := range 6 {
 				name := fmt.Sprintf("k%d", i)
 				if rapid.IntRange(0, 3).Draw(t, "beats") > 0 {
-					seen[name] = registrar.KeeperStatus{Name: name, Identity: fmt.Sprint(rapid.IntRange(0, 1).Draw(t, "disk")), Last: now}
+					seen[name] = registrar.KeeperStatus{Name: name, Identity: rapid.SampledFrom([]string{"first-disk", "new"}).Draw(t, "disk"), Last: now}
 				}
 			}
 			var list []registrar.KeeperStatus
--- a/internal/daemon/runner/repair_time_test.go
+++ b/internal/daemon/runner/repair_time_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellgauge/bluebellgauge/internal/state/replicator"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 	"github.com/bluebellgauge/bluebellgauge/internal/worker/registrar"
 )
@@ -22,7 +23,7 @@
 	g := &repairGroup{now: time.Unix(1000, 0), repair: newRepairer(5, 3500*time.Millisecond), members: &messages.Members{}, identity: map[string]string{}}
 	for i := range 9 {
 		name := fmt.Sprintf("k%d", i)
-		g.identity[name] = "first"
+		g.identity[name] = "first-disk"
 		if i < 3 {
 			g.members.Voters = append(g.members.Voters, &messages.Member{Name: name})
 		}
@@ -59,7 +60,7 @@
 func (g *repairGroup) soundVoters() int {
 	n := 0
 	for _, v := range g.members.GetVoters() {
-		if id := g.identity[v.GetName()]; id != "" && (v.GetIdentity() == "" || v.GetIdentity() == id) {
+		if id := g.identity[v.GetName()]; id != "" && (v.GetIdentity() == id || v.GetIdentity() == "" && id == "first-disk") {
 			n++
 		}
 	}
@@ -105,3 +106,15 @@
 		t.Errorf("the group had five sound voters after %s, want 1.25 s", took)
 	}
 }
+
+// TestWipedFirstVoterIsReplaced replaces the disk of a first voter before its identity was recorded. The new disk was taken
+// for that of the voter, whose votes and entries it lacks.
+func TestWipedFirstVoterIsReplaced(t *testing.T) {
+	g := newRepairGroup()
+	g.identity["k1"] = "second"
+	g.step()
+	if v := replicator.FindMember(g.members, "k1"); v.GetIdentity() != "" {
+		t.Fatalf("identity %q was recorded for a voter that lost its disk", v.GetIdentity())
+	}
+	g.until(t, func() bool { return g.soundVoters() == 5 && len(g.members.GetVoters()) == 5 })
+}
--- a/internal/state/applier/requests.go
+++ b/internal/state/applier/requests.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/job/scheduler"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/persister"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/replicator"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
@@ -198,8 +199,14 @@
 // was wiped or recreated under a known name is rejected: it has lost the votes and entries that it
 // acknowledged.
 func (a *Applier) IdentityMatches(name, identity string) bool {
-	member := replicator.FindMember(a.latestMembers.Load(), name)
-	return member == nil || member.GetIdentity() == "" || member.GetIdentity() == identity
+	switch member := replicator.FindMember(a.latestMembers.Load(), name); {
+	case member == nil:
+		return true
+	case member.GetIdentity() == "":
+		return persister.IsFirst(identity)
+	default:
+		return member.GetIdentity() == identity
+	}
 }
 
 // Done returns a channel that is closed when the replica has stopped, by Stop or after a failure.
--- a/internal/state/persister/persister.go
+++ b/internal/state/persister/persister.go
@@ -14,6 +14,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -175,12 +176,22 @@
 	return p.rewriteLog(hello, s.HardState, s.Entries)
 }
 
+// firstPrefix starts the identity of a folder that was created with the first members of a group.
+const firstPrefix = "first-"
+
+// IsFirst reports whether a folder with this identity was created with the first members of a group. Only such folders may
+// act for a voter whose identity isn't recorded yet: any other one has replaced the voter's disk.
+func IsFirst(identity string) bool { return strings.HasPrefix(identity, firstPrefix) }
+
 // createLog creates the log of a new data folder, with a random identity.
 func (p *Persister) createLog() error {
 	raw := make([]byte, 16)
 	// crypto/rand.Read never returns an error.
 	_, _ = rand.Read(raw)
 	p.identity = hex.EncodeToString(raw)
+	if len(p.bootstrap.GetVoters()) > 0 {
+		p.identity = firstPrefix + p.identity
+	}
 	if err := p.rewriteLog(&messages.Hello{First: 1, Members: p.bootstrap}, nil, nil); err != nil {
 		return unwritable("create log", err)
 	}
--- a/internal/state/replicator/schedule_test.go
+++ b/internal/state/replicator/schedule_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -42,13 +43,18 @@
 	acked         []uint64                   // indexes acknowledged to proposers
 	blocked       map[link]bool
 	proposed      int
+	initial       map[string]*messages.Members // by node, of an empty disk
+	current       map[string]*messages.Members // by node, at the last entry in applied
+	identities    map[string]string            // by node, of its disk
+	senders       map[*messages.Message]string // identity of the disk of a message's sender
 }
 
 func newCluster(t *rapid.T, voters, learners int) *cluster {
 	c := &cluster{
 		t: t, nodes: map[string]*Node{}, disks: map[string]*disk{}, applied: map[string][]*messages.Entry{}, writing: map[string]*Output{},
 		snapshotIndex: map[string]uint64{}, members: &messages.Members{}, leaders: map[uint64]string{},
-		committed: map[uint64]*messages.Entry{}, blocked: map[link]bool{},
+		committed: map[uint64]*messages.Entry{}, blocked: map[link]bool{}, initial: map[string]*messages.Members{},
+		current: map[string]*messages.Members{}, identities: map[string]string{}, senders: map[*messages.Message]string{},
 	}
 	for i := range voters + learners {
 		name := fmt.Sprintf("n%d", i)
@@ -60,7 +66,7 @@
 		}
 	}
 	for i, name := range c.names {
-		c.disks[name] = &disk{}
+		c.disks[name], c.initial[name] = &disk{}, c.members
 		c.start(name, uint64(i))
 	}
 	return c
@@ -70,11 +76,11 @@
 	d := c.disks[name]
 	c.nodes[name] = New(Options{
 		Name: name, ElectionTicks: testElectionTicks, HeartbeatTicks: 2, DriftTicks: 1, MaxBatch: 64, ChunkSize: 8, Seed: seed,
-	}, InitialState{HardState: d.hard, Snapshot: d.snapshot, Members: c.members, Entries: slices.Clone(d.entries)})
+	}, InitialState{HardState: d.hard, Snapshot: d.snapshot, Members: c.initial[name], Entries: slices.Clone(d.entries)})
 	c.applied[name], c.writing[name] = nil, nil
-	c.snapshotIndex[name] = 0
+	c.snapshotIndex[name], c.current[name] = 0, c.initial[name]
 	if d.snapshot != nil {
-		c.snapshotIndex[name] = d.snapshot.Index
+		c.snapshotIndex[name], c.current[name] = d.snapshot.Index, d.snapshot.Members
 	}
 }
 
@@ -132,7 +138,7 @@
 
 func (c *cluster) install(name string, s *Snapshot) {
 	c.disks[name].snapshot, c.disks[name].entries = s, nil
-	c.snapshotIndex[name], c.applied[name] = s.Index, nil
+	c.snapshotIndex[name], c.applied[name], c.current[name] = s.Index, nil, s.Members
 }
 
 // sync ends the write of a node.
@@ -163,7 +169,9 @@
 
 func (c *cluster) send(list []*messages.Message) {
 	for _, m := range list {
-		c.network = append(c.network, proto.Clone(m).(*messages.Message))
+		sent := proto.Clone(m).(*messages.Message)
+		c.network = append(c.network, sent)
+		c.senders[sent] = c.identities[m.GetFrom()]
 	}
 }
 
@@ -174,6 +182,13 @@
 		c.t.Fatalf("%s applies entry %d, want %d", name, e.GetIndex(), want)
 	}
 	c.applied[name] = append(c.applied[name], e)
+	if e.GetKind() == messages.EntryKind_ENTRY_MEMBERS {
+		m, err := DecodeMembers(e.GetData())
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		c.current[name] = m
+	}
 	if other := c.committed[e.GetIndex()]; other != nil && !proto.Equal(other, e) {
 		c.t.Fatalf("%s commits %v at index %d, another node committed %v", name, e, e.GetIndex(), other)
 	}
@@ -219,13 +234,30 @@
 	m := c.network[i]
 	if !duplicate {
 		c.network = slices.Delete(c.network, i, i+1)
+		defer delete(c.senders, m)
 	}
-	if c.blocked[link{m.GetFrom(), m.GetTo()}] {
+	if c.blocked[link{m.GetFrom(), m.GetTo()}] || !c.isAccepted(m) {
 		return
 	}
 	c.nodes[m.GetTo()].Step(proto.Clone(m).(*messages.Message))
 }
 
+// isAccepted reports whether the receiver accepts a message from the disk of its sender, as forwarder.Server does.
+func (c *cluster) isAccepted(m *messages.Message) bool {
+	if m.GetKind() == messages.Kind_KIND_APPEND || m.GetKind() == messages.Kind_KIND_SNAPSHOT {
+		return true // only an elected leader sends these
+	}
+	member := FindMember(c.nodes[m.GetTo()].Members(), m.GetFrom())
+	switch {
+	case member == nil:
+		return true
+	case member.GetIdentity() == "":
+		return !strings.HasPrefix(c.senders[m], "new")
+	default:
+		return member.GetIdentity() == c.senders[m]
+	}
+}
+
 // deliverAll delivers the messages in flight and all that result from them in order, like a network with a delay
 // far below one tick. It checks safety after each message.
 func (c *cluster) deliverAll() {
@@ -281,7 +313,7 @@
 	if index == n.log.offset || c.writing[name] != nil || !n.CanCompact(index) {
 		return
 	}
-	s := &Snapshot{Index: index, Term: n.TermAt(index), Members: c.members, Data: fmt.Appendf(nil, "state up to %d", index)}
+	s := &Snapshot{Index: index, Term: n.TermAt(index), Members: c.current[name], Data: fmt.Appendf(nil, "state up to %d", index)}
 	_, rest := n.Stored(index)
 	c.disks[name].snapshot, c.disks[name].entries = s, slices.Clone(rest)
 	n.Compact(s)
--- /dev/null
+++ b/internal/state/replicator/wipe_test.go
@@ -0,0 +1,205 @@
+package replicator
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+)
+
+// wipedCluster is a cluster whose nodes lose disks, and whose leader repairs the membership as runner does.
+type wipedCluster struct {
+	*cluster
+	tolerance int // disks that may be lost at once
+	starts    int
+	lost      int // disks since the membership was last whole
+}
+
+func newWipedCluster(t *rapid.T) *wipedCluster {
+	w := &wipedCluster{tolerance: rapid.IntRange(1, 2).Draw(t, "tolerance")}
+	w.cluster = newCluster(t, 3, 0)
+	for i := range 2 * w.tolerance {
+		name := fmt.Sprintf("standby%d", i)
+		w.names = append(w.names, name)
+		w.disks[name], w.initial[name] = &disk{}, &messages.Members{}
+		w.start(name, uint64(100+i))
+	}
+	for _, name := range w.names {
+		w.identities[name] = "first-" + name
+	}
+	return w
+}
+
+// wipe replaces the disk of a node, if that is tolerated.
+func (w *wipedCluster) wipe(name string) {
+	if w.isWhole() {
+		w.lost = 0
+	}
+	if w.lost == w.tolerance || w.lost == 0 && !w.isWhole() {
+		return
+	}
+	w.lost++
+	w.disks[name], w.initial[name] = &disk{}, &messages.Members{}
+	w.identities[name] = fmt.Sprint("new ", w.starts)
+	w.restart(name)
+}
+
+// restart starts a node with another seed than any other: nodes with equal seeds would campaign at the same ticks for ever.
+func (w *wipedCluster) restart(name string) {
+	w.starts++
+	w.start(name, uint64(1000+w.starts))
+}
+
+// isWhole reports whether a leader with a lease has committed a membership with all voters, none of which has lost its
+// disk.
+func (w *wipedCluster) isWhole() bool {
+	for _, name := range w.names {
+		n := w.nodes[name]
+		if n.HasLease() && len(n.pendingChanges) == 0 {
+			return len(n.members.GetVoters()) == 2*w.tolerance+1 &&
+				!slices.ContainsFunc(n.members.GetVoters(), w.isReplaced)
+		}
+	}
+	return false
+}
+
+func (w *wipedCluster) isReplaced(m *messages.Member) bool {
+	if m.GetIdentity() == "" {
+		return w.identities[m.GetName()] != "first-"+m.GetName()
+	}
+	return w.identities[m.GetName()] != m.GetIdentity()
+}
+
+// repair makes the next membership change of each leader.
+func (w *wipedCluster) repair() {
+	for _, name := range w.names {
+		n := w.nodes[name]
+		if !n.HasLease() {
+			continue
+		}
+		next := proto.Clone(n.members).(*messages.Members)
+		w.plan(n, next)
+		if !proto.Equal(next, n.members) {
+			_, _ = n.ProposeMembers(next, EncodeMembers) // refused while another change is pending
+			w.processOutputs(name, goOn)
+		}
+	}
+}
+
+// plan changes a membership as the leader sees the other nodes.
+func (w *wipedCluster) plan(n *Node, m *messages.Members) {
+	seen := func(name string) bool { return name == n.opts.Name || !w.blocked[link{name, n.opts.Name}] }
+	replaced := func(m *messages.Member) bool {
+		return seen(m.GetName()) && w.isReplaced(m)
+	}
+	for _, v := range m.GetVoters() {
+		if v.GetIdentity() == "" && seen(v.GetName()) && !w.isReplaced(v) {
+			v.Identity = w.identities[v.GetName()]
+		}
+	}
+	var added []*messages.Member
+	for _, name := range w.names {
+		if FindMember(m, name) == nil && seen(name) {
+			added = append(added, &messages.Member{Name: name, Identity: w.identities[name]})
+		}
+	}
+	m.Learners = append(slices.DeleteFunc(m.GetLearners(), replaced), added...)
+	voter := slices.IndexFunc(m.GetVoters(), replaced)
+	if voter >= 0 && len(m.GetVoters()) >= 2*w.tolerance+1 {
+		m.Voters = slices.Delete(m.Voters, voter, voter+1)
+		return
+	}
+	learner := slices.IndexFunc(m.GetLearners(), func(l *messages.Member) bool { return slices.Contains(n.CaughtUp(), l.GetName()) })
+	if learner >= 0 && len(m.GetVoters()) < 2*w.tolerance+1 {
+		m.Voters = append(m.Voters, m.Learners[learner])
+		m.Learners = slices.Delete(m.Learners, learner, learner+1)
+	}
+}
+
+// settle removes all partitions. The cluster must become whole again, with all that was acknowledged.
+func (w *wipedCluster) settle() {
+	clear(w.blocked)
+	for range 600 {
+		w.tick()
+		w.deliverAll()
+		w.repair()
+		w.propose()
+		w.recordAcked()
+		w.check()
+		if w.isWhole() {
+			return
+		}
+	}
+	w.t.Fatalf("the membership is not whole after all partitions were removed: %v", w.nodes[w.names[0]].members)
+}
+
+// TestWipedDisks draws lost disks, as many at once as are tolerated, beside partitions, restarts, lost messages and the
+// changes of the membership that follow. What was acknowledged must stay, and the group must find back to all its voters.
+func TestWipedDisks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWipedCluster(t)
+		// act is an action on the cluster that draws from the current step.
+		act := func(run func()) func(*rapid.T) {
+			return func(t *rapid.T) {
+				w.t = t
+				run()
+			}
+		}
+		deliver := act(func() {
+			for range rapid.IntRange(1, 30).Draw(w.t, "messages") {
+				if len(w.network) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, min(len(w.network)-1, 5)).Draw(w.t, "which")
+				to := w.network[i].GetTo()
+				w.deliver(i, rapid.IntRange(0, 19).Draw(w.t, "double") == 0)
+				w.processOutputs(to, goOn)
+			}
+		})
+		calm := act(func() {
+			for range 10 {
+				w.tick()
+				w.deliverAll()
+			}
+			w.repair()
+		})
+		t.Repeat(map[string]func(*rapid.T){
+			"":        act(func() { w.recordAcked(); w.check() }),
+			"tick":    act(w.tick),
+			"deliver": deliver,
+			"inorder": act(w.deliverAll),
+			"calm":    calm,
+			"calm2":   calm,
+			"propose": act(w.propose),
+			"repair":  act(w.repair),
+			"lose":    act(func() { w.network = nil }),
+			"isolate": act(func() {
+				name := w.drawNode()
+				for _, other := range w.names {
+					w.blockLink(name, other)
+				}
+			}),
+			"heal":    act(func() { clear(w.blocked) }),
+			"restart": act(func() { w.restart(w.drawNode()) }),
+			"restartall": act(func() {
+				for _, name := range w.names {
+					w.restart(name)
+				}
+			}),
+			"snapshot": act(func() { w.snapshot(w.drawNode()) }),
+			"transfer": act(func() {
+				name := w.drawNode()
+				w.nodes[name].Transfer()
+				w.processOutputs(name, goOn)
+			}),
+			"wipe":  act(func() { w.wipe(w.drawNode()) }),
+			"wipe2": act(func() { w.wipe(w.drawNode()) }),
+		})
+		w.t = t
+		w.settle()
+	})
+}
