forwarder, applier: a new group does not replace what another one has committed

Callers on the own interface would lose the last copy of what was accepted: two of three disks are replaced at one time, their replicas take this for a first start (README, Caveats), and the leader of their group sends its entries to the third.

Why it works: an append with its predecessor at or after the commit index is accepted only if that entry is in the log, which holds for a leader of the same group alone. Where replaced folders never start a group, as the platform's settings guarantee, the option Single lets it pass: a replica that lags needs it.

--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -71,7 +71,7 @@
 	a, err := applier.New(applier.Options{
 		Name: s.Name, Files: r.opts.Files, Folder: s.Data, Bootstrap: bootstrap, Tick: r.opts.Tick,
 		SnapshotEvery: r.opts.Snapshots, SnapshotBytes: cmp.Or(r.opts.SnapshotBytes, DefaultSnapshotBytes), Seed: electionSeed(s.Name), Now: time.Now,
-		Send: r.peering.send, Deliver: rep.deliver, Log: r.log,
+		Single: r.opts.Single, Send: r.peering.send, Deliver: rep.deliver, Log: r.log,
 	})
 	if err != nil {
 		rep.dispatcher.Stop()
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -60,6 +60,8 @@
 	Metrics tally.Scope
 	// Voters is the target number of voting replicas; 0 takes the number of replicas in the settings.
 	Voters int
+	// Single means that replaced data folders join the group as settings with Late say, and never start another one.
+	Single bool
 	Log    *zap.Logger
 }
 
--- a/internal/entry/forwarder/server.go
+++ b/internal/entry/forwarder/server.go
@@ -43,21 +43,21 @@
 
 // Exchange handles messages of the consensus protocol.
 func (s *Server) Exchange(ctx context.Context, b *messages.Batch) (*messages.Taken, error) {
-	list := b.GetMessages()
+	list, step := b.GetMessages(), s.Replica.Step
 	if !s.Replica.IdentityMatches(b.GetFrom(), b.GetIdentity()) {
-		list = leaderMessages(list)
+		list, step = leaderMessages(list), s.Replica.StepUnknown
 	}
 	if len(list) == 0 && len(b.GetMessages()) > 0 {
 		return nil, twirp.NewError(twirp.PermissionDenied, "the data folder of "+b.GetFrom()+" is not the one that is a member")
 	}
-	if err := s.Replica.Step(ctx, list); err != nil {
+	if err := step(ctx, list); err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
 	return &messages.Taken{}, nil
 }
 
-// leaderMessages returns the messages that only an elected leader sends. They are valid from any data folder: a replica that
-// lags may not have learned yet that the leader's folder was replaced. Votes and acknowledgements count for the folder.
+// leaderMessages returns the messages that only an elected leader sends. They may come from an unknown data folder: a replica
+// that lags may not have learned yet that the leader's folder was replaced. Votes and acknowledgements count for the folder.
 func leaderMessages(list []*messages.Message) []*messages.Message {
 	var fromLeader []*messages.Message
 	for _, m := range list {
--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -59,10 +60,12 @@
 	Tick          time.Duration     // unit of the consensus timers; the election timeout is 8 to 16 ticks
 	SnapshotEvery int               // entries between snapshots
 	SnapshotBytes int               // bytes of entries between snapshots, 0 for no limit
-	Seed          uint64
-	Now           func() time.Time
-	Elapsed       func() time.Duration // clock that drives the ticks; nil means timekeeper.Elapsed
-	Send          func([]*messages.Message)
+	// Single means that replaced data folders join this group and never start another one.
+	Single  bool
+	Seed    uint64
+	Now     func() time.Time
+	Elapsed func() time.Duration // clock that drives the ticks; nil means timekeeper.Elapsed
+	Send    func([]*messages.Message)
 	// Deliver receives the orders that result from an applied entry. It must not block. leading reports
 	// whether this replica is the leader and must execute the orders.
 	Deliver func(index, term uint64, leading bool, orders []scheduler.Order)
@@ -89,6 +92,7 @@
 	nextSave    time.Duration // Options.Elapsed before which no snapshot is saved
 	slowWrites  int           // latest writes of this leader that took as long as an election timeout
 	logBytes    int64         // size of the stored log at the end of the last write
+	refused     string        // sender of the last message that mayLead refused, to log it once
 
 	writing *pendingWrite // nil if no write is in progress
 	writes  chan func() error
@@ -115,6 +119,9 @@
 
 type inputMessages struct{ list []*messages.Message }
 
+// inputUnknown holds the messages of a leader whose data folder is not the member's.
+type inputUnknown struct{ list []*messages.Message }
+
 type inputCall struct{ run func() }
 
 type proposal struct {
@@ -131,6 +138,7 @@
 }
 
 func (inputMessages) input() {}
+func (inputUnknown) input()  {}
 func (inputCall) input()     {}
 func (*proposal) input()     {}
 
@@ -415,6 +423,8 @@
 		for _, m := range in.list {
 			a.node.Step(m)
 		}
+	case inputUnknown:
+		a.handle(inputMessages{slices.DeleteFunc(in.list, func(m *messages.Message) bool { return !a.mayLead(m) })})
 	case inputCall:
 		// Earlier inputs may have taken long enough for the lease to expire.
 		a.catchUp()
@@ -424,6 +434,20 @@
 	}
 }
 
+// mayLead reports whether a message of a leader with an unknown data folder may be handled. If replaced folders may start a group of
+// their own, its leader must not replace what is committed in this one.
+func (a *Applier) mayLead(m *messages.Message) bool {
+	if a.opts.Single || a.node.Continues(m) {
+		return true
+	}
+	if a.refused != m.GetFrom() {
+		a.refused = m.GetFrom()
+		a.logPosition("message of a leader refused: its data folder is unknown and it does not continue the log",
+			zap.String("from", m.GetFrom()), zap.Uint64("itsterm", m.GetTerm()), zap.Stringer("kind", m.GetKind()))
+	}
+	return false
+}
+
 func (a *Applier) propose(p *proposal) {
 	if p.event != nil {
 		data, err := scheduler.Encode(a.entryTime(), p.event)
--- a/internal/state/applier/requests.go
+++ b/internal/state/applier/requests.go
@@ -15,6 +15,11 @@
 	return a.enqueueTo(ctx, a.peerInbox, inputMessages{list})
 }
 
+// StepUnknown is Step for messages of a leader whose data folder is not the one that this replica knows.
+func (a *Applier) StepUnknown(ctx context.Context, list []*messages.Message) error {
+	return a.enqueueTo(ctx, a.peerInbox, inputUnknown{list})
+}
+
 func (a *Applier) enqueue(ctx context.Context, in input) error { return a.enqueueTo(ctx, a.inbox, in) }
 
 func (a *Applier) enqueueTo(ctx context.Context, queue chan<- input, in input) error {
--- a/internal/state/replicator/replication.go
+++ b/internal/state/replicator/replication.go
@@ -184,6 +184,22 @@
 	data        []byte
 }
 
+// Continues reports whether a message of a leader can change nothing that is committed here: an append is accepted only if
+// its predecessor is in the log, and a snapshot replaces the log.
+func (n *Node) Continues(m *messages.Message) bool {
+	if m.GetTerm() < n.term {
+		return false
+	}
+	switch m.GetKind() {
+	case messages.Kind_KIND_APPEND:
+		return m.GetIndex() >= n.log.committed
+	case messages.Kind_KIND_SNAPSHOT:
+		return n.log.last() == 0
+	default:
+		return false
+	}
+}
+
 // sendChunk sends the next chunk of the latest snapshot to a member that lacks compacted entries.
 func (n *Node) sendChunk(name string, p *progress) {
 	if n.snapshot == nil {
