applier: a call does not run after it has returned

Callers could see an accepted job that doesn't start while its worker reports; not seen, found by reading: a scheduling pass gives up its read after 1 s. The read was still queued, ran later beside the next pass, and marked workers as expiring and starts as stopping. The change that would end these marks was dropped, and a worker that is in contact again gets no orders until the next term.

Cause: call returned when its context ended and left its function in the queue of the replica. The function then also wrote to variables of the caller, as of Transfer and Query, beside the caller's reads.

Why it works: either the replica starts the function or the end of the context withdraws it. If it has started, call waits for its result; the functions do not block.

--- a/internal/state/applier/requests.go
+++ b/internal/state/applier/requests.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/job/scheduler"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/persister"
@@ -85,10 +86,16 @@
 	})
 }
 
-// call runs f on the goroutine that owns the replica and returns its result.
+// call runs f on the goroutine that owns the replica and returns its result. f does not run after call has returned.
 func (a *Applier) call(ctx context.Context, f func() error) error {
 	reply := make(chan error, 1)
-	if err := a.enqueue(ctx, inputCall{func() { reply <- f() }}); err != nil {
+	var claimed atomic.Bool // by the run of f, or by the end of the context before it
+	run := func() {
+		if claimed.CompareAndSwap(false, true) {
+			reply <- f()
+		}
+	}
+	if err := a.enqueue(ctx, inputCall{run}); err != nil {
 		return err
 	}
 	select {
@@ -97,7 +104,10 @@
 	case <-a.done:
 		return ErrStopped
 	case <-ctx.Done():
-		return ctx.Err()
+		if claimed.CompareAndSwap(false, true) {
+			return ctx.Err()
+		}
+		return <-reply
 	}
 }
 
