--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -277,8 +277,8 @@
 	defer ticker.Stop()
 	for {
 		peerInbox, inbox, ticks := a.peerInbox, a.inbox, ticker.C
-		if a.writing != nil && a.node.Role() != replicator.Leader {
-			peerInbox, inbox, ticks = nil, nil, nil // all that it could answer has to wait for the write
+		if a.mustFinishWrite() {
+			peerInbox, inbox, ticks = nil, nil, nil
 		}
 		select {
 		case <-a.stop:
@@ -308,6 +308,12 @@
 	}
 }
 
+// mustFinishWrite reports whether other inputs wait for the write in progress: it has ended and commits depend on it, or
+// this replica does not lead, so that all its answers depend on it.
+func (a *Applier) mustFinishWrite() bool {
+	return a.writing != nil && (len(a.written) > 0 || a.node.Role() != replicator.Leader)
+}
+
 // suspend waits until the storage can be written again, and starts the node anew from what is stored. Until then the
 // replica is no leader, and drops the messages of the other replicas: it neither votes nor acknowledges anything.
 func (a *Applier) suspend(cause error) error {
