drainer: the kernel refuses connections before a listener is closed

Fix: a packet filter drops new requests to connect, handshakes in progress get 0.1 s to complete, and the last accept comes after that.

--- a/internal/daemon/runner/peering.go
+++ b/internal/daemon/runner/peering.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
+	"github.com/bluebellgauge/bluebellgauge/internal/entry/drainer"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/replicator"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
@@ -271,9 +272,9 @@
 // listenTCP listens on an address and returns the TLS configuration for its connections, nil without TLS. The certificate is
 // reloaded for each connection, so that renewed files take effect without a restart.
 func listenTCP(address netip.AddrPort, t *parser.TLS) (*net.TCPListener, *tls.Config, error) {
-	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
+	l, err := drainer.Listen(address)
 	if err != nil {
-		return nil, nil, fmt.Errorf("listen: %w", err)
+		return nil, nil, err
 	}
 	if t == nil {
 		return l, nil, nil
--- a/internal/entry/drainer/drainer.go
+++ b/internal/entry/drainer/drainer.go
@@ -27,8 +27,10 @@
 	// that they are still answered.
 	abortTime = 200 * time.Millisecond
 	// quietTime is the time without a request after which a connection may be closed.
-	quietTime    = 200 * time.Millisecond
-	pollInterval = 10 * time.Millisecond
+	quietTime = 200 * time.Millisecond
+	// handshakeTime is the time for handshakes in progress to complete before a listener is closed.
+	handshakeTime = 100 * time.Millisecond
+	pollInterval  = 10 * time.Millisecond
 )
 
 // ErrStopping is the cause by which the contexts of requests in progress end shortly before the end of a stop.
@@ -59,7 +61,7 @@
 	conns map[*conn]struct{}
 }
 
-// New starts a server on a listener, which it closes on Stop and Kill.
+// New starts a server on a listener of Listen, which it closes on Stop and Kill.
 func New(listener *net.TCPListener, opts Options) *Drainer {
 	ctx, abort := context.WithCancelCause(context.Background())
 	d := &Drainer{opts: opts, listener: listener, abort: abort, served: make(chan struct{}), conns: map[*conn]struct{}{}}
@@ -112,6 +114,7 @@
 	for slices.ContainsFunc(servers, isOpen) && time.Now().Before(refuse) {
 		time.Sleep(pollInterval)
 	}
+	refuseAll(servers)
 	for _, d := range servers {
 		d.stopListening()
 		timer := time.AfterFunc(time.Until(end.Add(-abortTime)), func() { d.abort(ErrStopping) })
@@ -154,6 +157,19 @@
 	}
 }
 
+// refuseAll makes the kernel refuse new connections, where it can, and gives handshakes in progress time to complete.
+func refuseAll(servers []*Drainer) {
+	var errs []error
+	for _, d := range servers {
+		errs = append(errs, refuseConnects(d.listener))
+	}
+	if err := errors.Join(errs...); err != nil {
+		servers[0].opts.Log.Info("connections are refused without a filter", zap.Error(err))
+		return
+	}
+	time.Sleep(handshakeTime)
+}
+
 // stopListening returns once no connection is accepted any more.
 func (d *Drainer) stopListening() {
 	d.stopping.Store(true)
--- a/internal/entry/drainer/drainer_test.go
+++ b/internal/entry/drainer/drainer_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -20,7 +21,7 @@
 
 func newServer(t *testing.T, handler http.HandlerFunc) (*Drainer, string, *observer.ObservedLogs) {
 	t.Helper()
-	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	l, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"))
 	is.New(t).NoErr(err)
 	core, logs := observer.New(zapcore.InfoLevel)
 	d := New(l, Options{Handler: handler, ReadHeaderTimeout: time.Second, Fail: func(err error) { t.Error(err) }, Log: zap.New(core)})
@@ -103,6 +104,36 @@
 	is.NoErr(c.Close())
 }
 
+// TestRefusedConnectsLeaveNoQueue guards against connections that are reset between the last accept and the end of listening:
+// while the kernel refuses new ones, none is queued.
+func TestRefusedConnectsLeaveNoQueue(t *testing.T) {
+	is := is.New(t)
+	l, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	is.NoErr(err)
+	accepted := make(chan net.Conn, 2)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return // closed at the end of the test
+			}
+			accepted <- c
+		}
+	}()
+	before, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	is.NoErr(refuseConnects(l))
+	_, err = net.DialTimeout("tcp", l.Addr().String(), 300*time.Millisecond)
+	is.True(err != nil)
+	_, err = io.WriteString(before, "x") // a connection from before goes on
+	is.NoErr(err)
+	c := <-accepted
+	_, err = c.Read(make([]byte, 1))
+	is.NoErr(err)
+	is.Equal(len(accepted), 0)
+	is.NoErr(errors.Join(c.Close(), before.Close(), l.Close()))
+}
+
 // TestStopCancelsRequests checks that requests in progress learn of the end of a stop in time for a response.
 func TestStopCancelsRequests(t *testing.T) {
 	is := is.New(t)
--- a/internal/entry/drainer/socket.go
+++ b/internal/entry/drainer/socket.go
@@ -1,13 +1,53 @@
 package drainer
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"net"
+	"net/netip"
 	"os"
 
 	"golang.org/x/sys/unix"
 )
 
+// Listen opens a listener for New.
+func Listen(address netip.AddrPort) (*net.TCPListener, error) {
+	var config net.ListenConfig
+	config.SetMultipathTCP(false) // multipath sockets have no filters
+	l, err := config.Listen(context.Background(), "tcp", address.String())
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return l.(*net.TCPListener), nil // no other type listens on TCP
+}
+
+const (
+	tcpFlagsOffset = 13 // bytes from the start of the TCP header
+	tcpFlagSYN     = 2
+	passAll        = 0xffffffff // bytes of a packet
+)
+
+// refuseConnects makes the kernel drop new requests to connect to a listener. Handshakes in progress complete. Clients send
+// their requests again, and reach the next process or are refused.
+func refuseConnects(l *net.TCPListener) error {
+	program := []unix.SockFilter{
+		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: tcpFlagsOffset},
+		{Code: unix.BPF_JMP | unix.BPF_JSET | unix.BPF_K, K: tcpFlagSYN, Jf: 1},
+		{Code: unix.BPF_RET | unix.BPF_K},
+		{Code: unix.BPF_RET | unix.BPF_K, K: passAll},
+	}
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var result error
+	err = raw.Control(func(fd uintptr) {
+		result = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(program)), Filter: &program[0]})
+	})
+	return errors.Join(err, result)
+}
+
 // acceptQueued returns the connections that a listener has queued, and stops listening directly after the last one. What is
 // queued when a socket stops listening is reset by the kernel, and a blocked Accept would delay the stop by its wake-up, so
 // none may be in progress.
