drainer: the test of several servers waits until its connection is accepted

Cause: the test began the stop when its dial had returned, which the kernel does before the server accepts; with no connection accepted anywhere the stop ended at once, as it should, and what was queued was still served.

--- a/internal/entry/drainer/drainer_test.go
+++ b/internal/entry/drainer/drainer_test.go
@@ -65,6 +65,11 @@
 	second, other, _ := newServer(t, ok)
 	c, err := net.Dial("tcp", other)
 	is.NoErr(err)
+	_, err = io.WriteString(c, request)
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil) // the connection is accepted
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
 	start := time.Now()
 	done := make(chan struct{})
 	go func() {
