registrar: the leader logs each change of a daemon's contact

A process that ended by itself left no line that said so: its log stops, as after SIGKILL, and entries have no disk from which their next start could tell. Heartbeats carry the start of their process. The leader logs the first heartbeat of a daemon in its term, its loss, its return, and that another process of the name took over, with or without a drain of the earlier one.

--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -84,7 +84,7 @@
 	r.peering.storedMembers.Store(&members)
 	rep.repair = newRepairer(cmp.Or(r.opts.Voters, len(s.Keepers)), r.opts.RepairAfter)
 	rep.server = forwarder.NewServer(forwarder.ServerOptions{
-		Replica: a, Timing: r.opts.Timing, Now: time.Now, Address: r.peering.replicaAddress, History: history, Burn: rep.burn,
+		Replica: a, Timing: r.opts.Timing, Now: time.Now, Address: r.peering.replicaAddress, History: history, Burn: rep.burn, Log: r.log,
 	})
 	rep.queues = r.startCoordinator(rep)
 	r.replica = rep
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -106,6 +106,7 @@
 // Runner is one running daemon.
 type Runner struct {
 	opts          Options
+	started       time.Time
 	log           *zap.Logger
 	registrar     *registrar.Home
 	manifest      *provider.Provider
@@ -131,7 +132,7 @@
 func New(opts Options) (*Runner, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Runner{
-		opts: opts, log: opts.Log.With(zap.String("daemon", opts.Settings.Name)),
+		opts: opts, started: time.Now(), log: opts.Log.With(zap.String("daemon", opts.Settings.Name)),
 		ctx: ctx, cancel: cancel, draining: make(chan struct{}), failed: make(chan error, 1),
 	}
 	if err := r.build(); err != nil {
@@ -307,7 +308,7 @@
 // heartbeat sends one heartbeat, applies the response and returns the interval from its start to the next one.
 func (r *Runner) heartbeat() time.Duration {
 	s := r.opts.Settings
-	b := &messages.Beat{Daemon: s.Name, Place: s.Place, Address: s.Peering, Listen: s.Listen, Draining: r.isDraining()}
+	b := &messages.Beat{Daemon: s.Name, Place: s.Place, Address: s.Peering, Listen: s.Listen, Draining: r.isDraining(), Started: r.started.UnixNano()}
 	if r.replica != nil {
 		b.Identity = r.replica.identity(r.ctx)
 	}
--- a/internal/entry/forwarder/server.go
+++ b/internal/entry/forwarder/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/twitchtv/twirp"
+	"go.uber.org/zap"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/job/scheduler"
 	"github.com/bluebellgauge/bluebellgauge/internal/report/evaluator"
@@ -36,6 +37,7 @@
 	Address func(name string) string // address of a replica, "" if unknown
 	History *recorder.Recorder
 	Burn    *evaluator.Evaluator
+	Log     *zap.Logger
 }
 
 // NewServer returns the server of one replica.
@@ -270,7 +272,7 @@
 func (s *Server) monitorFor(term uint64) *registrar.Monitor {
 	if s.monitor == nil || s.term != term {
 		s.term = term
-		s.monitor = registrar.NewMonitor(s.Timing, s.Now())
+		s.monitor = registrar.NewMonitor(s.Timing, s.Now(), s.Log)
 	}
 	return s.monitor
 }
--- a/internal/worker/registrar/lease_test.go
+++ b/internal/worker/registrar/lease_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/job/scheduler"
@@ -35,7 +36,7 @@
 	for range 3 {
 		n.homes = append(n.homes, NewHome(n.timing, func() time.Time { return n.now }))
 	}
-	n.monitor = NewMonitor(n.timing, n.now)
+	n.monitor = NewMonitor(n.timing, n.now, zap.NewNop())
 	return n
 }
 
@@ -101,7 +102,7 @@
 			},
 			"leader": func(*rapid.T) {
 				n.term++
-				n.monitor = NewMonitor(n.timing, n.now)
+				n.monitor = NewMonitor(n.timing, n.now, zap.NewNop())
 			},
 		})
 	})
--- a/internal/worker/registrar/monitor.go
+++ b/internal/worker/registrar/monitor.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/job/scheduler"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
@@ -20,6 +21,7 @@
 // be used by one goroutine at a time.
 type Monitor struct {
 	timing        Timing
+	log           *zap.Logger
 	startedAt     time.Time
 	daemons       map[string]*daemonStatus
 	workers       map[string]*workerStatus
@@ -41,6 +43,7 @@
 	heartbeat   *messages.Beat
 	lastContact time.Time
 	full        bool
+	lost        bool         // no heartbeat for longer than daemonTimeout
 	keeper      KeeperStatus // as of the latest heartbeat with an identity
 }
 
@@ -53,8 +56,8 @@
 
 // NewMonitor returns the monitor of a leader whose lease started at the given time. That time counts as the
 // last contact with every worker, because leases may have been renewed under an earlier leader until then.
-func NewMonitor(timing Timing, startedAt time.Time) *Monitor {
-	return &Monitor{timing: timing, startedAt: startedAt, daemons: map[string]*daemonStatus{}, workers: map[string]*workerStatus{}}
+func NewMonitor(timing Timing, startedAt time.Time, log *zap.Logger) *Monitor {
+	return &Monitor{timing: timing, log: log, startedAt: startedAt, daemons: map[string]*daemonStatus{}, workers: map[string]*workerStatus{}}
 }
 
 // Heartbeat handles a daemon's heartbeat. resync is true if the daemon must send a full one.
@@ -64,6 +67,7 @@
 		d = &daemonStatus{}
 		m.daemons[b.GetDaemon()] = d
 	}
+	m.logContact(now, d, b)
 	d.full = d.full || b.GetFull()
 	if !sameDaemon(d.heartbeat, b) || now.Sub(d.lastContact) > daemonTimeout {
 		m.rosterBuiltAt = time.Time{}
@@ -85,6 +89,41 @@
 	return !d.full
 }
 
+// logContact logs a heartbeat that is the first of a daemon in this term, of another process, or after a loss of contact.
+func (m *Monitor) logContact(now time.Time, d *daemonStatus, b *messages.Beat) {
+	fields := []zap.Field{
+		zap.String("name", b.GetDaemon()), zap.String("place", b.GetPlace()), zap.Bool("keeper", b.GetIdentity() != ""),
+		zap.Bool("draining", b.GetDraining()), zap.Time("process", time.Unix(0, b.GetStarted())),
+	}
+	if d.heartbeat == nil {
+		m.log.Info("daemon is in contact", fields...)
+		return
+	}
+	silence := zap.Duration("silence", now.Sub(d.lastContact))
+	switch {
+	case d.heartbeat.GetStarted() == b.GetStarted():
+		if d.lost {
+			m.log.Info("daemon is back in contact", append(fields, silence)...)
+		}
+	case d.heartbeat.GetDraining():
+		m.log.Info("daemon restarted", append(fields, silence)...)
+	default:
+		m.log.Warn("daemon restarted without a drain", append(fields, silence)...)
+	}
+	d.lost = false
+}
+
+// logLost logs that a daemon is out of contact, once.
+func (m *Monitor) logLost(now time.Time, d *daemonStatus) {
+	if d.lost {
+		return
+	}
+	d.lost = true
+	b := d.heartbeat
+	m.log.Warn("daemon is lost", zap.String("name", b.GetDaemon()), zap.String("place", b.GetPlace()), zap.Bool("draining", b.GetDraining()),
+		zap.Time("process", time.Unix(0, b.GetStarted())), zap.Duration("silence", now.Sub(d.lastContact)))
+}
+
 // lastContact returns the latest time at which a lease of the worker may have been renewed, minus the grace
 // period of its home.
 func (m *Monitor) lastContact(name string, incarnation uint64) time.Time {
@@ -167,6 +206,7 @@
 	for _, name := range slices.Sorted(maps.Keys(m.daemons)) {
 		d := m.daemons[name]
 		if now.Sub(d.lastContact) > daemonTimeout {
+			m.logLost(now, d)
 			continue
 		}
 		b := d.heartbeat
--- a/internal/worker/registrar/move_test.go
+++ b/internal/worker/registrar/move_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"pgregory.net/rapid"
 )
 
@@ -25,7 +26,7 @@
 		beat(current)
 		beat(former)
 		n.term++
-		n.monitor = NewMonitor(n.timing, n.now)
+		n.monitor = NewMonitor(n.timing, n.now, zap.NewNop())
 		for end := n.now.Add(3 * n.timing.LostAfter()); n.now.Before(end); {
 			n.report(current, 0)
 			beat(current)
--- a/internal/worker/registrar/roster_test.go
+++ b/internal/worker/registrar/roster_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
@@ -15,7 +16,7 @@
 func TestRosterChangesWithDaemons(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1_000_000, 0)
-	m := NewMonitor(DefaultTiming(), now)
+	m := NewMonitor(DefaultTiming(), now, zap.NewNop())
 	for i := range 300 {
 		m.Heartbeat(now, &messages.Beat{Daemon: fmt.Sprintf("vm%d", i), Address: "10.0.0.1:7000"})
 	}
@@ -56,7 +57,7 @@
 func TestKeeperThatCannotWrite(t *testing.T) {
 	is := is.New(t)
 	start := time.Unix(1_000_000, 0)
-	m := NewMonitor(DefaultTiming(), start)
+	m := NewMonitor(DefaultTiming(), start, zap.NewNop())
 	beat := func(after time.Duration, identity string) KeeperStatus {
 		m.Heartbeat(start.Add(after), &messages.Beat{Daemon: "vm1", Address: "10.0.0.1:7000", Identity: identity})
 		list := m.Keepers()
