logger: count and report the lines that the output refuses

The error of a write was ignored, so lines that a full disk or a closed output refused were gone without a trace. They are counted, also in the metrics beside those over the rate, and reported with the time and the error once the output takes lines again. The rest of a line written in part is ended first, so that the next one can be read.

TestRefusedLines failed before: nothing in the log or the metrics.

--- a/cmd/bluebellplatformd/main.go
+++ b/cmd/bluebellplatformd/main.go
@@ -81,6 +81,7 @@
 	if a == nil {
 		return 0
 	}
+	sink.CountIn(a.Metrics().SubScope("log"))
 	return watch(a, stop, reload, log)
 }
 
--- a/internal/report/logger/logger.go
+++ b/internal/report/logger/logger.go
@@ -1,14 +1,16 @@
 // Package logger writes the daemons' log lines without blocking the caller. Lines that exceed the queue or
-// the rate limit are dropped and counted.
+// the rate limit are dropped and counted, as are those that the output does not take.
 package logger
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap/zapcore"
 )
 
@@ -23,7 +25,8 @@
 type Logger struct {
 	lines         chan []byte
 	syncRequests  chan chan struct{}
-	dropped       atomic.Uint64
+	dropped       lossCounter
+	unwritten     lossCounter
 	currentSecond atomic.Int64 // Unix second that linesInSecond counts
 	linesInSecond atomic.Int64
 	stop          chan struct{}
@@ -32,24 +35,34 @@
 
 var _ zapcore.WriteSyncer = (*Logger)(nil)
 
+// lossCounter counts lost lines, also in a metric once it has one.
+type lossCounter struct {
+	lines   atomic.Uint64
+	counter atomic.Pointer[tally.Counter]
+}
+
+func (c *lossCounter) add(n int) {
+	c.lines.Add(uint64(n))
+	if counter := c.counter.Load(); counter != nil {
+		(*counter).Inc(int64(n))
+	}
+}
+
+func (c *lossCounter) countIn(counter tally.Counter) {
+	counter.Inc(int64(c.lines.Load()))
+	c.counter.Store(&counter)
+}
+
 // New returns a logger with a running goroutine that writes to out.
 func New(out io.Writer) *Logger {
 	l := &Logger{lines: make(chan []byte, queueLength), syncRequests: make(chan chan struct{}), stop: make(chan struct{})}
 	l.writer.Go(func() {
+		o := output{logger: l, out: out}
 		var batch []byte
-		reported := uint64(0)
 		var due <-chan time.Time // set while the batch is not empty
 		flush := func() {
-			if n := l.dropped.Load(); n != reported {
-				batch = fmt.Appendf(batch, "{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", n-reported)
-				reported = n
-			}
-			if len(batch) > 0 {
-				// A failure to write the log cannot be logged.
-				_, _ = out.Write(batch)
-				batch = batch[:0]
-			}
-			due = nil
+			o.write(batch)
+			batch, due = batch[:0], nil
 		}
 		for {
 			if len(batch) > 0 && due == nil {
@@ -81,6 +94,50 @@
 	return l
 }
 
+// output writes batches of lines and reports the lines that were lost before them.
+type output struct {
+	logger            *Logger
+	out               io.Writer
+	reportedDropped   uint64
+	reportedUnwritten uint64
+	failedAt          time.Time // first failure that is not reported yet
+	failure           error     // the last one
+	partial           bool      // a line was written in part
+}
+
+// write writes a batch, after lines about the losses that are not reported yet.
+func (o *output) write(batch []byte) {
+	dropped, unwritten := o.logger.dropped.lines.Load(), o.logger.unwritten.lines.Load()
+	var text []byte
+	if o.partial {
+		text = append(text, '\n')
+	}
+	if n := unwritten - o.reportedUnwritten; n > 0 {
+		text = fmt.Appendf(text, "{\"level\":\"warn\",\"msg\":\"log lines not written\",\"lines\":%d,\"since\":%q,\"error\":%q}\n",
+			n, o.failedAt.Format(time.RFC3339Nano), o.failure)
+	}
+	if n := dropped - o.reportedDropped; n > 0 {
+		text = fmt.Appendf(text, "{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", n)
+	}
+	reports := len(text)
+	if text = append(text, batch...); len(text) == 0 {
+		return
+	}
+	n, err := o.out.Write(text)
+	if n >= reports {
+		o.reportedDropped, o.reportedUnwritten = dropped, unwritten
+		o.failedAt = time.Time{}
+	}
+	o.partial = n > 0 && text[n-1] != '\n' || n == 0 && o.partial
+	if err == nil {
+		return
+	}
+	if o.failure = err; o.failedAt.IsZero() {
+		o.failedAt = time.Now()
+	}
+	o.logger.unwritten.add(bytes.Count(text[max(n, reports):], []byte{'\n'}))
+}
+
 // Write queues one line, or drops it when the queue is full or the rate limit is exceeded. It never blocks and
 // never returns an error.
 func (l *Logger) Write(line []byte) (int, error) {
@@ -89,13 +146,13 @@
 		l.linesInSecond.Store(0)
 	}
 	if l.linesInSecond.Add(1) > maxLinesPerSecond {
-		l.dropped.Add(1)
+		l.dropped.add(1)
 		return len(line), nil
 	}
 	select {
 	case l.lines <- append([]byte(nil), line...):
 	default:
-		l.dropped.Add(1)
+		l.dropped.add(1)
 	}
 	return len(line), nil
 }
@@ -111,8 +168,17 @@
 	return nil
 }
 
-// Dropped returns the number of lines dropped so far.
-func (l *Logger) Dropped() uint64 { return l.dropped.Load() }
+// Dropped returns the number of lines dropped so far because of the queue or the rate limit.
+func (l *Logger) Dropped() uint64 { return l.dropped.lines.Load() }
+
+// Unwritten returns the number of lines that the output has refused so far.
+func (l *Logger) Unwritten() uint64 { return l.unwritten.lines.Load() }
+
+// CountIn counts the lost lines in counters of a scope.
+func (l *Logger) CountIn(scope tally.Scope) {
+	l.dropped.countIn(scope.Counter("lines_dropped"))
+	l.unwritten.countIn(scope.Counter("lines_unwritten"))
+}
 
 // Close writes all queued lines and stops the writer.
 func (l *Logger) Close() {
--- a/internal/report/logger/logger_test.go
+++ b/internal/report/logger/logger_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/goleak"
 )
 
@@ -50,3 +52,51 @@
 	l.Close()
 	is.True(strings.Contains(s.out.String(), "log lines dropped"))
 }
+
+// refusingWriter refuses every write while it is full, after some bytes.
+type refusingWriter struct {
+	full  bool
+	space int
+	out   bytes.Buffer
+}
+
+var errFull = errors.New("no space left on device")
+
+func (w *refusingWriter) Write(p []byte) (int, error) {
+	if !w.full {
+		return w.out.Write(p)
+	}
+	n, _ := w.out.Write(p[:min(w.space, len(p))])
+	w.space -= n
+	return n, errFull
+}
+
+// TestRefusedLines guards against lines that are lost without a trace: the error of a write was ignored. Their number must be in
+// the log once the output takes lines again, and in the metrics.
+func TestRefusedLines(t *testing.T) {
+	is := is.New(t)
+	w := &refusingWriter{full: true, space: 7}
+	l := New(w)
+	scope := tally.NewTestScope("", nil)
+	write := func(lines ...string) {
+		for _, line := range lines {
+			_, err := io.WriteString(l, line)
+			is.NoErr(err)
+		}
+		is.NoErr(l.Sync())
+	}
+	write("one\n", "two lost\n", "three\n")
+	l.CountIn(scope)
+	write("four\n")
+	is.Equal(l.Unwritten(), uint64(3))
+	is.Equal(scope.Snapshot().Counters()["lines_unwritten+"].Value(), int64(3))
+	w.full = false
+	write("five\n", "six\n")
+	l.Close()
+	lines := strings.Split(w.out.String(), "\n")
+	is.Equal(len(lines), 6)
+	is.Equal(lines[:2], []string{"one", "two"})
+	is.True(strings.HasPrefix(lines[2], `{"level":"warn","msg":"log lines not written","lines":3,"since":"`))
+	is.True(strings.HasSuffix(lines[2], `"error":"no space left on device"}`))
+	is.Equal(lines[3:], []string{"five", "six", ""})
+}
