recoverer, drainer: panics of handlers and errors of HTTP servers are logged and counted

A handler that panics cuts its request: net/http recovers the panic, writes it to the standard logger and closes the connection. No server set ErrorLog, so no structured line told of it and no metric counted it, and in the logs it looked like a connection that a stop had cut. The same holds for connections that can't be accepted for want of descriptors: clients wait in the queue and no line says so.

The drainer logs 'connection not accepted' at most once a second and counts open connections and failed attempts; the metrics page shows the process's open descriptors, read when it is requested.

--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -17,6 +17,7 @@
 
 	"github.com/gorilla/mux"
 	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 	"go.uber.org/zap"
@@ -25,6 +26,7 @@
 	"github.com/bluebellgauge/bluebellgauge/internal/config/provider"
 	"github.com/bluebellgauge/bluebellgauge/internal/entry/drainer"
 	"github.com/bluebellgauge/bluebellgauge/internal/entry/forwarder"
+	"github.com/bluebellgauge/bluebellgauge/internal/entry/recoverer"
 	"github.com/bluebellgauge/bluebellgauge/internal/entry/router"
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/coordinator"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
@@ -108,6 +110,7 @@
 	opts          Options
 	started       time.Time
 	log           *zap.Logger
+	recoverer     *recoverer.Recoverer
 	registrar     *registrar.Home
 	manifest      *provider.Provider
 	router        *router.Router
@@ -146,6 +149,7 @@
 func (r *Runner) build() error {
 	s := r.opts.Settings
 	metrics, metricsHandler := r.newMetrics()
+	r.recoverer = recoverer.New(r.log, metrics.SubScope("http"))
 	r.registrar = registrar.NewHome(r.opts.Timing, time.Now)
 	r.manifest = provider.New(r.registrar.Fresh)
 	if err := r.serveMetrics(metricsHandler); err != nil {
@@ -175,6 +179,7 @@
 
 func (r *Runner) newMetrics() (tally.Scope, http.Handler) {
 	registry := client.NewRegistry()
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{})) // read when the page is requested
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "bluebellgauge", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
@@ -191,6 +196,14 @@
 // Metrics returns the root metrics scope of the daemon.
 func (r *Runner) Metrics() tally.Scope { return r.opts.Metrics }
 
+// ServerMetrics returns the metrics scope of an HTTP server of the process.
+func (r *Runner) ServerMetrics(server string) tally.Scope {
+	return r.opts.Metrics.SubScope("http").Tagged(map[string]string{"server": server})
+}
+
+// Recoverer returns the recoverer for all HTTP servers of the process.
+func (r *Runner) Recoverer() *recoverer.Recoverer { return r.recoverer }
+
 // serveMetrics serves the metrics page at its own address, if one is configured.
 func (r *Runner) serveMetrics(handler http.Handler) error {
 	if r.opts.Settings.Metrics == "" {
@@ -202,7 +215,7 @@
 	}
 	m := mux.NewRouter()
 	m.Handle("/metrics", handler).Methods(http.MethodGet)
-	r.metricsServer = &http.Server{Handler: m, ReadHeaderTimeout: headerTimeout}
+	r.metricsServer = &http.Server{Handler: r.recoverer.Wrap(m), ReadHeaderTimeout: headerTimeout, ErrorLog: r.recoverer.ErrorLog("metrics")}
 	r.serve(r.metricsServer, l)
 	return nil
 }
@@ -224,10 +237,13 @@
 	if err != nil {
 		return errors.Join(err, entry.Close())
 	}
-	r.entry = drainer.New(entry, drainer.Options{Handler: r.router, ReadHeaderTimeout: headerTimeout, TLS: encryption, Fail: r.fail, Log: r.log})
+	r.entry = drainer.New(entry, drainer.Options{
+		Handler: r.recoverer.Wrap(r.router), ReadHeaderTimeout: headerTimeout, TLS: encryption, Fail: r.fail,
+		ErrorLog: r.recoverer.ErrorLog("api"), Metrics: r.ServerMetrics("api"), Log: r.log,
+	})
 	r.peerServer = &http.Server{
-		Handler: r.peering.requireSecret(r.peerHandler()), ReadHeaderTimeout: headerTimeout, Protocols: peerProtocols(),
-		HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxPeerStreams},
+		Handler: r.recoverer.Wrap(r.peering.requireSecret(r.peerHandler())), ReadHeaderTimeout: headerTimeout, Protocols: peerProtocols(),
+		ErrorLog: r.recoverer.ErrorLog("peers"), HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxPeerStreams},
 	}
 	r.serve(r.peerServer, peer)
 	return nil
--- a/internal/entry/drainer/conn.go
+++ b/internal/entry/drainer/conn.go
@@ -150,4 +150,5 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.conns, c)
+	d.openConns.Update(float64(len(d.conns)))
 }
--- a/internal/entry/drainer/drainer.go
+++ b/internal/entry/drainer/drainer.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"log"
 	"net"
 	"net/http"
 	"os"
@@ -14,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 )
 
@@ -31,6 +33,8 @@
 	// handshakeTime is the time for handshakes in progress to complete before a listener is closed.
 	handshakeTime = 100 * time.Millisecond
 	pollInterval  = 10 * time.Millisecond
+	// acceptLogInterval is the least time between lines about connections that could not be accepted.
+	acceptLogInterval = time.Second
 )
 
 // ErrStopping is the cause by which the contexts of requests in progress end shortly before the end of a stop.
@@ -44,7 +48,10 @@
 	TLS               *tls.Config   // nil for plain connections
 	// Fail receives the error that ends the server, unless it was stopped.
 	Fail func(error)
-	Log  *zap.Logger
+	// ErrorLog receives what the HTTP server reports; nil is the standard logger.
+	ErrorLog *log.Logger
+	Metrics  tally.Scope // nil for none
+	Log      *zap.Logger
 }
 
 // Drainer is a running HTTP server.
@@ -57,6 +64,9 @@
 	stopping atomic.Bool
 	served   chan struct{} // closed once no connection is accepted any more
 
+	acceptErrors tally.Counter
+	openConns    tally.Gauge
+
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 }
@@ -64,9 +74,15 @@
 // New starts a server on a listener of Listen, which it closes on Stop and Kill.
 func New(listener *net.TCPListener, opts Options) *Drainer {
 	ctx, abort := context.WithCancelCause(context.Background())
-	d := &Drainer{opts: opts, listener: listener, abort: abort, served: make(chan struct{}), conns: map[*conn]struct{}{}}
+	if opts.Metrics == nil {
+		opts.Metrics = tally.NoopScope
+	}
+	d := &Drainer{
+		opts: opts, listener: listener, abort: abort, served: make(chan struct{}), conns: map[*conn]struct{}{},
+		acceptErrors: opts.Metrics.Counter("accept_errors"), openConns: opts.Metrics.Gauge("connections"),
+	}
 	d.server = &http.Server{
-		Handler: http.HandlerFunc(d.serveHTTP), ReadHeaderTimeout: opts.ReadHeaderTimeout, IdleTimeout: opts.IdleTimeout,
+		Handler: http.HandlerFunc(d.serveHTTP), ReadHeaderTimeout: opts.ReadHeaderTimeout, IdleTimeout: opts.IdleTimeout, ErrorLog: opts.ErrorLog,
 		BaseContext: func(net.Listener) context.Context { return ctx },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, unwrap(c))
@@ -183,6 +199,8 @@
 	*Drainer
 	stopped bool           // the socket does not listen any more
 	queued  []*net.TCPConn // accepted before that
+	errors  int            // connections that could not be accepted
+	logged  time.Time      // time of the last line about them
 }
 
 // Accept implements net.Listener.
@@ -196,6 +214,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.conns[c] = struct{}{}
+	a.openConns.Update(float64(len(a.conns)))
 	return c, nil
 }
 
@@ -203,6 +222,7 @@
 	if !a.stopped {
 		t, err := a.listener.AcceptTCP()
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			a.recordAccept(err)
 			return t, err
 		}
 		a.stopped = true
@@ -218,6 +238,20 @@
 	return t, nil
 }
 
+// recordAccept counts and logs a connection that could not be accepted, as when the process has no free descriptor.
+func (a *acceptor) recordAccept(err error) {
+	if err == nil || errors.Is(err, net.ErrClosed) {
+		return
+	}
+	a.acceptErrors.Inc(1)
+	a.errors++
+	if now := time.Now(); now.Sub(a.logged) >= acceptLogInterval {
+		a.logged = now
+		a.opts.Log.Warn("connection not accepted", zap.Stringer("address", a.Addr()), zap.Int("errors", a.errors),
+			zap.Int("open", a.open()), zap.Error(err))
+	}
+}
+
 // Close implements net.Listener.
 func (a *acceptor) Close() error { return a.listener.Close() }
 
--- a/internal/entry/drainer/drainer_test.go
+++ b/internal/entry/drainer/drainer_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,6 +17,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
+	"golang.org/x/sys/unix"
 )
 
 const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -185,3 +188,50 @@
 	is.Equal(entries[0].ContextMap()["read"], true)
 	is.NoErr(c.Close())
 }
+
+// useDescriptors leaves the process without a free descriptor, and returns a function that restores its limit.
+func useDescriptors(t *testing.T) (release func()) {
+	t.Helper()
+	is := is.New(t)
+	var before unix.Rlimit
+	is.NoErr(unix.Getrlimit(unix.RLIMIT_NOFILE, &before))
+	first, err := unix.Dup(0)
+	is.NoErr(err)
+	is.NoErr(unix.Setrlimit(unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: uint64(first) + 1, Max: before.Max}))
+	held := []int{first}
+	for n, err := unix.Dup(0); err == nil; n, err = unix.Dup(0) {
+		held = append(held, n)
+	}
+	return sync.OnceFunc(func() {
+		for _, n := range held {
+			is.NoErr(unix.Close(n))
+		}
+		is.NoErr(unix.Setrlimit(unix.RLIMIT_NOFILE, &before))
+	})
+}
+
+// TestAcceptErrorsAreLogged guards against clients that wait for a process without free descriptors, and nothing in its log or
+// its metrics says so.
+func TestAcceptErrorsAreLogged(t *testing.T) {
+	is := is.New(t)
+	d, address, logs := newServer(t, ok)
+	client, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	is.NoErr(err)
+	defer func() { is.NoErr(unix.Close(client)) }()
+	release := useDescriptors(t)
+	defer release()
+	at := netip.MustParseAddrPort(address)
+	is.NoErr(unix.Connect(client, &unix.SockaddrInet4{Port: int(at.Port()), Addr: at.Addr().As4()})) // waits in the queue
+	for logs.FilterMessage("connection not accepted").Len() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	fields := logs.FilterMessage("connection not accepted").All()[0].ContextMap()
+	is.Equal(fields["address"], address)
+	is.Equal(fields["errors"], int64(1))
+	is.True(strings.Contains(fields["error"].(string), "too many open files"))
+	release()
+	for d.open() == 0 { // it is accepted now
+		time.Sleep(time.Millisecond)
+	}
+	is.True(logs.FilterMessage("connection not accepted").Len() < 3)
+}
--- a/internal/worker/executor/executor.go
+++ b/internal/worker/executor/executor.go
@@ -14,8 +14,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/bluebellgauge/bluebellgauge/internal/entry/recoverer"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/converter"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 	"github.com/bluebellgauge/bluebellgauge/internal/worker/registrar"
@@ -94,7 +96,8 @@
 	opts.Announcement.Address = listener.Addr().String()
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/orders", e.serveOrders)
-	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: requestTimeout}
+	recovering := recoverer.New(opts.Log, tally.NoopScope)
+	e.server = &http.Server{Handler: recovering.Wrap(mux), ReadHeaderTimeout: requestTimeout, ErrorLog: recovering.ErrorLog("orders")}
 	e.wait.Go(func() {
 		if err := e.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			opts.Log.Error("worker server failed", zap.Error(err))
