coordinator: logs of ends that are dropped and of decisions of another term

A report that was ignored (a later report or life of the worker is known, or a later worker has its address) left no line, so logs could not tell how many ends were dropped with it, nor of which runs. Nor did they tell that a change was proposed in another term than it was decided in, or that the committed ends and starts of a pass had no effect.

--- a/internal/queue/coordinator/call.go
+++ b/internal/queue/coordinator/call.go
@@ -50,9 +50,9 @@
 func (c *Coordinator) Submit(ctx context.Context, s *messages.Submission) (*messages.Verdict, error) {
 	var verdict *messages.Verdict
 	var work *messages.Work
-	var version uint64
+	var term, version uint64
 	err := c.read(ctx, func(state *tracker.Tracker) {
-		version = state.Catalog().GetVersion()
+		term, version = c.term, state.Catalog().GetVersion()
 		verdict, work = c.admit(state, s)
 	})
 	if err != nil {
@@ -62,7 +62,7 @@
 		c.logSubmit(s, s.GetWork(), version, verdict, applier.Receipt{})
 		return verdict, nil
 	}
-	receipt, err := c.commit(ctx, &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Submits: []*messages.Work{work}})
+	receipt, err := c.commit(ctx, term, &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Submits: []*messages.Work{work}})
 	if err != nil {
 		c.opts.Log.Warn("job submission outcome unknown", zap.String("request", work.GetId()),
 			zap.Uint64("index", receipt.Index), zap.Uint64("term", receipt.Term), zap.Error(err))
@@ -139,7 +139,9 @@
 func (c *Coordinator) Cancel(ctx context.Context, l *messages.Lookup) (*messages.Verdict, error) {
 	var verdict *messages.Verdict
 	var id string
+	var term uint64
 	err := c.read(ctx, func(state *tracker.Tracker) {
+		term = c.term
 		var j *tracker.Job
 		j, verdict = lookupJob(state, l)
 		if j != nil && !j.Ended() {
@@ -152,7 +154,7 @@
 	if id == "" {
 		return verdict, nil
 	}
-	receipt, err := c.commit(ctx, &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Cancels: []string{id}})
+	receipt, err := c.commit(ctx, term, &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Cancels: []string{id}})
 	if err != nil {
 		c.opts.Log.Warn("job cancellation outcome unknown", zap.String("request", id),
 			zap.Uint64("index", receipt.Index), zap.Uint64("term", receipt.Term), zap.Error(err))
@@ -202,8 +204,8 @@
 
 // Install commits a catalog. A catalog that is not newer than the current one has no effect.
 func (c *Coordinator) Install(ctx context.Context, catalog *messages.Catalog) (*messages.Verdict, error) {
-	current := uint64(0)
-	err := c.read(ctx, func(state *tracker.Tracker) { current = state.Catalog().GetVersion() })
+	var term, current uint64
+	err := c.read(ctx, func(state *tracker.Tracker) { term, current = c.term, state.Catalog().GetVersion() })
 	if err != nil {
 		return nil, c.opts.RedirectError(ctx, err)
 	}
@@ -213,7 +215,7 @@
 	}
 	var receipt applier.Receipt
 	if catalog.GetVersion() > current {
-		receipt, err = c.commit(ctx, &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Catalog: catalog})
+		receipt, err = c.commit(ctx, term, &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Catalog: catalog})
 		if err != nil {
 			c.opts.Log.Warn("catalog installation outcome unknown", zap.Uint64("version", catalog.GetVersion()),
 				zap.Uint64("index", receipt.Index), zap.Uint64("term", receipt.Term), zap.Error(err))
--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -251,7 +251,7 @@
 	if err != nil || change == nil {
 		return took // another keeper leads, or there is nothing to commit
 	}
-	if _, err := c.commit(ctx, change); err != nil {
+	if _, err := c.commit(ctx, term, change); err != nil {
 		c.opts.Log.Warn("scheduling decisions not committed", zap.Int("starts", len(change.GetStarts())), zap.Int("ends", len(change.GetEnds())), zap.Error(err))
 		return took
 	}
@@ -269,6 +269,7 @@
 		change = nil // its term has ended, and with it the in-memory data
 	}
 	c.committed = passCommit{}
+	c.logWithoutEffect(state, change)
 	c.clearExpiring(change.GetEnds())
 	for _, id := range change.GetFailures() {
 		c.wakeJobWorkers(state.Job(id))
@@ -279,11 +280,17 @@
 	}
 }
 
-// commit commits a change and records how long that took.
-func (c *Coordinator) commit(ctx context.Context, change *messages.QueueChange) (applier.Receipt, error) {
+// commit commits a change that was decided in a term, and records how long that took.
+func (c *Coordinator) commit(ctx context.Context, term uint64, change *messages.QueueChange) (applier.Receipt, error) {
 	start := time.Now()
 	receipt, err := c.opts.Commit(ctx, change)
 	c.metrics.commit.RecordDuration(time.Since(start))
+	if receipt.Term != 0 && receipt.Term != term {
+		c.opts.Log.Warn("change proposed in another term than it was decided in", zap.Uint64("decided", term), zap.Uint64("term", receipt.Term),
+			zap.Uint64("index", receipt.Index), zap.Int("submits", len(change.GetSubmits())), zap.Int("cancels", len(change.GetCancels())),
+			zap.Int("starts", len(change.GetStarts())), zap.Int("ends", len(change.GetEnds())), zap.Uint64("catalog", change.GetCatalog().GetVersion()),
+			zap.Error(err))
+	}
 	return receipt, err
 }
 
--- a/internal/queue/coordinator/credible.go
+++ b/internal/queue/coordinator/credible.go
@@ -16,9 +16,6 @@
 	if w != nil && w.born == r.GetBorn() && r.GetSequence() > w.sequence+maxGap {
 		return false
 	}
-	committed := uint64(0)
-	if incarnation, known := state.Incarnation(r.GetWorker()); known && incarnation.Started == r.GetBorn() {
-		committed = incarnation.Sequence
-	}
+	committed := committedSequence(state, r)
 	return !slices.ContainsFunc(r.GetEnds(), func(e *messages.NumberedEnd) bool { return e.GetSequence() > committed+maxGap })
 }
--- a/internal/queue/coordinator/metrics.go
+++ b/internal/queue/coordinator/metrics.go
@@ -21,6 +21,8 @@
 	// unknownEnds counts reported ends of runs that are not in the replicated state, such as those that were lost before.
 	unknownEnds tally.Counter
 	reports     tally.Counter
+	ignored     map[string]tally.Counter // reports that were ignored, by the reason
+	ignoredEnds map[string]tally.Counter // ends in them that were not committed before
 	pass        tally.Histogram
 	commit      tally.Histogram
 }
@@ -35,6 +37,7 @@
 		submits: map[string]tally.Counter{}, ends: map[string]tally.Counter{},
 		starts: scope.Counter("starts"), evicted: scope.Counter("evicted"), evacuated: scope.Counter("evacuated"), lost: scope.Counter("lost_workers"),
 		crashes: scope.Counter("crashes"), givenUp: scope.Counter("given_up"), reports: scope.Counter("reports"), unknownEnds: scope.Counter("unknown_ends"),
+		ignored: map[string]tally.Counter{}, ignoredEnds: map[string]tally.Counter{},
 		pass: scope.Histogram("pass_seconds", buckets()), commit: scope.Histogram("commit_seconds", buckets()),
 	}
 	for _, status := range []string{StatusOK, StatusRefused, StatusNoQueue, StatusNoKey, StatusUnknown, StatusEmpty, StatusMismatch, StatusTooLarge} {
@@ -45,6 +48,10 @@
 	} {
 		m.ends[how] = scope.Tagged(map[string]string{"how": how}).Counter("ends")
 	}
+	for _, reason := range []string{ignoredUnknownPool, ignoredStale, ignoredNotCredible, ignoredReplaced} {
+		tagged := scope.Tagged(map[string]string{"reason": reason})
+		m.ignored[reason], m.ignoredEnds[reason] = tagged.Counter("ignored_reports"), tagged.Counter("ignored_ends")
+	}
 	return m
 }
 
--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -68,6 +68,7 @@
 	received := c.opts.Now()
 	var change *messages.QueueChange
 	var stale bool
+	var term uint64
 	var wake <-chan struct{}
 	// The report is processed even if its sender is gone by now, as after the last report of a worker that
 	// exits. Otherwise finished work is repeated.
@@ -75,6 +76,7 @@
 	defer cancel()
 	err := c.read(receiveCtx, func(state *tracker.Tracker) {
 		c.pacer.Observe(c.opts.Now().Sub(received))
+		term = c.term
 		if change, stale = c.receive(state, r); !stale {
 			wake = c.beginPoll(r)
 		}
@@ -86,7 +88,7 @@
 		return &messages.FleetOrders{Address: c.opts.Address}, nil
 	}
 	if change != nil {
-		if _, err := c.commit(receiveCtx, change); err != nil {
+		if _, err := c.commit(receiveCtx, term, change); err != nil {
 			return nil, c.opts.RedirectError(ctx, err)
 		}
 		c.triggerPass()
@@ -247,16 +249,20 @@
 	}
 	if state.Catalog() != nil && state.Pools()[r.GetPool()] == nil && !isKnown(w, r) {
 		c.opts.Log.Warn("report names an unknown pool", zap.String("worker", r.GetWorker()), zap.String("pool", r.GetPool()))
+		c.logIgnored(state, r, ignoredUnknownPool)
 		return nil, true
 	}
 	if isStale(state, w, r) {
+		c.logIgnored(state, r, ignoredStale)
 		return nil, true
 	}
 	if !isCredible(state, w, r) {
 		c.opts.Log.Warn("report has numbers far ahead of the last one", zap.String("worker", r.GetWorker()), zap.Uint64("report", r.GetSequence()))
+		c.logIgnored(state, r, ignoredNotCredible)
 		return nil, true
 	}
 	if c.isReplaced(state, r) {
+		c.logIgnored(state, r, ignoredReplaced)
 		return nil, true
 	}
 	if w == nil || r.GetBorn() > w.born {
