drainer: a line for each request that a connection's end cuts

A response that was written only in part left no line: the handler had returned, or was blocked in a write, and `connection ends with an unanswered request` counted handlers only. Nor could a request cut by the stop be told from one of a slow client, or of a client that had left.

The line now has the bytes of the response that were written, whether the body was read whole, whether bytes had arrived that were not read, the last error on the connection, and the stage of the stop. TestCutRequestsAreDistinguished fails without this for a header in part, a body in part and a response in part.

--- a/internal/entry/drainer/conn.go
+++ b/internal/entry/drainer/conn.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -27,6 +28,10 @@
 	reading    bool      // has read bytes of a request that has no handler yet
 	method     string    // of the last request with a handler
 	path       string
+	bodyRead   bool  // of that request
+	writes     int   // in progress
+	written    int   // bytes of the response to that request
+	ended      error // of the last read or write that failed
 	closed     bool
 }
 
@@ -63,11 +68,52 @@
 			return n, err
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.revive() {
+			c.note(err)
 			return n, err
 		}
 	}
 }
 
+// note keeps the error of a read or write.
+func (c *conn) note(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.writes++
+	c.mu.Unlock()
+	n, err := c.TCPConn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writes--
+	c.written += n
+	if err != nil {
+		c.ended = err
+	}
+	return n, err
+}
+
+// body is the body of a request. It tells the connection when it was read whole.
+type body struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// Read implements io.Reader.
+func (b body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.conn.mu.Lock()
+		defer b.conn.mu.Unlock()
+		b.conn.bodyRead = true
+	}
+	return n, err
+}
+
 // received notes that bytes of a request were read.
 func (c *conn) received() {
 	c.mu.Lock()
@@ -116,13 +162,16 @@
 	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 }
 
-// begin notes that a handler starts.
-func (c *conn) begin(r *http.Request) {
+// begin notes that a handler starts, and returns the request for it.
+func (c *conn) begin(r *http.Request) *http.Request {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.handlers++
 	c.reading = false
-	c.method, c.path = r.Method, r.URL.Path
+	c.method, c.path, c.bodyRead, c.written = r.Method, r.URL.Path, r.ContentLength == 0, 0
+	r = r.WithContext(r.Context()) // the HTTP server inspects the body of its own copy
+	r.Body = body{r.Body, c}
+	return r
 }
 
 // finish notes that a handler has returned.
@@ -132,20 +181,31 @@
 	c.handlers--
 }
 
-// Close implements net.Conn. It logs a request without an answer.
+// Close implements net.Conn. It logs a request without a whole response.
 func (c *conn) Close() error {
 	c.drainer.forget(c)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.closed && (c.handlers > 0 || c.reading) {
-		c.drainer.opts.Log.Warn("connection ends with an unanswered request", zap.Stringer("peer", c.RemoteAddr()),
-			zap.String("method", c.method), zap.String("path", c.path), zap.Bool("read", c.handlers > 0),
-			zap.Duration("open", time.Since(c.opened)), zap.Bool("stopping", c.drainer.draining.Load()))
+	if !c.closed {
+		c.logUnanswered()
 	}
 	c.closed = true
 	return c.TCPConn.Close()
 }
 
+// logUnanswered logs the request that the connection carries at its end. The caller must hold the lock.
+func (c *conn) logUnanswered() {
+	handled := c.handlers > 0 || c.writes > 0
+	unread := !c.busy && hasUnread(c.TCPConn)
+	if !handled && !c.reading && !unread {
+		return
+	}
+	c.drainer.opts.Log.Warn("connection ends with an unanswered request", zap.Stringer("peer", c.RemoteAddr()),
+		zap.String("method", c.method), zap.String("path", c.path), zap.Bool("read", handled), zap.Bool("body", handled && c.bodyRead),
+		zap.Bool("unread", unread), zap.Int("written", c.written), zap.NamedError("ended", c.ended), zap.Duration("open", time.Since(c.opened)),
+		zap.Bool("stopping", c.drainer.isDraining()), zap.Stringer("stage", stage(c.drainer.stage.Load())))
+}
+
 func (d *Drainer) forget(c *conn) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/entry/drainer/drainer.go
+++ b/internal/entry/drainer/drainer.go
@@ -60,7 +60,7 @@
 	server   *http.Server
 	listener *net.TCPListener
 	abort    context.CancelCauseFunc
-	draining atomic.Bool
+	stage    atomic.Int32 // a stage
 	stopping atomic.Bool
 	served   chan struct{} // closed once no connection is accepted any more
 
@@ -107,16 +107,16 @@
 
 func (d *Drainer) serveHTTP(w http.ResponseWriter, r *http.Request) {
 	c, _ := r.Context().Value(connKey{}).(*conn)
-	c.begin(r)
+	r = c.begin(r)
 	defer c.finish()
-	if d.draining.Load() {
+	if d.isDraining() {
 		w.Header().Set("Connection", "close")
 	}
 	d.opts.Handler.ServeHTTP(w, r)
 }
 
 // Drain ends each connection with its next response. It does not block.
-func (d *Drainer) Drain() { d.draining.Store(true) }
+func (d *Drainer) Drain() { d.enter(draining) }
 
 // Stop drains the servers of a process and returns once all clients have left, at the latest at end. From refuse on, or once no
 // connection is open at any of them, no connection is accepted. Shortly before end the connections without a request are
@@ -133,7 +133,10 @@
 	refuseAll(servers)
 	for _, d := range servers {
 		d.stopListening()
-		timer := time.AfterFunc(time.Until(end.Add(-abortTime)), func() { d.abort(ErrStopping) })
+		timer := time.AfterFunc(time.Until(end.Add(-abortTime)), func() {
+			d.enter(aborting)
+			d.abort(ErrStopping)
+		})
 		defer timer.Stop()
 	}
 	for slices.ContainsFunc(servers, isOpen) && time.Now().Before(end) {
@@ -151,6 +154,7 @@
 
 // Kill closes all connections at once.
 func (d *Drainer) Kill() {
+	d.enter(closing)
 	d.stopping.Store(true)
 	_ = d.server.Close() // connections still open are dropped
 	_ = d.listener.Close()
@@ -166,6 +170,7 @@
 
 // retire ends the connections that carry no request.
 func (d *Drainer) retire() {
+	d.enter(retiring)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for c := range d.conns {
@@ -177,6 +182,7 @@
 func refuseAll(servers []*Drainer) {
 	var errs []error
 	for _, d := range servers {
+		d.enter(refusing)
 		errs = append(errs, refuseConnects(d.listener))
 	}
 	if err := errors.Join(errs...); err != nil {
--- a/internal/entry/drainer/drainer_test.go
+++ b/internal/entry/drainer/drainer_test.go
@@ -235,3 +235,48 @@
 	}
 	is.True(logs.FilterMessage("connection not accepted").Len() < 3)
 }
+
+// TestCutRequestsAreDistinguished guards against requests that are cut without a line in the log, or with one that does not
+// tell a slow client from a stop: a response that was written in part only was not logged.
+func TestCutRequestsAreDistinguished(t *testing.T) {
+	const post = "POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab"
+	for _, test := range []struct {
+		name, sent string
+		leave      bool // the client leaves before the server ends
+		expected   map[string]any
+	}{
+		{"header in part", request[:9], false, map[string]any{"read": false, "body": false, "unread": false, "stage": "closing"}},
+		{"header in part, client leaves", request[:9], true, map[string]any{"read": false, "ended": "EOF", "stage": "serving"}},
+		{"body in part", post, false, map[string]any{"path": "/p", "read": true, "body": false, "written": int64(0)}},
+		{"response in part", request, false, map[string]any{"path": "/", "read": true, "body": true, "stage": "closing"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			d, address, logs := newServer(t, func(w http.ResponseWriter, r *http.Request) {
+				if _, err := io.ReadAll(r.Body); err == nil {
+					_, _ = w.Write(make([]byte, 64<<20)) // more than the socket holds
+				}
+			})
+			c, err := net.Dial("tcp", address)
+			is.NoErr(err)
+			_, err = io.WriteString(c, test.sent)
+			is.NoErr(err)
+			time.Sleep(100 * time.Millisecond)
+			if test.leave {
+				is.NoErr(c.Close())
+				time.Sleep(100 * time.Millisecond)
+			}
+			d.Kill()
+			entries := logs.FilterMessage("connection ends with an unanswered request").All()
+			is.Equal(len(entries), 1)
+			fields := entries[0].ContextMap()
+			for name, value := range test.expected {
+				is.Equal(fields[name], value)
+			}
+			if test.name == "response in part" {
+				is.True(fields["written"].(int64) > 0)
+			}
+			_ = c.Close() // it may have been closed
+		})
+	}
+}
