applier: log why and to whom a leader hands over, and campaigns

A change of leader at a stop could not be told from one by a timeout: no line named the successor, the voters that the leader could choose from, or how a hand-over ended, and none said that a replica which leads is stopping.

--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -236,6 +236,7 @@
 // transferLeadership transfers the leadership and waits, up to transferTimeout and until end, until this replica is no longer
 // the leader.
 func (p *replica) transferLeadership(ctx context.Context, end time.Time) {
+	p.applier.Leave()
 	if limit := time.Now().Add(transferTimeout); limit.Before(end) {
 		end = limit
 	}
--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -81,18 +82,22 @@
 	members     *messages.Members // in effect at the last applied entry
 	applied     uint64
 	lastTime    time.Time
-	tickPending bool          // a Tick is proposed but not yet applied
-	leading     bool          // is leader at the end of the last step
-	suspended   bool          // the storage can't be written; the node has resigned
-	settling    bool          // was suspended, and has not run for the settle time since
-	suspendedAt time.Duration // Options.Elapsed at the first suspension that is not over
-	resumedAt   time.Duration // Options.Elapsed at the end of the latest suspension
-	resumeWait  time.Duration // between the probes of the next suspension
-	notSaved    bool          // there was no space for the last snapshot
-	nextSave    time.Duration // Options.Elapsed before which no snapshot is saved
-	slowWrites  int           // latest writes of this leader that took as long as an election timeout
-	logBytes    int64         // size of the stored log at the end of the last write
-	refused     string        // sender of the last message that mayLead refused, to log it once
+	tickPending bool            // a Tick is proposed but not yet applied
+	leading     bool            // is leader at the end of the last step
+	suspended   bool            // the storage can't be written; the node has resigned
+	settling    bool            // was suspended, and has not run for the settle time since
+	suspendedAt time.Duration   // Options.Elapsed at the first suspension that is not over
+	resumedAt   time.Duration   // Options.Elapsed at the end of the latest suspension
+	resumeWait  time.Duration   // between the probes of the next suspension
+	notSaved    bool            // there was no space for the last snapshot
+	nextSave    time.Duration   // Options.Elapsed before which no snapshot is saved
+	slowWrites  int             // latest writes of this leader that took as long as an election timeout
+	logBytes    int64           // size of the stored log at the end of the last write
+	refused     string          // sender of the last message that mayLead refused, to log it once
+	leaving     bool            // Leave was called
+	handover    handover        // as of the last step
+	reason      string          // of the latest hand-over
+	role        replicator.Role // at the end of the last step
 
 	writing *pendingWrite // nil if no write is in progress
 	writes  chan func() error
@@ -106,6 +111,8 @@
 	waiters   map[string][]chan scheduler.JobView
 	done      chan struct{}
 	stop      chan struct{}
+	leave     chan struct{}
+	leaveOnce sync.Once
 	failure   error
 
 	// latestMembers is the membership at the end of the log, for readers on other goroutines.
@@ -164,6 +171,7 @@
 		waiters:   map[string][]chan scheduler.JobView{},
 		done:      make(chan struct{}),
 		stop:      make(chan struct{}),
+		leave:     make(chan struct{}),
 	}
 	none := ""
 	a.leader.Store(&none)
@@ -276,13 +284,18 @@
 	ticker := time.NewTicker(a.opts.Tick)
 	defer ticker.Stop()
 	for {
-		peerInbox, inbox, ticks := a.peerInbox, a.inbox, ticker.C
+		peerInbox, inbox, ticks, leave := a.peerInbox, a.inbox, ticker.C, a.leave
+		if a.leaving {
+			leave = nil
+		}
 		if a.mustFinishWrite() {
 			peerInbox, inbox, ticks = nil, nil, nil
 		}
 		select {
 		case <-a.stop:
 			return errStop
+		case <-leave:
+			a.leaving = true
 		case err := <-a.written:
 			if err := a.finishWrite(err); err != nil {
 				return err
@@ -324,7 +337,7 @@
 		a.backOff()
 	}
 	a.suspended = true
-	a.opts.Send(a.node.Resign())
+	a.resign()
 	a.failPending(ErrOutcomeUnknown)
 	a.leading, a.tickPending = false, false
 	none := ""
@@ -535,13 +548,15 @@
 	leading := a.node.Role() == replicator.Leader
 	if a.leading != leading {
 		a.slowWrites = 0
-		a.logPosition("leadership changed", zap.Bool("leading", leading), zap.String("leader", a.node.Leader()))
+		a.logPosition("leadership changed", zap.Bool("leading", leading), zap.String("leader", a.node.Leader()), zap.Bool("stopping", a.leaving))
 	}
 	if a.leading && !leading {
 		a.failPending(ErrOutcomeUnknown)
 		a.tickPending = false
 	}
 	a.leading = leading
+	a.observeHandover()
+	a.observeCampaign()
 }
 
 // isSnapshotDue reports whether the applied entries are many, or large enough for the cost of a snapshot.
--- a/internal/state/applier/requests.go
+++ b/internal/state/applier/requests.go
@@ -198,7 +198,7 @@
 func (a *Applier) Transfer(ctx context.Context) (bool, error) {
 	var ok bool
 	err := a.call(ctx, func() error {
-		ok = a.node.Transfer()
+		ok = a.handOver(reasonStop)
 		return nil
 	})
 	return ok, err
--- a/internal/state/applier/write.go
+++ b/internal/state/applier/write.go
@@ -64,7 +64,7 @@
 		return
 	}
 	a.slowWrites = 0
-	started := a.node.Transfer()
+	started := a.handOver(reasonSlowDisk)
 	a.opts.Log.Warn("leader with a slow disk hands over", zap.Uint64("term", a.node.Term()), zap.Bool("started", started))
 }
 
@@ -75,6 +75,6 @@
 	}
 	if took := a.opts.Elapsed() - a.writing.started; took >= maxWriteTicks*a.opts.Tick {
 		a.opts.Log.Warn("leader with a stuck disk resigns", zap.Uint64("term", a.node.Term()), zap.Duration("took", took))
-		a.opts.Send(a.node.Resign())
+		a.resign()
 	}
 }
