recoverer, platform, router: a request whose handler panics is answered

A handler that panicked ended its connection, so the request had no answer.

The recoverer notes whether a part of the response was written. A response that had begun is cut as before, as is one whose handler panics with ErrAbortHandler.

A call that panics in the process is no longer kept as in flight.

--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -215,7 +215,7 @@
 	}
 	m := mux.NewRouter()
 	m.Handle("/metrics", handler).Methods(http.MethodGet)
-	r.metricsServer = &http.Server{Handler: r.recoverer.Wrap(m), ReadHeaderTimeout: headerTimeout, ErrorLog: r.recoverer.ErrorLog("metrics")}
+	r.metricsServer = &http.Server{Handler: r.recoverer.Wrap(m, recoverer.ReplyError), ReadHeaderTimeout: headerTimeout, ErrorLog: r.recoverer.ErrorLog("metrics")}
 	r.serve(r.metricsServer, l)
 	return nil
 }
@@ -238,11 +238,11 @@
 		return errors.Join(err, entry.Close())
 	}
 	r.entry = drainer.New(entry, drainer.Options{
-		Handler: r.recoverer.Wrap(r.router), ReadHeaderTimeout: headerTimeout, TLS: encryption, Fail: r.fail,
+		Handler: r.recoverer.Wrap(r.router, router.ReplyPanicked), ReadHeaderTimeout: headerTimeout, TLS: encryption, Fail: r.fail,
 		ErrorLog: r.recoverer.ErrorLog("api"), Metrics: r.ServerMetrics("api"), Log: r.log,
 	})
 	r.peerServer = &http.Server{
-		Handler: r.recoverer.Wrap(r.peering.requireSecret(r.peerHandler())), ReadHeaderTimeout: headerTimeout, Protocols: peerProtocols(),
+		Handler: r.recoverer.Wrap(r.peering.requireSecret(r.peerHandler()), recoverer.ReplyError), ReadHeaderTimeout: headerTimeout, Protocols: peerProtocols(),
 		ErrorLog: r.recoverer.ErrorLog("peers"), HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxPeerStreams},
 	}
 	r.serve(r.peerServer, peer)
--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -202,13 +202,7 @@
 	defer cancel()
 	callCtx, cancelCall := context.WithCancelCause(callCtx)
 	c := &pendingCall{address: address, cancel: cancelCall}
-	f.mu.Lock()
-	f.inFlight[c] = struct{}{}
-	f.mu.Unlock()
-	reply, err := send(callCtx, address)
-	f.mu.Lock()
-	delete(f.inFlight, c)
-	f.mu.Unlock()
+	reply, err := sendTracked(callCtx, f, c, send)
 	// A call that was cancelled, by its caller or on a change of leader, gives no information about the
 	// replica.
 	moved := errors.Is(context.Cause(callCtx), errLeaderChanged)
@@ -222,6 +216,19 @@
 	return reply, address, err
 }
 
+// sendTracked sends a request once. A change of leader cancels it while it is in flight.
+func sendTracked[T any](ctx context.Context, f *Forwarder, c *pendingCall, send func(context.Context, netip.AddrPort) (T, error)) (T, error) {
+	f.mu.Lock()
+	f.inFlight[c] = struct{}{}
+	f.mu.Unlock()
+	defer func() { // also if the local replica panics
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.inFlight, c)
+	}()
+	return send(ctx, c.address)
+}
+
 func (f *Forwarder) peer(address netip.AddrPort) messages.Peer {
 	return messages.NewPeerProtobufClient(f.scheme+"://"+address.String(), f.client)
 }
--- a/internal/entry/recoverer/recoverer.go
+++ b/internal/entry/recoverer/recoverer.go
@@ -39,23 +39,57 @@
 	}
 }
 
-// Wrap returns a handler that records a panic of next and then cuts the request.
-func (r *Recoverer) Wrap(next http.Handler) http.Handler {
+// Wrap returns a handler that records a panic of next and answers the request with reply. The request is cut if a part of
+// its response was already written, or if next panicked with http.ErrAbortHandler.
+func (r *Recoverer) Wrap(next http.Handler, reply http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		tracked := &response{ResponseWriter: w}
 		defer func() {
-			if value := recover(); value != nil {
-				r.record(q, value)
+			value := recover()
+			if value == nil {
+				return
+			}
+			if err, ok := value.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+				panic(value)
+			}
+			r.record(q, value)
+			if tracked.written {
 				panic(http.ErrAbortHandler) // which net/http does not log
 			}
+			clear(w.Header())
+			reply(w, q)
 		}()
-		next.ServeHTTP(w, q)
+		next.ServeHTTP(tracked, q)
 	})
 }
 
+// ReplyError is the reply to requests that change nothing.
+func ReplyError(w http.ResponseWriter, _ *http.Request) {
+	http.Error(w, http.StatusText(http.StatusInternalServerError), http.StatusInternalServerError)
+}
+
+// response notes whether any part of a response was written.
+type response struct {
+	http.ResponseWriter
+	written bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *response) WriteHeader(status int) {
+	w.written = w.written || status >= http.StatusOK // others are informational
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *response) Write(p []byte) (int, error) {
+	w.written = true
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap returns the original writer to http.ResponseController.
+func (w *response) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 func (r *Recoverer) record(q *http.Request, value any) {
-	if err, ok := value.(error); ok && errors.Is(err, http.ErrAbortHandler) {
-		return // the handler has chosen to cut the request
-	}
 	r.panics.Inc(1)
 	if r.panicLines.Allow() {
 		r.log.Error("handler panicked", zap.String("method", q.Method), zap.String("path", cut(q.URL.Path, maxTextBytes)),
--- a/internal/entry/router/problem.go
+++ b/internal/entry/router/problem.go
@@ -40,6 +40,16 @@
 	}
 }
 
+// ReplyPanicked responds to a request whose handler panicked. It may have had an effect if it was to have one.
+func ReplyPanicked(w http.ResponseWriter, q *http.Request) {
+	p := newProblem(http.StatusServiceUnavailable, CodeUnreachable, "the entry failed and the outcome is open, send the same request again")
+	if q.Method == http.MethodGet || q.Method == http.MethodHead {
+		p = newProblem(http.StatusInternalServerError, CodeUnreachable, "the entry failed")
+	}
+	p.retry = time.Second
+	p.write(w)
+}
+
 func (p *problem) write(w http.ResponseWriter) {
 	if p.retry > 0 {
 		seconds := int((p.retry + time.Second - 1) / time.Second)
--- a/internal/worker/executor/executor.go
+++ b/internal/worker/executor/executor.go
@@ -97,7 +97,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/orders", e.serveOrders)
 	recovering := recoverer.New(opts.Log, tally.NoopScope)
-	e.server = &http.Server{Handler: recovering.Wrap(mux), ReadHeaderTimeout: requestTimeout, ErrorLog: recovering.ErrorLog("orders")}
+	e.server = &http.Server{Handler: recovering.Wrap(mux, recoverer.ReplyError), ReadHeaderTimeout: requestTimeout, ErrorLog: recovering.ErrorLog("orders")}
 	e.wait.Go(func() {
 		if err := e.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			opts.Log.Error("worker server failed", zap.Error(err))
