logger: a stop does not wait for an output that takes nothing

When the reader of a daemon's log stalled, the last lines could not be written, and Close waited for them without end: the process stayed until SIGKILL after all requests were answered. Close and Sync give the output 200 ms. What is queued at Close is still written by an output that takes it.

TestCloseWithStuckOutput failed before: Sync did not return.

--- a/internal/report/logger/logger.go
+++ b/internal/report/logger/logger.go
@@ -4,9 +4,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,7 +18,8 @@
 	queueLength       = 4096                   // lines waiting for the output
 	flushInterval     = 100 * time.Millisecond // bounds the delay of a line while one write serves many lines
 	maxBatchBytes     = 64 << 10
-	maxLinesPerSecond = 3000 // beyond this rate, logging would add to the load of an overloaded process
+	syncTimeout       = 200 * time.Millisecond // a stop must not exceed its grace period for an output that takes nothing
+	maxLinesPerSecond = 3000                   // beyond this rate, logging would add to the load of an overloaded process
 )
 
 // Logger is a buffered, rate-limited sink for log lines.
@@ -30,7 +31,7 @@
 	currentSecond atomic.Int64 // Unix second that linesInSecond counts
 	linesInSecond atomic.Int64
 	stop          chan struct{}
-	writer        sync.WaitGroup
+	done          chan struct{} // closed once the last line is written
 }
 
 var _ zapcore.WriteSyncer = (*Logger)(nil)
@@ -55,8 +56,9 @@
 
 // New returns a logger with a running goroutine that writes to out.
 func New(out io.Writer) *Logger {
-	l := &Logger{lines: make(chan []byte, queueLength), syncRequests: make(chan chan struct{}), stop: make(chan struct{})}
-	l.writer.Go(func() {
+	l := &Logger{lines: make(chan []byte, queueLength), syncRequests: make(chan chan struct{}), stop: make(chan struct{}), done: make(chan struct{})}
+	go func() {
+		defer close(l.done)
 		o := output{logger: l, out: out}
 		var batch []byte
 		var due <-chan time.Time // set while the batch is not empty
@@ -86,11 +88,14 @@
 				flush()
 				close(done)
 			case <-l.stop:
+				for len(l.lines) > 0 {
+					batch = append(batch, <-l.lines...)
+				}
 				flush()
 				return
 			}
 		}
-	})
+	}()
 	return l
 }
 
@@ -157,15 +162,26 @@
 	return len(line), nil
 }
 
-// Sync writes all queued lines to the output.
+// errNotTaken is the error of Sync when the output does not take the lines in time.
+var errNotTaken = errors.New("the output does not take the log lines")
+
+// Sync writes all queued lines to the output, if it takes them in time.
 func (l *Logger) Sync() error {
+	timeout := time.After(syncTimeout)
 	done := make(chan struct{})
 	select {
 	case l.syncRequests <- done:
-		<-done
-	case <-l.stop:
+	case <-l.done:
+		return nil
+	case <-timeout:
+		return errNotTaken
+	}
+	select {
+	case <-done:
+		return nil
+	case <-timeout:
+		return errNotTaken
 	}
-	return nil
 }
 
 // Dropped returns the number of lines dropped so far because of the queue or the rate limit.
@@ -180,9 +196,11 @@
 	l.unwritten.countIn(scope.Counter("lines_unwritten"))
 }
 
-// Close writes all queued lines and stops the writer.
+// Close writes all queued lines and stops the writer. It does not wait longer for an output that does not take them in time.
 func (l *Logger) Close() {
-	_ = l.Sync()
 	close(l.stop)
-	l.writer.Wait()
+	select {
+	case <-l.done:
+	case <-time.After(syncTimeout):
+	}
 }
--- a/internal/report/logger/logger_test.go
+++ b/internal/report/logger/logger_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
@@ -100,3 +101,25 @@
 	is.True(strings.HasSuffix(lines[2], `"error":"no space left on device"}`))
 	is.Equal(lines[3:], []string{"five", "six", ""})
 }
+
+// TestCloseWithStuckOutput guards against a process that stays until it is killed: Close waited for an output that takes nothing.
+func TestCloseWithStuckOutput(t *testing.T) {
+	is := is.New(t)
+	s := &blockedWriter{unblock: make(chan struct{})}
+	l := New(s)
+	_, err := io.WriteString(l, "line\n")
+	is.NoErr(err)
+	is.Equal(l.Sync(), errNotTaken)
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		l.Close()
+	}()
+	select {
+	case <-closed:
+	case <-time.After(5 * syncTimeout):
+		t.Fatal("Close waits for the output")
+	}
+	close(s.unblock)
+	<-l.done
+}
