signaller: signals in one place; a lost log reader and SIGQUIT do not end bluebellplatformd

When the reader of standard output or standard error goes away, as a log collector that is restarted, the Go runtime raised SIGPIPE at the next line and the process ended, with all requests that it had read and no line that said so; on a machine, all processes ended at once. SIGQUIT dumped the goroutines and ended it likewise. SIGPIPE is ignored, so the write fails and the lines are counted, and SIGQUIT stops in order; SIGABRT still dumps. Each signal that is handled is logged. Lines of the standard logger, as of net/http, go to the log and not to standard error, which could block.

--- a/cmd/bluebellplatformd/disk_test.go
+++ b/cmd/bluebellplatformd/disk_test.go
@@ -79,6 +79,7 @@
 	control netip.AddrPort // of workers and operators
 	command *exec.Cmd
 	exited  chan struct{}
+	output  *os.File // of the process, nil to keep its log
 
 	mu   sync.Mutex
 	log  bytes.Buffer
@@ -139,6 +140,9 @@
 	command, exited := exec.Command(os.Args[0]), make(chan struct{})
 	command.Env = []string{runMainVariable + "=1", platform.SettingsVariable + "=" + k.settingsPath(), fullVariable + "=" + k.fullPath()}
 	command.Stdout, command.Stderr = k, k
+	if k.output != nil {
+		command.Stdout, command.Stderr = k.output, k.output
+	}
 	is.NoErr(command.Start())
 	k.command, k.exited = command, exited
 	go func() {
--- a/cmd/bluebellplatformd/main.go
+++ b/cmd/bluebellplatformd/main.go
@@ -9,9 +9,7 @@
 	"net"
 	"net/netip"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -20,6 +18,7 @@
 	"golang.org/x/net/proxy"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/daemon/runner"
+	"github.com/bluebellgauge/bluebellgauge/internal/daemon/signaller"
 	"github.com/bluebellgauge/bluebellgauge/internal/report/logger"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/persister"
@@ -42,10 +41,8 @@
 // run runs the command on the given files and returns its exit code.
 func run(files filer.Files) int {
 	// Signals are registered first: the settings may change during startup, and an unhandled SIGHUP
-	// ends the process. Each channel keeps one signal, which is enough for signals of its kind.
-	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	signal.Notify(reload, syscall.SIGHUP)
+	// ends the process.
+	signals := signaller.New()
 	var opts options
 	if _, err := flags.Parse(&opts); err != nil {
 		var usage *flags.Error
@@ -73,7 +70,8 @@
 	sink := logger.New(os.Stdout)
 	defer sink.Close()
 	log := newLogger(sink)
-	a, err := startWhenWritable(files, s.Daemon.Data, func() (*platform.Adapter, error) { return platform.New(s, files, dial, log) }, stop, log)
+	zap.RedirectStdLog(log)
+	a, err := startWhenWritable(files, s.Daemon.Data, func() (*platform.Adapter, error) { return platform.New(s, files, dial, log) }, signals, log)
 	if err != nil {
 		log.Error("start failed", zap.Error(err))
 		return exitFailure
@@ -82,7 +80,7 @@
 		return 0
 	}
 	sink.CountIn(a.Metrics().SubScope("log"))
-	return watch(a, stop, reload, log)
+	return watch(a, signals, log)
 }
 
 // proxyDial returns a dial function through a SOCKS5 proxy, nil for direct connections.
@@ -104,7 +102,7 @@
 // startWhenWritable starts the daemon once its data folder, if it has one, is writable. Waiting avoids a restart loop on
 // a full disk. The result is nil if a signal to stop arrives first.
 func startWhenWritable(
-	files filer.Files, folder string, start func() (*platform.Adapter, error), stop <-chan os.Signal, log *zap.Logger,
+	files filer.Files, folder string, start func() (*platform.Adapter, error), signals *signaller.Signaller, log *zap.Logger,
 ) (*platform.Adapter, error) {
 	for waiting := false; ; waiting = true {
 		a, err := startIfWritable(files, folder, start)
@@ -114,7 +112,7 @@
 		if !waiting {
 			log.Warn("start waits for the disk", zap.String("folder", folder), zap.Error(err))
 		}
-		if !sleep(pollInterval, stop) {
+		if !sleep(pollInterval, signals, log) {
 			return nil, nil
 		}
 	}
@@ -130,11 +128,12 @@
 }
 
 // sleep returns after an interval, or with false on a signal to stop.
-func sleep(interval time.Duration, stop <-chan os.Signal) bool {
+func sleep(interval time.Duration, signals *signaller.Signaller, log *zap.Logger) bool {
 	timer := time.NewTimer(interval)
 	defer timer.Stop()
 	select {
-	case <-stop:
+	case s := <-signals.Stop():
+		signaller.Log(log, s)
 		return false
 	case <-timer.C:
 		return true
@@ -149,17 +148,18 @@
 }
 
 // watch handles signals, changed settings and fatal errors. It returns the exit code.
-func watch(a *platform.Adapter, stop, reload <-chan os.Signal, log *zap.Logger) int {
+func watch(a *platform.Adapter, signals *signaller.Signaller, log *zap.Logger) int {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	last, _ := os.ReadFile(platform.SettingsPath()) // an error is reported by the next poll
 	for {
 		select {
-		case <-stop:
+		case s := <-signals.Stop():
+			signaller.Log(log, s)
 			a.Stop()
 			return 0
-		case <-reload:
-			log.Info("SIGHUP received")
+		case s := <-signals.Reload():
+			signaller.Log(log, s)
 			last = applySettings(a, last, log)
 		case <-ticker.C:
 			last = applySettings(a, last, log)
