--- a/cmd/bluebellgauged/main.go
+++ b/cmd/bluebellgauged/main.go
@@ -6,14 +6,15 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/jessevdk/go-flags"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
 	"github.com/bluebellgauge/bluebellgauge/internal/daemon/runner"
+	"github.com/bluebellgauge/bluebellgauge/internal/daemon/signaller"
+	"github.com/bluebellgauge/bluebellgauge/internal/report/logger"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
 	"github.com/bluebellgauge/bluebellgauge/internal/worker/registrar"
 )
@@ -30,6 +31,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	signals := signaller.New()
 	var opts options
 	if _, err := flags.Parse(&opts); err != nil {
 		var usage *flags.Error
@@ -38,27 +40,38 @@
 		}
 		return exitSettings
 	}
-	// The daemon serves requests before start returns.
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	d, log, err := start(opts.Settings)
+	sink := logger.New(os.Stderr)
+	defer sink.Close()
+	d, log, err := start(opts.Settings, sink)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "bluebellgauged:", err)
 		return exitSettings
 	}
-	select {
-	case <-signals:
-		d.Stop()
-		log.Info("stopped")
-		return 0
-	case err := <-d.Failed():
-		log.Error("daemon failed", zap.Error(err))
-		d.Kill()
-		return exitFailure
+	sink.CountIn(d.Metrics().SubScope("log"))
+	return watch(d, signals, log)
+}
+
+// watch handles signals and fatal errors. It returns the exit code.
+func watch(d *runner.Runner, signals *signaller.Signaller, log *zap.Logger) int {
+	for {
+		select {
+		case s := <-signals.Stop():
+			signaller.Log(log, s)
+			d.Stop()
+			log.Info("stopped")
+			return 0
+		case s := <-signals.Reload():
+			signaller.Log(log, s)
+			log.Info("settings are read at the start only")
+		case err := <-d.Failed():
+			log.Error("daemon failed", zap.Error(err))
+			d.Kill()
+			return exitFailure
+		}
 	}
 }
 
-func start(path string) (*runner.Runner, *zap.Logger, error) {
+func start(path string, sink *logger.Logger) (*runner.Runner, *zap.Logger, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, nil, err
@@ -75,7 +88,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	log, err := newLogger(s)
+	log, err := newLogger(s, sink)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -86,14 +99,16 @@
 	return d, log, err
 }
 
-func newLogger(s *parser.Settings) (*zap.Logger, error) {
-	config := zap.NewProductionConfig()
-	config.Encoding = s.Format
-	config.Sampling = nil
-	level, err := zap.ParseAtomicLevel(s.Level)
+func newLogger(s *parser.Settings, sink *logger.Logger) (*zap.Logger, error) {
+	level, err := zapcore.ParseLevel(s.Level)
 	if err != nil {
 		return nil, err
 	}
-	config.Level = level
-	return config.Build()
+	encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+	if s.Format == "console" {
+		encoder = zapcore.NewConsoleEncoder(zap.NewProductionEncoderConfig())
+	}
+	log := zap.New(zapcore.NewCore(encoder, sink, level), zap.AddCaller(), zap.AddStacktrace(zap.ErrorLevel))
+	zap.RedirectStdLog(log)
+	return log, nil
 }
