coordinator: ends in a late report are recorded

Finished work was done again, or a job waited for the repetition, if the report that listed its end came late: after one of a later worker at its address, of a later incarnation of the worker, or of a later time whose own commit had failed. Such a report must not bring its sender a lease, orders or room, and was dropped whole, with true statements about the past in it.

The ends of runs that the state still holds are committed now, and those that were done complete their tasks as those of returned workers do, also where the loss of the worker is committed first. Nothing is acknowledged by that: a worker that is still there lists its ends again.

--- a/internal/queue/coordinator/dropped.go
+++ b/internal/queue/coordinator/dropped.go
@@ -20,8 +20,51 @@
 // maxLoggedEnds is how many ends of an ignored report are named in the log.
 const maxLoggedEnds = 8
 
-// logIgnored counts a report that is ignored and logs the ends in it that are not committed.
-func (c *Coordinator) logIgnored(state *tracker.Tracker, r *messages.FleetReport, reason string) {
+// ignore returns the change that records the ends in a report that is late and otherwise ignored, nil if there are none.
+func (c *Coordinator) ignore(state *tracker.Tracker, r *messages.FleetReport, reason string) *messages.QueueChange {
+	ends := lateEnds(state, r)
+	c.logIgnored(state, r, reason, ends)
+	if len(ends.GetEnds()) == 0 {
+		return nil
+	}
+	return &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Ends: []*messages.WorkerEnds{ends}}
+}
+
+// lateEnds returns the ends in a late report that the state lacks. They are true whatever has become of the worker since: a
+// run that the state holds has ended, and a task that waits or runs again is complete if an earlier run of it was. No end is
+// acknowledged by that, as the worker lists it again if it is still there.
+func lateEnds(state *tracker.Tracker, r *messages.FleetReport) *messages.WorkerEnds {
+	if !isCredible(state, nil, r) {
+		return nil
+	}
+	committed := committedSequence(state, r)
+	ends := &messages.WorkerEnds{Worker: r.GetWorker(), Born: r.GetBorn(), Sequence: committed}
+	if incarnation, known := state.Incarnation(r.GetWorker()); known && incarnation.Started > r.GetBorn() {
+		// Ends of an earlier incarnation than the committed one have no effect.
+		ends.Born, ends.Sequence = incarnation.Started, incarnation.Sequence
+	}
+	for _, e := range r.GetEnds() {
+		how := e.GetEnd().GetHow()
+		if e.GetSequence() <= committed || how == tracker.EndRecovered {
+			continue
+		}
+		key := tracker.EndKeyOf(e.GetEnd())
+		run := state.RunsOn(r.GetWorker())[key]
+		active := run != nil && run.GetBorn() == r.GetBorn()
+		if active && ends.GetBorn() == r.GetBorn() {
+			ends.Ends = append(ends.Ends, e.GetEnd())
+		}
+		// The loss of the worker may be committed before this change.
+		if how == tracker.EndDone && (active || state.IsRecoverable(key)) {
+			ends.Ends = append(ends.Ends, recoveredEndOf(key))
+		}
+	}
+	return ends
+}
+
+// logIgnored counts a report that is ignored and logs the ends in it that are not committed. recorded are those that are
+// committed nevertheless.
+func (c *Coordinator) logIgnored(state *tracker.Tracker, r *messages.FleetReport, reason string, recorded *messages.WorkerEnds) {
 	count(c.metrics.ignored, reason)
 	committed := committedSequence(state, r)
 	var names []string
@@ -47,7 +90,17 @@
 		counter.Inc(int64(ends))
 	}
 	c.opts.Log.Warn("report with ends ignored", zap.String("reason", reason), zap.String("worker", r.GetWorker()), zap.Int64("born", r.GetBorn()),
-		zap.Uint64("report", r.GetSequence()), zap.String("address", r.GetAddress()), zap.Int("ends", ends), zap.Int("open", open), zap.Strings("first", names))
+		zap.Uint64("report", r.GetSequence()), zap.String("address", r.GetAddress()), zap.Int("ends", ends), zap.Int("open", open),
+		zap.Int("recorded", recordedRuns(recorded)), zap.Strings("first", names))
+}
+
+// recordedRuns returns the number of runs whose ends are recorded.
+func recordedRuns(ends *messages.WorkerEnds) int {
+	runs := map[tracker.RunKey]bool{}
+	for _, e := range ends.GetEnds() {
+		runs[tracker.EndKeyOf(e)] = true
+	}
+	return len(runs)
 }
 
 // committedSequence returns the number of the last end that is committed of the incarnation that sent a report.
--- a/internal/queue/coordinator/dropped_test.go
+++ b/internal/queue/coordinator/dropped_test.go
@@ -35,7 +35,7 @@
 	list := lines.FilterMessage("report with ends ignored").All()
 	is.Equal(len(list), 1)
 	is.Equal(list[0].ContextMap(), map[string]any{
-		"reason": ignoredNotCredible, "worker": "w", "born": int64(5), "report": uint64(3), "address": "", "ends": int64(1), "open": int64(1),
+		"reason": ignoredNotCredible, "worker": "w", "born": int64(5), "report": uint64(3), "address": "", "ends": int64(1), "open": int64(1), "recorded": int64(0),
 		"first": []any{"a.0.0.0/1 done"},
 	})
 }
--- a/internal/queue/coordinator/recover.go
+++ b/internal/queue/coordinator/recover.go
@@ -26,6 +26,11 @@
 		zap.Int32("task", key.Task), zap.Uint32("run", key.Number), zap.String("worker", w.id), zap.Bool("expiring", w.expiring),
 		zap.Uint64("report", w.sequence))
 	count(c.metrics.ends, tracker.EndRecovered)
+	return recoveredEndOf(key)
+}
+
+// recoveredEndOf returns the end that completes the task of a run whose end is committed in another way.
+func recoveredEndOf(key tracker.RunKey) *messages.End {
 	return &messages.End{
 		Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number, How: tracker.EndRecovered,
 	}
--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -84,9 +84,6 @@
 	if err != nil {
 		return nil, c.opts.RedirectError(ctx, err)
 	}
-	if stale {
-		return &messages.FleetOrders{Address: c.opts.Address}, nil
-	}
 	if change != nil {
 		if _, err := c.commit(receiveCtx, term, change); err != nil {
 			return nil, c.opts.RedirectError(ctx, err)
@@ -97,6 +94,9 @@
 			return nil, c.opts.RedirectError(ctx, err)
 		}
 	}
+	if stale {
+		return &messages.FleetOrders{Address: c.opts.Address}, nil
+	}
 	return c.respond(ctx, r, received, wake)
 }
 
@@ -238,7 +238,8 @@
 }
 
 // receive processes a report and returns the change that must be committed before the response. stale is true
-// if the report must be ignored: a later one is known, a later worker has its address, or its pool is unknown.
+// if the report must be ignored, but for ends in it: a later one is known, a later worker has its address, or its pool is
+// unknown.
 func (c *Coordinator) receive(state *tracker.Tracker, r *messages.FleetReport) (change *messages.QueueChange, stale bool) {
 	now := c.opts.Now()
 	c.metrics.reports.Inc(1)
@@ -249,21 +250,19 @@
 	}
 	if state.Catalog() != nil && state.Pools()[r.GetPool()] == nil && !isKnown(w, r) {
 		c.opts.Log.Warn("report names an unknown pool", zap.String("worker", r.GetWorker()), zap.String("pool", r.GetPool()))
-		c.logIgnored(state, r, ignoredUnknownPool)
+		c.logIgnored(state, r, ignoredUnknownPool, nil)
 		return nil, true
 	}
 	if isStale(state, w, r) {
-		c.logIgnored(state, r, ignoredStale)
-		return nil, true
+		return c.ignore(state, r, ignoredStale), true
 	}
 	if !isCredible(state, w, r) {
 		c.opts.Log.Warn("report has numbers far ahead of the last one", zap.String("worker", r.GetWorker()), zap.Uint64("report", r.GetSequence()))
-		c.logIgnored(state, r, ignoredNotCredible)
+		c.logIgnored(state, r, ignoredNotCredible, nil)
 		return nil, true
 	}
 	if c.isReplaced(state, r) {
-		c.logIgnored(state, r, ignoredReplaced)
-		return nil, true
+		return c.ignore(state, r, ignoredReplaced), true
 	}
 	if w == nil || r.GetBorn() > w.born {
 		w = c.addIncarnation(state, r)
