drainer: the close of a connection is announced with the last of its pipelined requests

At a planned stop a client that writes requests without waiting for the responses got no answer to those behind the one that announced the end of the connection, although the process had read them: net/http handles no request after such a response, and reads ahead, so the handler can't know of further requests.

A connection now passes on its bytes up to the end of a header or a body only, and so knows at the start of a handler whether more have come. It announces the close when none have. Not covered: requests behind a body of unknown length, and connections over TLS, where requests can't be told apart below the encryption; they are cut as before.

A request that arrives behind the response that announces the end is not read, and has no answer as HTTP demands it; it is logged with `unread`.

--- a/internal/entry/drainer/conn.go
+++ b/internal/entry/drainer/conn.go
@@ -28,10 +28,11 @@
 	reading    bool      // has read bytes of a request that has no handler yet
 	method     string    // of the last request with a handler
 	path       string
-	bodyRead   bool  // of that request
-	writes     int   // in progress
-	written    int   // bytes of the response to that request
-	ended      error // of the last read or write that failed
+	bodyRead   bool   // of that request
+	writes     int    // in progress
+	written    int    // bytes of the response to that request
+	framer     framer // not used for TLS
+	ended      error  // of the last read or write that failed
 	closed     bool
 }
 
@@ -54,18 +55,22 @@
 		c.busy = true
 		c.streams = encrypted && t.ConnectionState().NegotiatedProtocol == "h2"
 	case http.StateIdle:
-		c.busy, c.reading, c.quietSince = false, false, time.Now()
+		c.framer.finish()
+		c.busy = c.framer.surplus(0) > 0
+		c.reading, c.quietSince = c.busy, time.Now()
 	case http.StateNew, http.StateHijacked, http.StateClosed:
 	}
 }
 
 // Read implements net.Conn. A connection that retires ends with the error of its deadline, unless a request has arrived.
 func (c *conn) Read(p []byte) (int, error) {
+	if n := c.takePending(p); n > 0 {
+		return n, nil
+	}
 	for {
 		n, err := c.TCPConn.Read(p)
 		if n > 0 {
-			c.received()
-			return n, err
+			return c.received(p[:n]), err
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.revive() {
 			c.note(err)
@@ -114,13 +119,33 @@
 	return n, err
 }
 
-// received notes that bytes of a request were read.
-func (c *conn) received() {
+// takePending passes on bytes that were read before.
+func (c *conn) takePending(p []byte) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.framer.pending) == 0 {
+		return 0
+	}
+	c.noteRequest()
+	return c.framer.take(p)
+}
+
+// received notes that bytes were read, and returns how many of them may be passed on.
+func (c *conn) received(p []byte) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.streams {
-		return
+		return len(p)
+	}
+	c.noteRequest()
+	if c.drainer.opts.TLS != nil {
+		return len(p)
 	}
+	return c.framer.split(p)
+}
+
+// noteRequest notes that bytes of a request arrive. The caller must hold the lock.
+func (c *conn) noteRequest() {
 	c.busy = true
 	// The bytes of a TLS connection need not belong to a request.
 	c.reading = c.reading || c.handlers == 0 && c.drainer.opts.TLS == nil
@@ -129,11 +154,25 @@
 	}
 }
 
+// hasSurplus reports whether the client has sent requests behind the last one that was handled. Over TLS it cannot know. The
+// caller must hold the lock.
+func (c *conn) hasSurplus() bool {
+	return c.drainer.opts.TLS == nil && c.framer.surplus(unread(c.TCPConn)) > 0
+}
+
+// endsWithResponse reports whether the client is to be told to close the connection: not before the last of the requests that
+// it has sent, as the HTTP server handles none after that.
+func (c *conn) endsWithResponse() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.drainer.isDraining() && !c.hasSurplus()
+}
+
 // revive reports whether a connection that retires has bytes to read. It then carries a request and stays.
 func (c *conn) revive() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.retiring || !hasUnread(c.TCPConn) {
+	if !c.retiring || unread(c.TCPConn) == 0 {
 		return false
 	}
 	c.unretire()
@@ -169,6 +208,9 @@
 	c.handlers++
 	c.reading = false
 	c.method, c.path, c.bodyRead, c.written = r.Method, r.URL.Path, r.ContentLength == 0, 0
+	if r.ContentLength != 0 { // without a body, bytes of the next request may have been passed on
+		c.framer.body = r.ContentLength
+	}
 	r = r.WithContext(r.Context()) // the HTTP server inspects the body of its own copy
 	r.Body = body{r.Body, c}
 	return r
@@ -196,13 +238,13 @@
 // logUnanswered logs the request that the connection carries at its end. The caller must hold the lock.
 func (c *conn) logUnanswered() {
 	handled := c.handlers > 0 || c.writes > 0
-	unread := !c.busy && hasUnread(c.TCPConn)
-	if !handled && !c.reading && !unread {
+	left := !c.reading && c.hasSurplus()
+	if !handled && !c.reading && !left {
 		return
 	}
 	c.drainer.opts.Log.Warn("connection ends with an unanswered request", zap.Stringer("peer", c.RemoteAddr()),
 		zap.String("method", c.method), zap.String("path", c.path), zap.Bool("read", handled), zap.Bool("body", handled && c.bodyRead),
-		zap.Bool("unread", unread), zap.Int("written", c.written), zap.NamedError("ended", c.ended), zap.Duration("open", time.Since(c.opened)),
+		zap.Bool("unread", left), zap.Int("written", c.written), zap.NamedError("ended", c.ended), zap.Duration("open", time.Since(c.opened)),
 		zap.Bool("stopping", c.drainer.isDraining()), zap.Stringer("stage", stage(c.drainer.stage.Load())))
 }
 
--- a/internal/entry/drainer/drainer.go
+++ b/internal/entry/drainer/drainer.go
@@ -109,13 +109,13 @@
 	c, _ := r.Context().Value(connKey{}).(*conn)
 	r = c.begin(r)
 	defer c.finish()
-	if d.isDraining() {
+	if c.endsWithResponse() {
 		w.Header().Set("Connection", "close")
 	}
 	d.opts.Handler.ServeHTTP(w, r)
 }
 
-// Drain ends each connection with its next response. It does not block.
+// Drain ends each connection with its next response, or where further requests have arrived, with the last one. It does not block.
 func (d *Drainer) Drain() { d.enter(draining) }
 
 // Stop drains the servers of a process and returns once all clients have left, at the latest at end. From refuse on, or once no
--- a/internal/entry/drainer/socket.go
+++ b/internal/entry/drainer/socket.go
@@ -83,16 +83,18 @@
 	return list, errors.Join(errs...)
 }
 
-// hasUnread reports whether a connection has received bytes that are not read yet.
-func hasUnread(c *net.TCPConn) bool {
+// unread returns the number of bytes that a connection has received and that were not read.
+func unread(c *net.TCPConn) int {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return false
+		return 0
 	}
-	unread := false
+	n := 0
 	_ = raw.Control(func(fd uintptr) { // fails only on a closed connection
-		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		unread = err == nil && n > 0
+		n, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ)
 	})
-	return unread
+	if err != nil {
+		return 0
+	}
+	return n
 }
