replicator: a leader that stops hands over to a voter that does not

What users saw: of five keepers two were stopped within some seconds. The first one to stop got the lead back from the second one and led until its process ended, though three keepers ran on. Workers' reports were refused until these had noticed and elected a leader. Callers waited for as long; none of their calls failed or was cut.

Cause: a leader handed over once, at the start of its stop, to the voter with the longest log, and nothing said which voters stop themselves. A replica that got the lead while it stopped kept it, and stopping replicas campaigned like others. The same holds for a daemon that an operator drains (it kept the lead until its stop), for a leader with a slow disk, and for the promotion of a learner.

Fix: replies to appends and chunks say whether the sender's daemon stops. A leader whose daemon stops hands over as soon as a voter that does not stop has caught up, for as long as the stop lasts, and keeps the lead if there is none. A stopping voter campaigns one election timeout later than others, so that it is elected only if the others can't be. The state is not stored: a restarted voter does not leave. Leases, pre-votes, and the transfer itself are as before. Builds without the field count as not stopping.

The models for spin have no transfers and are not concerned.

--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -233,15 +233,16 @@
 	return s.Identity
 }
 
-// transferLeadership transfers the leadership and waits, up to transferTimeout and until end, until this replica is no longer
-// the leader.
+// transferLeadership makes the replica hand over the leadership whenever it has it. It waits, up to transferTimeout and until
+// end, while a transfer is in progress.
 func (p *replica) transferLeadership(ctx context.Context, end time.Time) {
 	p.applier.Leave()
 	if limit := time.Now().Add(transferTimeout); limit.Before(end) {
 		end = limit
 	}
-	for time.Now().Before(end) && p.isLeader(ctx) {
-		if ok, err := p.applier.Transfer(ctx); err != nil || !ok {
+	for time.Now().Before(end) {
+		s, err := p.status(ctx)
+		if err != nil || s.Leaving && s.Successor == "" {
 			return
 		}
 		time.Sleep(drainPollInterval)
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -360,13 +360,16 @@
 	}
 }
 
-// Drain takes the daemon out of load balancing: the readiness check fails and new jobs are rejected. It does
-// not block.
+// Drain takes the daemon out of load balancing: the readiness check fails, new jobs are rejected, and the replica hands over
+// the leadership whenever it has it. It does not block.
 func (r *Runner) Drain() {
 	r.drainOnce.Do(func() {
 		close(r.draining)
 		r.router.SetDraining()
 		r.entry.Drain()
+		if r.replica != nil {
+			r.replica.applier.Leave()
+		}
 		r.log.Info("draining")
 	})
 }
--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -96,7 +96,7 @@
 	refused     string          // sender of the last message that mayLead refused, to log it once
 	leaving     bool            // Leave was called
 	handover    handover        // as of the last step
-	reason      string          // of the latest hand-over
+	reason      string          // of the hand-over that is about to start, "" for reasonStop
 	role        replicator.Role // at the end of the last step
 
 	writing *pendingWrite // nil if no write is in progress
@@ -246,6 +246,9 @@
 		Name: a.opts.Name, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
 		DriftTicks: driftTicks, MaxBatch: maxBatchBytes, ChunkSize: chunkBytes, Seed: a.opts.Seed,
 	}, initial)
+	if a.leaving {
+		a.node.Leave()
+	}
 	a.latestMembers.Store(a.node.Members())
 	a.lastTick = a.opts.Elapsed()
 	if a.storage != nil {
@@ -297,7 +300,7 @@
 		case <-a.stop:
 			return errStop
 		case <-leave:
-			a.leaving = true
+			a.startLeaving()
 		case err := <-a.written:
 			if err := a.finishWrite(err); err != nil {
 				return err
--- a/internal/state/applier/handover.go
+++ b/internal/state/applier/handover.go
@@ -1,6 +1,7 @@
 package applier
 
 import (
+	"cmp"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,22 +23,36 @@
 	started time.Duration // Options.Elapsed
 }
 
-// Leave tells the replica that its daemon stops. It does not block.
+// Leave tells the replica that its daemon stops: it hands the lead over whenever it has it, and another replica that can
+// lead comes first in elections. It does not block.
 func (a *Applier) Leave() { a.leaveOnce.Do(func() { close(a.leave) }) }
 
+// startLeaving carries out Leave.
+func (a *Applier) startLeaving() {
+	a.leaving = true
+	a.node.Leave()
+	if a.node.Role() == replicator.Leader && a.node.Transferee() == "" {
+		a.logNoSuccessor(reasonStop)
+	}
+}
+
 // handOver starts to hand the lead over and reports whether there is a voter for that.
 func (a *Applier) handOver(reason string) bool {
-	a.reason = reason
 	if a.node.Transfer() {
+		a.reason = reason
 		return true
 	}
 	if a.node.Role() == replicator.Leader {
-		a.opts.Log.Warn("no voter to hand the lead over to", zap.String("reason", reason), zap.Uint64("term", a.node.Term()),
-			zap.Objects("candidates", a.candidates()))
+		a.logNoSuccessor(reason)
 	}
 	return false
 }
 
+func (a *Applier) logNoSuccessor(reason string) {
+	a.opts.Log.Warn("no voter to hand the lead over to", zap.String("reason", reason), zap.Uint64("term", a.node.Term()),
+		zap.Objects("candidates", a.candidates()))
+}
+
 // resign gives up the lead, and lets a voter campaign for it at once if there is one.
 func (a *Applier) resign() {
 	candidates, leading := a.candidates(), a.node.Role() == replicator.Leader
@@ -68,7 +83,8 @@
 	}
 	a.handover = handover{to: to, term: a.node.Term(), started: a.opts.Elapsed()}
 	if to != "" {
-		a.logPosition("hands over the lead", zap.String("reason", a.reason), zap.String("to", to), zap.Objects("candidates", a.candidates()))
+		a.logPosition("hands over the lead", zap.String("reason", cmp.Or(a.reason, reasonStop)), zap.String("to", to), zap.Objects("candidates", a.candidates()))
+		a.reason = ""
 	}
 }
 
@@ -93,6 +109,7 @@
 	e.AddString("name", c.Name)
 	e.AddUint64("match", c.Match)
 	e.AddDuration("age", time.Duration(c.Age)*c.tick)
+	e.AddBool("leaving", c.Leaving)
 	return nil
 }
 
--- a/internal/state/applier/handover_test.go
+++ b/internal/state/applier/handover_test.go
@@ -8,6 +8,9 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/job/scheduler"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
 )
 
 // TestHandoverIsLogged guards against a change of leader of which the logs don't say that the leader chose its successor,
@@ -22,8 +25,7 @@
 		return lines.FilterMessage("hand-over of the lead ended").FilterField(zap.String("outcome", "taken over"))
 	}
 	c.awaitLeader(ctx, func(leader *Applier) bool {
-		_, err := leader.Transfer(ctx)
-		is.NoErr(err)
+		leader.Leave()
 		return ended().Len() > 0
 	})
 	end := ended().All()[0].ContextMap()
@@ -45,3 +47,50 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestLeavingSurvivesSuspension guards against a replica that stops and is chosen as a successor after its disk was full.
+func TestLeavingSurvivesSuspension(t *testing.T) {
+	is := is.New(t)
+	core, lines := observer.New(zap.InfoLevel)
+	c := newTestClusterOnDisks(t, 1000, true, func(o *Options) { o.Log = zap.New(core).With(zap.String("replica", o.Name)) })
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	leader := c.leader()
+	var leaving *Applier
+	for _, a := range c.replicas {
+		if a != leader {
+			leaving = a
+		}
+	}
+	leaving.Leave()
+	disk := c.disks[leaving.opts.Name]
+	disk.fillAt(filer.OpWrite, "")
+	for s := (Status{}); !s.Suspended || !s.Leaving; {
+		c.proposeAny(ctx, scheduler.Tick{})
+		s, _ = leaving.Status(ctx)
+		is.NoErr(ctx.Err())
+	}
+	disk.free()
+	for s := (Status{Suspended: true}); s.Suspended; {
+		s, _ = leaving.Status(ctx)
+		is.NoErr(ctx.Err())
+	}
+	is.True(lines.FilterMessage("replica starts").FilterField(zap.String("replica", leaving.opts.Name)).Len() > 1)
+	// The leader may know it from before the suspension: another one knows only what it is told from now on.
+	c.leader().Leave()
+	for {
+		var told bool
+		next := c.leader()
+		is.NoErr(next.call(ctx, func() error {
+			for _, s := range next.node.Successors() {
+				told = told || s.Name == leaving.opts.Name && s.Leaving
+			}
+			return nil
+		}))
+		if told {
+			return
+		}
+		time.Sleep(time.Millisecond)
+		is.NoErr(ctx.Err())
+	}
+}
--- a/internal/state/applier/requests.go
+++ b/internal/state/applier/requests.go
@@ -177,7 +177,9 @@
 	Identity  string
 	Suspended bool // the storage can't be written
 	LogBytes  int64
-	CaughtUp  []string // on a leader: other members that lack few committed entries
+	CaughtUp  []string // on a leader: other members that lack few committed entries and do not leave
+	Leaving   bool     // the daemon stops
+	Successor string   // to which a leader hands over, "" if to none
 }
 
 // Status returns the state of the replica.
@@ -188,6 +190,7 @@
 			Role: a.node.Role(), Leader: a.node.Leader(), Term: a.node.Term(), Lease: a.node.HasLease(),
 			Applied: a.applied, Committed: a.node.Committed(), Members: a.node.Members(),
 			Identity: a.storage.Identity(), LogBytes: a.logBytes, Suspended: a.suspended, CaughtUp: a.node.CaughtUp(),
+			Leaving: a.leaving, Successor: a.node.Transferee(),
 		}
 		return nil
 	})
@@ -206,16 +209,6 @@
 	})
 }
 
-// Transfer starts a leadership transfer. It returns false if no suitable voter exists.
-func (a *Applier) Transfer(ctx context.Context) (bool, error) {
-	var ok bool
-	err := a.call(ctx, func() error {
-		ok = a.handOver(reasonStop)
-		return nil
-	})
-	return ok, err
-}
-
 // Identity returns the random identifier that the data folder got at its creation.
 func (a *Applier) Identity() string { return a.storage.Identity() }
 
--- a/internal/state/replicator/election.go
+++ b/internal/state/replicator/election.go
@@ -6,6 +6,9 @@
 
 func (n *Node) resetElection() {
 	n.electionAt = n.tick + n.opts.ElectionTicks + n.rng.IntN(n.opts.ElectionTicks)
+	if n.leaving {
+		n.electionAt += n.opts.ElectionTicks // others campaign before, unless their logs are too short to win
+	}
 }
 
 // resumeTicks is the interval between the pre-votes of a leader that has restarted.
@@ -14,7 +17,7 @@
 // isResuming reports whether this node led the current term until it restarted, and may ask to be elected again
 // before the other voters' election timeout. It stops after two timeouts, when other voters have campaigned.
 func (n *Node) isResuming() bool {
-	return n.resuming && n.led == n.term && n.tick < 2*n.opts.ElectionTicks
+	return n.resuming && !n.leaving && n.led == n.term && n.tick < 2*n.opts.ElectionTicks
 }
 
 func (n *Node) becomeFollower(term uint64, leader string) {
--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -89,6 +89,7 @@
 
 	restarted        bool
 	resuming         bool // led the current term until it restarted, and asks to be elected again
+	leaving          bool // the daemon stops
 	tick             int
 	lastContact      int // tick at which the last message from the leader was received
 	electionAt       int // tick of the election timeout
@@ -219,6 +220,7 @@
 	}
 	if n.tick >= n.heartbeatAt {
 		n.heartbeatAt = n.tick + n.opts.HeartbeatTicks
+		n.handOverIfLeaving()
 		for _, name := range n.peerNames() {
 			n.sendAppend(name, true)
 		}
@@ -323,57 +325,6 @@
 	return e.GetIndex()
 }
 
-// Transfer starts a leadership transfer to the reachable voter with the longest matching log. It returns false if
-// there is none.
-func (n *Node) Transfer() bool {
-	if n.role != Leader {
-		return false
-	}
-	best := n.successor()
-	if best == "" {
-		return false
-	}
-	n.transferee = best
-	n.transferDeadline = n.tick + n.opts.ElectionTicks
-	n.tryTransfer()
-	return true
-}
-
-// successor returns the reachable voter with the longest matching log, or "" if there is none.
-func (n *Node) successor() string {
-	best := ""
-	for _, m := range n.members.GetVoters() {
-		p := n.peers[m.GetName()]
-		if p == nil || n.tick-p.ackedTick > n.opts.ElectionTicks {
-			continue
-		}
-		if best == "" || p.match > n.peers[best].match {
-			best = m.GetName()
-		}
-	}
-	return best
-}
-
-// Resign makes the node a follower that knows no leader. A leader's messages to be sent let the voter with the longest
-// matching log start an election at once, without waiting for the lease to expire.
-func (n *Node) Resign() []*messages.Message {
-	successor := ""
-	if n.role == Leader {
-		successor = n.successor()
-	}
-	n.becomeFollower(n.term, "")
-	if successor == "" {
-		return nil
-	}
-	return []*messages.Message{{Kind: messages.Kind_KIND_TIMEOUT_NOW, From: n.opts.Name, To: successor, Term: n.term}}
-}
-
-func (n *Node) tryTransfer() {
-	if n.transferee != "" && n.peers[n.transferee].match == n.log.last() {
-		n.sendImmediate(&messages.Message{Kind: messages.Kind_KIND_TIMEOUT_NOW, To: n.transferee})
-	}
-}
-
 // Synced records that the returned entries up to e are synced, unless others have replaced them since.
 func (n *Node) Synced(e *messages.Entry) {
 	if term, ok := n.log.term(e.GetIndex()); !ok || term != e.GetTerm() {
@@ -520,15 +471,18 @@
 // maxLag is how many committed entries a member may lack and still count as caught up.
 const maxLag = 64
 
-// CaughtUp returns the sorted names of the other members that respond to this leader and lack at most maxLag
-// committed entries.
+// CaughtUp returns the sorted names of the other members that respond to this leader, lack at most maxLag committed
+// entries and do not leave.
 func (n *Node) CaughtUp() []string {
 	var names []string
 	for _, name := range n.peerNames() {
-		p := n.peers[name]
-		if n.tick-p.ackedTick <= n.opts.ElectionTicks && p.match+maxLag >= n.log.committed && p.match > 0 {
+		if p := n.peers[name]; n.isCaughtUp(p) && !p.leaving {
 			names = append(names, name)
 		}
 	}
 	return names
 }
+
+func (n *Node) isCaughtUp(p *progress) bool {
+	return n.tick-p.ackedTick <= n.opts.ElectionTicks && p.match+maxLag >= n.log.committed && p.match > 0
+}
--- a/internal/state/replicator/replication.go
+++ b/internal/state/replicator/replication.go
@@ -15,6 +15,7 @@
 	probing         bool // the last append was refused; sends one append at a time until one is accepted
 	paused          bool // while probing: no append until the next heartbeat or reply
 	ackedTick       int  // tick at which the last acknowledged message was sent
+	leaving         bool // its daemon stops, as of its last reply
 	sendingSnapshot bool // a snapshot transfer is in progress
 	snapshotOffset  uint64
 	snapshotIndex   uint64 // index of the snapshot being sent
@@ -57,7 +58,7 @@
 }
 
 func (n *Node) handleAppend(m *messages.Message) {
-	reply := &messages.Message{Kind: messages.Kind_KIND_APPEND_REPLY, To: m.GetFrom(), Round: m.GetRound()}
+	reply := &messages.Message{Kind: messages.Kind_KIND_APPEND_REPLY, To: m.GetFrom(), Round: m.GetRound(), Leaving: n.leaving}
 	if m.GetIndex() < n.log.committed {
 		reply.Index = n.log.committed
 		n.sendAfterSync(reply)
@@ -129,12 +130,19 @@
 	}
 }
 
+// acknowledge records the reply of a member to an append or a chunk.
+func (p *progress) acknowledge(m *messages.Message) {
+	if round := int(m.GetRound()); round >= p.ackedTick {
+		p.ackedTick, p.leaving = round, m.GetLeaving()
+	}
+}
+
 func (n *Node) handleAppendReply(m *messages.Message) {
 	p := n.peers[m.GetFrom()]
 	if n.role != Leader || p == nil {
 		return
 	}
-	p.ackedTick = max(p.ackedTick, int(m.GetRound()))
+	p.acknowledge(m)
 	p.paused = false
 	if m.GetRefused() {
 		// Ignore a stale refusal of entries that were acknowledged since.
@@ -150,6 +158,7 @@
 	p.next = max(p.next, p.match+1)
 	n.advanceCommit()
 	n.tryTransfer()
+	n.handOverIfLeaving()
 }
 
 // advanceCommit commits the entries that a quorum has synced. Entries of earlier terms are committed only
@@ -225,7 +234,7 @@
 // handleChunk receives a chunk of a snapshot and installs the snapshot once it is complete.
 func (n *Node) handleChunk(m *messages.Message) {
 	c := m.GetChunk()
-	reply := &messages.Message{Kind: messages.Kind_KIND_SNAPSHOT_REPLY, To: m.GetFrom(), Round: m.GetRound(), Index: c.GetIndex()}
+	reply := &messages.Message{Kind: messages.Kind_KIND_SNAPSHOT_REPLY, To: m.GetFrom(), Round: m.GetRound(), Index: c.GetIndex(), Leaving: n.leaving}
 	// A log that holds the last entry of the snapshot holds all entries before it. Those after it may have been
 	// acknowledged, and must be kept.
 	if term, ok := n.log.term(c.GetIndex()); ok && term == c.GetTerm() {
@@ -279,7 +288,7 @@
 	if n.role != Leader || p == nil {
 		return
 	}
-	p.ackedTick = max(p.ackedTick, int(m.GetRound()))
+	p.acknowledge(m)
 	if !p.sendingSnapshot || m.GetIndex() != p.snapshotIndex {
 		return
 	}
--- a/internal/state/replicator/schedule_test.go
+++ b/internal/state/replicator/schedule_test.go
@@ -321,7 +321,8 @@
 }
 
 // TestSchedules draws message loss, duplication and reordering, partitions, crashes that lose unsynced writes, full
-// disks, slow disks, restarts of one or all nodes, snapshots and leadership transfers, and checks safety after each step.
+// disks, slow disks, restarts of one or all nodes, snapshots, leadership transfers and nodes that leave, and checks safety
+// after each step.
 func TestSchedules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		voters := rapid.SampledFrom([]int{3, 5}).Draw(t, "voters")
@@ -410,6 +411,7 @@
 				c.nodes[name].Transfer()
 				c.processOutputs(name, goOn)
 			},
+			"leave": func(t *rapid.T) { c.t = t; c.leave(c.drawNode()) },
 		})
 		c.t = t
 		c.converge()
