--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -55,7 +55,8 @@
 	// names it as the leader, because a replica that was removed from the membership is not informed of later
 	// leaders.
 	failedLeader netip.AddrPort
-	lastReply    time.Time // time of the last reply of any replica
+	started      time.Time
+	lastReply    time.Time // time of the last reply of any replica, zero before the first
 	nextKeeper   int       // index of the replica to try if no leader is known
 	inFlight     map[*pendingCall]struct{}
 	local        *LocalReplica // nil on a daemon without a replica
@@ -75,6 +76,7 @@
 func New(scheme string, client *http.Client, directory Directory, metrics tally.Scope, log *zap.Logger) *Forwarder {
 	return &Forwarder{
 		scheme: scheme, client: client, directory: directory, metrics: newMetrics(metrics), log: log, inFlight: map[*pendingCall]struct{}{},
+		started: time.Now(),
 	}
 }
 
@@ -151,13 +153,23 @@
 }
 
 // SinceLastReply returns the time since the last reply of any replica, including the reply that it is not the
-// leader.
+// leader, or since the start of the forwarder before the first one.
 func (f *Forwarder) SinceLastReply() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.lastReply.IsZero() {
+		return time.Since(f.started)
+	}
 	return time.Since(f.lastReply)
 }
 
+// HasReply reports whether any replica has ever replied.
+func (f *Forwarder) HasReply() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.lastReply.IsZero()
+}
+
 // call sends a request to the leader and retries until it gets a reply or the context ends. This requires
 // that all forwarded requests are idempotent.
 func call[T any](ctx context.Context, f *Forwarder, r request, send func(context.Context, netip.AddrPort) (T, error)) (T, error) {
