drainer: errors of accept that pass do not end a server

net/http ends a server when accept fails with ENOBUFS, ENOMEM, EPERM or an error of the network that belongs to one connection, and the process ended with it, with all requests that it had read. Such errors now make the server wait and accept again, as it does without descriptors. This holds for the entry, the other daemons' calls and the metrics.

TestAcceptErrors without it: connection refused, as Serve has returned.

--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -262,7 +262,7 @@
 
 func (r *Runner) serve(server *http.Server, listener net.Listener) {
 	r.wait.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(drainer.Tolerant{Listener: listener}); !errors.Is(err, http.ErrServerClosed) {
 			r.fail(err)
 		}
 	})
--- a/internal/entry/drainer/drainer.go
+++ b/internal/entry/drainer/drainer.go
@@ -89,7 +89,7 @@
 		},
 		ConnState: setState,
 	}
-	var accepting net.Listener = &acceptor{Drainer: d}
+	var accepting net.Listener = Tolerant{&acceptor{Drainer: d}}
 	if opts.TLS != nil {
 		accepting = tls.NewListener(accepting, opts.TLS)
 	}
