bluebellplatformd, bluebellgauged: a daemon that fails stops in order

When the replica or a server failed for good, the process ended at once, with the requests that it had read. It now stops as at SIGTERM, so that they are answered, and exits with code 1.

TestFailedReplica before: unexpected EOF instead of an answer.

--- a/cmd/bluebellgauged/main.go
+++ b/cmd/bluebellgauged/main.go
@@ -65,7 +65,7 @@
 			log.Info("settings are read at the start only")
 		case err := <-d.Failed():
 			log.Error("daemon failed", zap.Error(err))
-			d.Kill()
+			d.Stop() // answers the requests that are read
 			return exitFailure
 		}
 	}
--- a/cmd/bluebellplatformd/main.go
+++ b/cmd/bluebellplatformd/main.go
@@ -165,9 +165,11 @@
 			last = applySettings(a, last, log)
 		case err := <-a.Failed():
 			log.Error("server failed", zap.Error(err))
+			a.Stop() // answers the requests that are read
 			return exitFailure
 		case err := <-a.DaemonFailed():
 			log.Error("daemon failed", zap.Error(err))
+			a.Stop() // answers the requests that are read
 			return exitFailure
 		}
 	}
