--- a/cmd/bluebellplatformd/memory_test.go
+++ b/cmd/bluebellplatformd/memory_test.go
@@ -149,3 +149,33 @@
 	is.Equal(answers[0], 0)
 	is.True(peak < memoryMB)
 }
+
+// TestSilentBodies guards against large bodies that are refused without end because a client with one has gone silent.
+func TestSilentBodies(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t, 1)
+	k := g.keepers[0]
+	k.limitMemory()
+	is.True(g.change(30*time.Second) < 30*time.Second)
+	const path = "/v1/configuration/replace"
+	silent, err := net.Dial("tcp", k.control.String())
+	is.NoErr(err)
+	defer func() { _ = silent.Close() }()
+	_, err = fmt.Fprintf(silent, "POST %s HTTP/1.1\r\nHost: k\r\nContent-Length: %d\r\n\r\n%s", path, 15<<20, bytes.Repeat([]byte("x"), 14<<20))
+	is.NoErr(err)
+	start := time.Now()
+	list := bodiesOf(`{"version":9,"services":[{"name":"`, "", "}")
+	one := list[0]
+	one.count = 1
+	for answers := (map[int]int{}); answers[http.StatusBadRequest] == 0; time.Sleep(100 * time.Millisecond) {
+		answers = one.send(k, path)
+		if time.Since(start) > 20*time.Second {
+			t.Fatalf("answers %v", answers)
+		}
+	}
+	is.NoErr(silent.SetReadDeadline(time.Now().Add(time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(silent), nil)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(response.StatusCode, http.StatusBadRequest)
+}
