--- a/cmd/bluebellplatformd/memory_test.go
+++ b/cmd/bluebellplatformd/memory_test.go
@@ -179,3 +179,58 @@
 	is.NoErr(response.Body.Close())
 	is.Equal(response.StatusCode, http.StatusBadRequest)
 }
+
+// TestLargeAnswers guards against a process that is killed for its memory: each call for the configuration held copies of it, on any
+// number of connections, and on the leader too.
+func TestLargeAnswers(t *testing.T) {
+	const (
+		count     = 100
+		nameBytes = 3 << 20
+	)
+	is := is.New(t)
+	g := startGroup(t, 3)
+	for _, k := range g.keepers {
+		k.limitMemory()
+	}
+	is.True(g.change(30*time.Second) < 30*time.Second)
+	body := fmt.Sprintf(`{"version":9,"services":[{"name":"%s"}],"routes":[],"tenants":[]}`, strings.Repeat("x", nameBytes))
+	response, err := http.Post("http://"+g.leader().control.String()+"/v1/configuration/replace", "application/json", strings.NewReader(body))
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(response.StatusCode, http.StatusOK)
+	for _, k := range g.keepers {
+		answers := map[int]int{}
+		fetch := func() int {
+			response, err := http.Get("http://" + k.control.String() + "/v1/configuration/get")
+			if err != nil {
+				return 0
+			}
+			n, err := io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close() // read to its end, or failed
+			if err != nil || response.StatusCode == http.StatusOK && n < nameBytes {
+				return 0
+			}
+			return response.StatusCode
+		}
+		is.Equal(fetch(), http.StatusOK)
+		var mu sync.Mutex
+		var wait sync.WaitGroup
+		for range count {
+			wait.Go(func() {
+				status := fetch()
+				mu.Lock()
+				defer mu.Unlock()
+				answers[status]++
+			})
+		}
+		wait.Wait()
+		t.Logf("answers %v", answers)
+		is.Equal(answers[0], 0)
+		is.True(answers[http.StatusOK] > 0)
+	}
+	for _, k := range g.keepers {
+		peak := k.peakMemory()
+		t.Logf("peak %d MiB", peak)
+		is.True(peak < memoryMB)
+	}
+}
