coordinator: a new leader takes reports of workers whose pool was removed

A worker whose pool has left the catalog goes on with its runs, but only where the leader knew it before: after a change of leader its reports were ignored, it got no lease, all its runs lapsed, and the ends in its reports were dropped.

A report is taken if the state holds runs of that incarnation. Nothing is started on such a worker, as before.

--- a/internal/queue/coordinator/ends_test.go
+++ b/internal/queue/coordinator/ends_test.go
@@ -64,6 +64,21 @@
 	is.True(!f.workerView(f.state, f.workers["w"], f.now).Usable)
 }
 
+// TestEndsOfRemovedPoolAtNewLeader is the same for a leader that did not know the worker before. What still runs there goes on.
+func TestEndsOfRemovedPoolAtNewLeader(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.startRun(t)
+	f.state.Apply(&messages.QueueChange{Catalog: &messages.Catalog{Version: 2, Pools: []*messages.Pool{{Name: "p2"}}}})
+	f.leaderTerm++
+	is.Equal(f.report(t, 3, func(r *messages.FleetReport) { r.Worker = "v" }).GetLease(), int64(0)) // it runs nothing
+	is.True(f.report(t, 3, listing([]*messages.Run{{Job: "a", Number: 1}})).GetLease() > 0)
+	f.leaderTerm++
+	f.report(t, 4, doneOnFirst(1))
+	is.Equal(f.state.Job("a").Phase, tracker.Completed)
+	is.True(!f.workerView(f.state, f.workers["w"], f.now).Usable)
+}
+
 // TestReturnedWorkerGetsLease guards against a worker that returns after its loss and gets neither a lease nor orders
 // until the term ends: the read after the commit of the loss failed, as the leader's lease had a gap.
 func TestReturnedWorkerGetsLease(t *testing.T) {
--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -248,7 +248,7 @@
 		c.receiveExitNotice(state, r, w)
 		return nil, false
 	}
-	if state.Catalog() != nil && state.Pools()[r.GetPool()] == nil && !isKnown(w, r) {
+	if state.Catalog() != nil && state.Pools()[r.GetPool()] == nil && !isKnown(state, w, r) {
 		c.opts.Log.Warn("report names an unknown pool", zap.String("worker", r.GetWorker()), zap.String("pool", r.GetPool()))
 		c.logIgnored(state, r, ignoredUnknownPool, nil)
 		return nil, true
@@ -273,10 +273,18 @@
 	return c.newEnds(state, w, r), false
 }
 
-// isKnown reports whether a report is of a worker that this leader knows from the same pool. Its runs go on after the
-// pool has left the catalog.
-func isKnown(w *worker, r *messages.FleetReport) bool {
-	return w != nil && w.born == r.GetBorn() && w.pool == r.GetPool()
+// isKnown reports whether a report is of a worker that this leader knows from the same pool, or that has runs. They go on
+// after the pool has left the catalog.
+func isKnown(state *tracker.Tracker, w *worker, r *messages.FleetReport) bool {
+	if w != nil && w.born == r.GetBorn() && w.pool == r.GetPool() {
+		return true
+	}
+	for _, run := range state.RunsOn(r.GetWorker()) {
+		if run.GetBorn() == r.GetBorn() {
+			return true
+		}
+	}
+	return false
 }
 
 // isStale reports whether a later incarnation of the worker, or a later report of the same one, is known.
