--- a/internal/entry/drainer/drainer.go
+++ b/internal/entry/drainer/drainer.go
@@ -35,6 +35,8 @@
 	pollInterval  = 10 * time.Millisecond
 	// acceptLogInterval is the least time between lines about connections that could not be accepted.
 	acceptLogInterval = time.Second
+	// maxHeaderBytes bounds the memory of requests that are not read yet.
+	maxHeaderBytes = 16 << 10
 )
 
 // ErrStopping is the cause by which the contexts of requests in progress end shortly before the end of a stop.
@@ -83,6 +85,7 @@
 	}
 	d.server = &http.Server{
 		Handler: http.HandlerFunc(d.serveHTTP), ReadHeaderTimeout: opts.ReadHeaderTimeout, IdleTimeout: opts.IdleTimeout, ErrorLog: opts.ErrorLog,
+		MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return ctx },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, unwrap(c))
--- a/internal/entry/drainer/drainer_test.go
+++ b/internal/entry/drainer/drainer_test.go
@@ -280,3 +280,20 @@
 		})
 	}
 }
+
+// TestLargeHeader guards against a process that is killed for its memory: each connection could hold 1 MiB of a header. A longer one
+// than allowed is answered before it is read.
+func TestLargeHeader(t *testing.T) {
+	is := is.New(t)
+	_, address, _ := newServer(t, ok)
+	for size, want := range map[int]int{8 << 10: http.StatusOK, 64 << 10: http.StatusRequestHeaderFieldsTooLarge} {
+		r, err := http.NewRequest(http.MethodGet, "http://"+address, nil)
+		is.NoErr(err)
+		r.Header.Set("X-Text", strings.Repeat("x", size))
+		response, err := http.DefaultClient.Do(r)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		is.Equal(response.StatusCode, want)
+	}
+	http.DefaultClient.CloseIdleConnections()
+}
