--- a/internal/entry/drainer/drainer.go
+++ b/internal/entry/drainer/drainer.go
@@ -86,7 +86,7 @@
 	d.server = &http.Server{
 		Handler: http.HandlerFunc(d.serveHTTP), ReadHeaderTimeout: opts.ReadHeaderTimeout, IdleTimeout: opts.IdleTimeout, ErrorLog: opts.ErrorLog,
 		MaxHeaderBytes: maxHeaderBytes,
-		BaseContext: func(net.Listener) context.Context { return ctx },
+		BaseContext:    func(net.Listener) context.Context { return ctx },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, unwrap(c))
 		},
