--- a/internal/state/applier/outage_test.go
+++ b/internal/state/applier/outage_test.go
@@ -193,7 +193,10 @@
 	case 6:
 		if a := r.applier.Load(); a != nil {
 			ctx, cancel := context.WithTimeout(context.Background(), outageTick)
-			_, _ = a.Transfer(ctx) // it may not lead
+			_ = a.call(ctx, func() error { // it may not lead, or have stopped
+				a.node.Transfer()
+				return nil
+			})
 			cancel()
 		}
 	default:
