drainer: the error of an earlier request is not logged with a later one

`connection ends with an unanswered request` named a timeout as `ended` on each connection that had carried a request before, as net/http ends its read ahead by a deadline after each handler. So a request cut by the stop looked like one of a slow client.

--- a/internal/entry/drainer/conn.go
+++ b/internal/entry/drainer/conn.go
@@ -208,6 +208,7 @@
 	c.handlers++
 	c.reading = false
 	c.method, c.path, c.bodyRead, c.written = r.Method, r.URL.Path, r.ContentLength == 0, 0
+	c.ended = nil             // the HTTP server ends its read ahead by a timeout
 	if r.ContentLength != 0 { // without a body, bytes of the next request may have been passed on
 		c.framer.body = r.ContentLength
 	}
--- a/internal/entry/drainer/drainer_test.go
+++ b/internal/entry/drainer/drainer_test.go
@@ -241,27 +241,31 @@
 func TestCutRequestsAreDistinguished(t *testing.T) {
 	const post = "POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab"
 	for _, test := range []struct {
-		name, sent string
-		leave      bool // the client leaves before the server ends
-		expected   map[string]any
+		name     string
+		sent     []string
+		leave    bool // the client leaves before the server ends
+		expected map[string]any
 	}{
-		{"header in part", request[:9], false, map[string]any{"read": false, "body": false, "unread": false, "stage": "closing"}},
-		{"header in part, client leaves", request[:9], true, map[string]any{"read": false, "ended": "EOF", "stage": "serving"}},
-		{"body in part", post, false, map[string]any{"path": "/p", "read": true, "body": false, "written": int64(0)}},
-		{"response in part", request, false, map[string]any{"path": "/", "read": true, "body": true, "stage": "closing"}},
+		{"header in part", []string{request[:9]}, false, map[string]any{"read": false, "body": false, "unread": false, "stage": "closing"}},
+		{"header in part, client leaves", []string{request[:9]}, true, map[string]any{"read": false, "ended": "EOF", "stage": "serving"}},
+		{"body in part", []string{post}, false, map[string]any{"path": "/p", "read": true, "body": false, "written": int64(0)}},
+		{"second request in part", []string{request, post}, false, map[string]any{"path": "/p", "read": true, "body": false, "ended": nil}},
+		{"response in part", []string{request}, false, map[string]any{"path": "/", "read": true, "body": true, "stage": "closing"}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			d, address, logs := newServer(t, func(w http.ResponseWriter, r *http.Request) {
-				if _, err := io.ReadAll(r.Body); err == nil {
+				if _, err := io.ReadAll(r.Body); err == nil && test.name == "response in part" {
 					_, _ = w.Write(make([]byte, 64<<20)) // more than the socket holds
 				}
 			})
 			c, err := net.Dial("tcp", address)
 			is.NoErr(err)
-			_, err = io.WriteString(c, test.sent)
-			is.NoErr(err)
-			time.Sleep(100 * time.Millisecond)
+			for _, text := range test.sent {
+				_, err = io.WriteString(c, text)
+				is.NoErr(err)
+				time.Sleep(100 * time.Millisecond)
+			}
 			if test.leave {
 				is.NoErr(c.Close())
 				time.Sleep(100 * time.Millisecond)
