bluebellplatformd: the memory tests run the command without the race detector

The race detector takes a multiple of the memory, so that the peaks exceeded the limit of 284 MB in a race build (TestLargeBodies 339 and 376 MiB, TestLargeAnswers 410 MiB) for a cause that the command does not have. The tests build the command without it, measure that, and keep their limits; the peaks are at most 113 MiB.

--- a/cmd/bluebellplatformd/disk_test.go
+++ b/cmd/bluebellplatformd/disk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"net/netip"
 	"os"
@@ -80,6 +81,7 @@
 	command *exec.Cmd
 	exited  chan struct{}
 	output  *os.File // of the process, nil to keep its log
+	binary  string   // of the command, "" for the test's own
 
 	mu   sync.Mutex
 	log  bytes.Buffer
@@ -137,7 +139,7 @@
 // run starts the process on the settings and the disk that it had.
 func (k *keeper) run() {
 	is := is.New(k.t)
-	command, exited := exec.Command(os.Args[0]), make(chan struct{})
+	command, exited := exec.Command(cmp.Or(k.binary, os.Args[0])), make(chan struct{})
 	command.Env = []string{runMainVariable + "=1", platform.SettingsVariable + "=" + k.settingsPath(), fullVariable + "=" + k.fullPath()}
 	command.Stdout, command.Stderr = k, k
 	if k.output != nil {
--- a/cmd/bluebellplatformd/memory_test.go
+++ b/cmd/bluebellplatformd/memory_test.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -23,10 +25,22 @@
 	bodiesTime = 60 * time.Second
 )
 
-// limitMemory restarts the process with a limit of its memory in the settings.
-func (k *keeper) limitMemory() {
+// buildCommand builds the command without the race detector, which takes a multiple of the memory.
+func buildCommand(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "command")
+	output, err := exec.Command("go", "build", "-race=false", "-o", path, ".").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, output)
+	}
+	return path
+}
+
+// limitMemory restarts the process, on a binary of buildCommand, with a limit of its memory in the settings.
+func (k *keeper) limitMemory(binary string) {
 	is := is.New(k.t)
 	k.kill()
+	k.binary = binary
 	k.resetLog()
 	text, err := os.ReadFile(k.settingsPath())
 	is.NoErr(err)
@@ -113,12 +127,13 @@
 // TestLargeBodies guards against a process that is killed for its memory: each call could hold a body of 16 MiB, on any number of
 // connections, and decoded it could take hundreds of times that.
 func TestLargeBodies(t *testing.T) {
+	binary := buildCommand(t)
 	for _, b := range bodiesOf(`{"task_spec":"`, `{"task_spec":"x","step_specs":[`, "}") {
 		t.Run("entry, "+b.name, func(t *testing.T) {
 			is := is.New(t)
 			g := startGroup(t, 1)
 			entry := startEntry(t, g, testAddress(100))
-			entry.limitMemory()
+			entry.limitMemory(binary)
 			g.routes = `{"name":"q","host":"` + entry.control.String() + `","path_prefix":"/q/","type":"non_idempotent","timeout_ms":3000,` +
 				`"service":"s","max_attempts":3,"stretch":3,"public":true}`
 			is.True(g.change(30*time.Second) < 30*time.Second)
@@ -132,7 +147,7 @@
 			is := is.New(t)
 			g := startGroup(t, 1)
 			k := g.keepers[0]
-			k.limitMemory()
+			k.limitMemory(binary)
 			is.True(g.change(30*time.Second) < 30*time.Second)
 			checkLargeBodies(t, k, &b, "/v1/configuration/replace")
 			is.True(g.change(30*time.Second) < 30*time.Second)
@@ -153,9 +168,10 @@
 // TestSilentBodies guards against large bodies that are refused without end because a client with one has gone silent.
 func TestSilentBodies(t *testing.T) {
 	is := is.New(t)
+	binary := buildCommand(t)
 	g := startGroup(t, 1)
 	k := g.keepers[0]
-	k.limitMemory()
+	k.limitMemory(binary)
 	is.True(g.change(30*time.Second) < 30*time.Second)
 	const path = "/v1/configuration/replace"
 	silent, err := net.Dial("tcp", k.control.String())
@@ -188,9 +204,10 @@
 		nameBytes = 3 << 20
 	)
 	is := is.New(t)
+	binary := buildCommand(t)
 	g := startGroup(t, 3)
 	for _, k := range g.keepers {
-		k.limitMemory()
+		k.limitMemory(binary)
 	}
 	is.True(g.change(30*time.Second) < 30*time.Second)
 	body := fmt.Sprintf(`{"version":9,"services":[{"name":"%s"}],"routes":[],"tenants":[]}`, strings.Repeat("x", nameBytes))
