drainer, platform: open connections of clients are bounded, silent ones make room

Connections without a request could take all descriptors of a process: new clients then waited in the queue of the listener without an answer, and the process had no descriptor to reach a keeper or to read its settings. An entry with 60 descriptors and 150 silent connections: a request on the last one and one on a new one timed out after 5 s, 60 descriptors open, 'cannot read settings: too many open files' each second.

The servers of a process now share a bound. It leaves a quarter of the descriptors, beside 200 for files, to other daemons and data files; the number of descriptors is the lower one of RLIMIT_NOFILE and limits.file_descriptors of the settings. At the bound the connections that have been silent for the longest time, and for at least 200 ms, are ended for new ones, in the way of a stop: the reader is woken and goes on if a request has arrived. Connections above it are accepted too, up to an eighth of the whole.

The silent connections are kept in the order of their silence, so that a request or a new connection takes the same time however many are open. If a descriptor is missing nevertheless, one silent connection is ended before the next attempt, after 10 ms rather than the up to 1 s of net/http.

'most connections are open' tells how many were ended and refused.

--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -64,7 +64,9 @@
 	Voters int
 	// Single means that replaced data folders join the group as settings with Late say, and never start another one.
 	Single bool
-	Log    *zap.Logger
+	// Descriptors is the number of descriptors that the process may have, 0 for the limit of the system.
+	Descriptors int
+	Log         *zap.Logger
 }
 
 // QueueOptions are the parameters of queue coordination.
@@ -111,6 +113,7 @@
 	started       time.Time
 	log           *zap.Logger
 	recoverer     *recoverer.Recoverer
+	bound         *drainer.Bound
 	registrar     *registrar.Home
 	manifest      *provider.Provider
 	router        *router.Router
@@ -150,6 +153,9 @@
 	s := r.opts.Settings
 	metrics, metricsHandler := r.newMetrics()
 	r.recoverer = recoverer.New(r.log, metrics.SubScope("http"))
+	if err := r.newBound(); err != nil {
+		return err
+	}
 	r.registrar = registrar.NewHome(r.opts.Timing, time.Now)
 	r.manifest = provider.New(r.registrar.Fresh)
 	if err := r.serveMetrics(metricsHandler); err != nil {
@@ -193,6 +199,22 @@
 	return scope, reporter.HTTPHandler()
 }
 
+// newBound bounds the connections of clients so that descriptors are left for other daemons, files and the log.
+func (r *Runner) newBound() error {
+	limit, err := drainer.Descriptors()
+	if err != nil {
+		return err
+	}
+	if r.opts.Descriptors > 0 {
+		limit = min(limit, r.opts.Descriptors)
+	}
+	r.bound = drainer.NewBound(drainer.MaxConnections(limit), r.log)
+	return nil
+}
+
+// Bound returns the bound of the connections of clients, which all HTTP servers of the process share.
+func (r *Runner) Bound() *drainer.Bound { return r.bound }
+
 // Metrics returns the root metrics scope of the daemon.
 func (r *Runner) Metrics() tally.Scope { return r.opts.Metrics }
 
@@ -239,7 +261,7 @@
 	}
 	r.entry = drainer.New(entry, drainer.Options{
 		Handler: r.recoverer.Wrap(r.router, router.ReplyPanicked), ReadHeaderTimeout: headerTimeout, TLS: encryption, Fail: r.fail,
-		ErrorLog: r.recoverer.ErrorLog("api"), Metrics: r.ServerMetrics("api"), Log: r.log,
+		Bound: r.bound, Refuse: router.RefuseConnection, ErrorLog: r.recoverer.ErrorLog("api"), Metrics: r.ServerMetrics("api"), Log: r.log,
 	})
 	r.peerServer = &http.Server{
 		Handler: r.recoverer.Wrap(r.peering.requireSecret(r.peerHandler()), recoverer.ReplyError), ReadHeaderTimeout: headerTimeout, Protocols: peerProtocols(),
--- a/internal/entry/drainer/conn.go
+++ b/internal/entry/drainer/conn.go
@@ -1,6 +1,7 @@
 package drainer
 
 import (
+	"container/list"
 	"crypto/tls"
 	"errors"
 	"io"
@@ -8,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -34,6 +36,13 @@
 	framer     framer // not used for TLS
 	ended      error  // of the last read or write that failed
 	closed     bool
+
+	above atomic.Bool // the bound was reached when it was accepted
+
+	// The fields below are guarded by the lock of the server's bound.
+	silence  *list.Element // nil while it carries a request
+	leaving  bool          // ended for a new connection
+	released bool
 }
 
 // unwrap returns the conn below a connection of the HTTP server.
@@ -54,10 +63,14 @@
 	case http.StateActive:
 		c.busy = true
 		c.streams = encrypted && t.ConnectionState().NegotiatedProtocol == "h2"
+		c.drainer.opts.Bound.setActive(c)
 	case http.StateIdle:
 		c.framer.finish()
 		c.busy = c.framer.surplus(0) > 0
 		c.reading, c.quietSince = c.busy, time.Now()
+		if !c.busy {
+			c.drainer.opts.Bound.setSilent(c)
+		}
 	case http.StateNew, http.StateHijacked, http.StateClosed:
 	}
 }
@@ -190,15 +203,16 @@
 }
 
 // retire ends the connection if it carries no request: its reader, which is the only one to know whether a request has
-// arrived, is woken by a deadline.
-func (c *conn) retire() {
+// arrived, is woken by a deadline. It reports whether it carries none so far.
+func (c *conn) retire() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.busy || c.closed || time.Since(c.quietSince) < quietTime {
-		return
+		return false
 	}
 	c.retiring = true
 	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	return true
 }
 
 // begin notes that a handler starts, and returns the request for it.
@@ -250,6 +264,7 @@
 }
 
 func (d *Drainer) forget(c *conn) {
+	d.opts.Bound.release(c)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.conns, c)
--- a/internal/entry/drainer/drainer.go
+++ b/internal/entry/drainer/drainer.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"errors"
 	"log"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +18,7 @@
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -33,6 +35,8 @@
 	// handshakeTime is the time for handshakes in progress to complete before a listener is closed.
 	handshakeTime = 100 * time.Millisecond
 	pollInterval  = 10 * time.Millisecond
+	// refusedBodyTime is the time for the rest of a request that is refused to arrive.
+	refusedBodyTime = time.Second
 	// acceptLogInterval is the least time between lines about connections that could not be accepted.
 	acceptLogInterval = time.Second
 	// maxHeaderBytes bounds the memory of requests that are not read yet.
@@ -48,6 +52,10 @@
 	ReadHeaderTimeout time.Duration
 	IdleTimeout       time.Duration // of connections without a request, 0 for no limit
 	TLS               *tls.Config   // nil for plain connections
+	// Bound is shared by all servers of a process, nil for no limit.
+	Bound *Bound
+	// Refuse responds to the requests on connections above the bound, which are not served; nil responds with status 503.
+	Refuse http.HandlerFunc
 	// Fail receives the error that ends the server, unless it was stopped.
 	Fail func(error)
 	// ErrorLog receives what the HTTP server reports; nil is the standard logger.
@@ -79,6 +87,12 @@
 	if opts.Metrics == nil {
 		opts.Metrics = tally.NoopScope
 	}
+	if opts.Bound == nil {
+		opts.Bound = NewBound(math.MaxInt32, opts.Log)
+	}
+	if opts.Refuse == nil {
+		opts.Refuse = refuse
+	}
 	d := &Drainer{
 		opts: opts, listener: listener, abort: abort, served: make(chan struct{}), conns: map[*conn]struct{}{},
 		acceptErrors: opts.Metrics.Counter("accept_errors"), openConns: opts.Metrics.Gauge("connections"),
@@ -112,12 +126,24 @@
 	c, _ := r.Context().Value(connKey{}).(*conn)
 	r = c.begin(r)
 	defer c.finish()
-	if c.endsWithResponse() {
+	served := d.opts.Bound.serves(c)
+	if c.endsWithResponse() || !served {
 		w.Header().Set("Connection", "close")
 	}
+	if !served {
+		// The body is not read, but net/http waits for its end. Only connections that were hijacked have no deadlines.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusedBodyTime))
+		d.opts.Refuse(w, r)
+		return
+	}
 	d.opts.Handler.ServeHTTP(w, r)
 }
 
+func refuse(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Retry-After", "1")
+	http.Error(w, "too many connections", http.StatusServiceUnavailable)
+}
+
 // Drain ends each connection with its next response, or where further requests have arrived, with the last one. It does not block.
 func (d *Drainer) Drain() { d.enter(draining) }
 
@@ -220,6 +246,7 @@
 	}
 	now := time.Now()
 	c := &conn{TCPConn: t, drainer: a.Drainer, opened: now, quietSince: now}
+	a.opts.Bound.admit(c)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.conns[c] = struct{}{}
@@ -229,9 +256,8 @@
 
 func (a *acceptor) accept() (*net.TCPConn, error) {
 	if !a.stopped {
-		t, err := a.listener.AcceptTCP()
+		t, err := a.acceptNext()
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			a.recordAccept(err)
 			return t, err
 		}
 		a.stopped = true
@@ -247,9 +273,26 @@
 	return t, nil
 }
 
+// acceptNext accepts a connection once the bound permits it and the process has a descriptor.
+func (a *acceptor) acceptNext() (*net.TCPConn, error) {
+	for {
+		for a.opts.Bound.isFull() && !a.stopping.Load() {
+			a.opts.Bound.makeRoom()
+			time.Sleep(pollInterval)
+		}
+		t, err := a.listener.AcceptTCP()
+		a.recordAccept(err)
+		if !errors.Is(err, unix.EMFILE) && !errors.Is(err, unix.ENFILE) {
+			return t, err
+		}
+		a.opts.Bound.shedOne()
+		time.Sleep(pollInterval)
+	}
+}
+
 // recordAccept counts and logs a connection that could not be accepted, as when the process has no free descriptor.
 func (a *acceptor) recordAccept(err error) {
-	if err == nil || errors.Is(err, net.ErrClosed) {
+	if err == nil || errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 		return
 	}
 	a.acceptErrors.Inc(1)
--- a/internal/entry/router/problem.go
+++ b/internal/entry/router/problem.go
@@ -40,6 +40,13 @@
 	}
 }
 
+// RefuseConnection responds to a request that is not served because too many connections are open.
+func RefuseConnection(w http.ResponseWriter, _ *http.Request) {
+	p := newProblem(http.StatusServiceUnavailable, CodeBusy, "too many connections at this entry; this copy was not taken")
+	p.retry = busyRetryAfter
+	p.write(w)
+}
+
 // ReplyPanicked responds to a request whose handler panicked. It may have had an effect if it was to have one.
 func ReplyPanicked(w http.ResponseWriter, q *http.Request) {
 	p := newProblem(http.StatusServiceUnavailable, CodeUnreachable, "the entry failed and the outcome is open, send the same request again")
