drainer: the end of pipelining clients, of bodies of unknown length and of line ends behind a body

A client that always has another request on the way was never told to close, and was cut at the end of the stop: it is told once the requests in progress are cancelled. A body behind one of unknown length was counted twice, so that later requests were taken for part of it: the requests of such a connection are not told apart any more. A line end behind a body kept a connection busy to the end of a stop, and was logged as a request: it belongs to none.

--- a/internal/entry/drainer/conn.go
+++ b/internal/entry/drainer/conn.go
@@ -65,7 +65,6 @@
 		c.streams = encrypted && t.ConnectionState().NegotiatedProtocol == "h2"
 		c.drainer.opts.Bound.setActive(c)
 	case http.StateIdle:
-		c.framer.finish()
 		c.busy = c.framer.surplus(0) > 0
 		c.reading, c.quietSince = c.busy, time.Now()
 		if !c.busy {
@@ -174,11 +173,11 @@
 }
 
 // endsWithResponse reports whether the client is to be told to close the connection: not before the last of the requests that
-// it has sent, as the HTTP server handles none after that.
+// it has sent, as the HTTP server handles none after that, unless the stop is about to end.
 func (c *conn) endsWithResponse() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.drainer.isDraining() && !c.hasSurplus()
+	return c.drainer.isDraining() && (stage(c.drainer.stage.Load()) >= aborting || !c.hasSurplus())
 }
 
 // revive reports whether a connection that retires has bytes to read. It then carries a request and stays.
@@ -222,10 +221,8 @@
 	c.handlers++
 	c.reading = false
 	c.method, c.path, c.bodyRead, c.written = r.Method, r.URL.Path, r.ContentLength == 0, 0
-	c.ended = nil             // the HTTP server ends its read ahead by a timeout
-	if r.ContentLength != 0 { // without a body, bytes of the next request may have been passed on
-		c.framer.body = r.ContentLength
-	}
+	c.ended = nil // the HTTP server ends its read ahead by a timeout
+	c.framer.begin(r.ContentLength)
 	r = r.WithContext(r.Context()) // the HTTP server inspects the body of its own copy
 	r.Body = body{r.Body, c}
 	return r
--- a/internal/entry/drainer/drainer_test.go
+++ b/internal/entry/drainer/drainer_test.go
@@ -301,3 +301,50 @@
 	}
 	http.DefaultClient.CloseIdleConnections()
 }
+
+// TestStopEndsPipelining guards against a client that is never told to close its connection, as it always has another request
+// on the way, and is cut at the end of the stop.
+func TestStopEndsPipelining(t *testing.T) {
+	is := is.New(t)
+	d, address, _ := newServer(t, func(http.ResponseWriter, *http.Request) { time.Sleep(5 * time.Millisecond) })
+	c, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, strings.Repeat(request, 4))
+	is.NoErr(err)
+	told := make(chan bool, 1)
+	go func() {
+		reader := bufio.NewReader(c)
+		for {
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil || response.Close {
+				told <- err == nil
+				return
+			}
+			_ = response.Body.Close() // empty
+			_, _ = io.WriteString(c, request)
+		}
+	}()
+	start := time.Now()
+	Stop(start.Add(300*time.Millisecond), start.Add(time.Second), d)
+	is.True(<-told)
+}
+
+// TestLinesBehindBody guards against a connection that counts as busy until the end of a stop: the client has sent a line end
+// behind a body.
+func TestLinesBehindBody(t *testing.T) {
+	is := is.New(t)
+	d, address, logs := newServer(t, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.ReadAll(r.Body) })
+	c, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}\r\n")
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	start := time.Now()
+	Stop(start.Add(100*time.Millisecond), start.Add(2*time.Second), d)
+	is.True(time.Since(start) < 1900*time.Millisecond)
+	is.Equal(logs.FilterMessage("connection ends with an unanswered request").Len(), 0)
+}
