drainer: a request whose body is not read is answered, and a stop cancels requests in time

A request with a body that its handler does not read, such as a DELETE, had no answer if the client sent a part of the body only: net/http reads the rest before it responds, without a limit of time, and a stop waited for it. The rest has 1 s now. OPTIONS * is handled as other requests are, since net/http reads its body in the same way.

The end of a stop cancelled the requests in progress only once the server had stopped to accept. Where net/http pauses after an error of accept, for up to 1 s, that was later than the end, and the requests were cut. The time is set before now; no test shows that alone.

TestUnreadBodyDelaysNoResponse before: no answer in 5 s.

--- a/internal/entry/drainer/conn.go
+++ b/internal/entry/drainer/conn.go
@@ -235,6 +235,13 @@
 	c.handlers--
 }
 
+// hasUnreadBody reports whether the handler of a request has returned before the end of its body.
+func (c *conn) hasUnreadBody(r *http.Request) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return r.ContentLength != 0 && !c.bodyRead
+}
+
 // Close implements net.Conn. It logs a request without a whole response.
 func (c *conn) Close() error {
 	c.drainer.forget(c)
--- a/internal/entry/drainer/drainer.go
+++ b/internal/entry/drainer/drainer.go
@@ -35,8 +35,8 @@
 	// handshakeTime is the time for handshakes in progress to complete before a listener is closed.
 	handshakeTime = 100 * time.Millisecond
 	pollInterval  = 10 * time.Millisecond
-	// refusedBodyTime is the time for the rest of a request that is refused to arrive.
-	refusedBodyTime = time.Second
+	// unreadBodyTime is the time for the rest of a body to arrive that no handler reads.
+	unreadBodyTime = time.Second
 	// acceptLogInterval is the least time between lines about connections that could not be accepted.
 	acceptLogInterval = time.Second
 	// maxHeaderBytes bounds the memory of requests that are not read yet.
@@ -99,8 +99,8 @@
 	}
 	d.server = &http.Server{
 		Handler: http.HandlerFunc(d.serveHTTP), ReadHeaderTimeout: opts.ReadHeaderTimeout, IdleTimeout: opts.IdleTimeout, ErrorLog: opts.ErrorLog,
-		MaxHeaderBytes: maxHeaderBytes,
-		BaseContext:    func(net.Listener) context.Context { return ctx },
+		MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true, // which would read a body beside the handler
+		BaseContext: func(net.Listener) context.Context { return ctx },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, unwrap(c))
 		},
@@ -130,13 +130,15 @@
 	if c.endsWithResponse() || !served {
 		w.Header().Set("Connection", "close")
 	}
-	if !served {
-		// The body is not read, but net/http waits for its end. Only connections that were hijacked have no deadlines.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusedBodyTime))
+	if served {
+		d.opts.Handler.ServeHTTP(w, r)
+	} else {
 		d.opts.Refuse(w, r)
-		return
 	}
-	d.opts.Handler.ServeHTTP(w, r)
+	if c.hasUnreadBody(r) {
+		// net/http reads the rest before it responds. Only connections that were hijacked have no deadlines.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTime))
+	}
 }
 
 func refuse(w http.ResponseWriter, _ *http.Request) {
@@ -161,13 +163,15 @@
 	}
 	refuseAll(servers)
 	for _, d := range servers {
-		d.stopListening()
 		timer := time.AfterFunc(time.Until(end.Add(-abortTime)), func() {
 			d.enter(aborting)
 			d.abort(ErrStopping)
 		})
 		defer timer.Stop()
 	}
+	for _, d := range servers {
+		d.stopListening() // may wait for the pause of net/http after an error of accept
+	}
 	for slices.ContainsFunc(servers, isOpen) && time.Now().Before(end) {
 		if time.Until(end) <= retireTime {
 			for _, d := range servers {
--- a/internal/entry/drainer/drainer_test.go
+++ b/internal/entry/drainer/drainer_test.go
@@ -330,6 +330,26 @@
 	is.True(<-told)
 }
 
+// TestUnreadBodyDelaysNoResponse guards against a request without an answer: its handler does not read the body, of which the
+// client sends a part only.
+func TestUnreadBodyDelaysNoResponse(t *testing.T) {
+	for _, target := range []string{"DELETE /", "OPTIONS *"} {
+		t.Run(target, func(t *testing.T) {
+			is := is.New(t)
+			_, address, _ := newServer(t, ok)
+			c, err := net.Dial("tcp", address)
+			is.NoErr(err)
+			defer func() { _ = c.Close() }()
+			_, err = io.WriteString(c, target+" HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n{}")
+			is.NoErr(err)
+			is.NoErr(c.SetReadDeadline(time.Now().Add(5 * time.Second)))
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			is.NoErr(err)
+			is.NoErr(response.Body.Close())
+		})
+	}
+}
+
 // TestLinesBehindBody guards against a connection that counts as busy until the end of a stop: the client has sent a line end
 // behind a body.
 func TestLinesBehindBody(t *testing.T) {
