bluebellplatformd: TestFailedOutput does not measure the exit of the race detector

In a race build the process sleeps for 1 s before it ends, and the cases with a stalled reader exceeded their grace period by that (2 of 6 in one run). The processes of this test run without that sleep; all 6 pass in a race build.

--- a/cmd/bluebellplatformd/disk_test.go
+++ b/cmd/bluebellplatformd/disk_test.go
@@ -144,6 +144,8 @@
 	command.Stdout, command.Stderr = k, k
 	if k.output != nil {
 		command.Stdout, command.Stderr = k.output, k.output
+		// The time to stop is measured, and the race detector sleeps for 1 s before a process ends.
+		command.Env = append(command.Env, "GORACE=atexit_sleep_ms=0")
 	}
 	is.NoErr(command.Start())
 	k.command, k.exited = command, exited
