router: calls wait for a current manifest before they are refused

An entry of the own interface refused callers with 503 'stale' until its first heartbeat had brought the manifest, and as soon as its copy was older than 5 s, however soon the next one came.

A call now waits up to 1.5 s for a current manifest. The number of calls that wait is bounded as before.

--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -35,6 +35,8 @@
 	maxCancelKeys         = 10_000
 	busyRetryAfter        = 2 * time.Second
 	maxConcurrentRequests = 8192
+	manifestWait          = 1500 * time.Millisecond // of a request, for a current manifest
+	manifestPollInterval  = 20 * time.Millisecond
 )
 
 // Backend forwards requests to the leader.
@@ -117,9 +119,19 @@
 	return r.opts.Operator != "" && subtle.ConstantTimeCompare(given[:], want[:]) == 1
 }
 
+// awaitManifest returns the manifest in force. An entry that has just started, or that has lost all leaders, may be about to
+// get it.
+func (r *Router) awaitManifest(ctx context.Context) (*parser.Manifest, bool) {
+	for end := time.Now().Add(manifestWait); ; time.Sleep(manifestPollInterval) {
+		if m, ok := r.opts.Manifest.Current(); ok || ctx.Err() != nil || time.Now().After(end) {
+			return m, ok
+		}
+	}
+}
+
 // organisation returns the organisation that a request's token belongs to in the manifest in force.
 func (r *Router) organisation(q *http.Request) (*parser.Organisation, *problem) {
-	m, ok := r.opts.Manifest.Current()
+	m, ok := r.awaitManifest(q.Context())
 	if !ok {
 		p := newProblem(http.StatusServiceUnavailable, CodeStale, "this entry can't confirm that its manifest is current; this copy was not taken")
 		p.retry = busyRetryAfter
