registrar: a worker that moves is not lost while its new home renews its leases

On the own interface, a worker that moved to another home shortly before a change of leader was declared lost 8 s before its lease ended, and its tasks ran a second time beside the first. Cause: the leader kept one home for each worker, the last that listed it. The full heartbeat of the former home, which still listed the worker, reached the new leader last; when that home reported it out of contact, the leader did not know that another one renewed its leases.

The leader keeps every home that has listed the worker's latest incarnation. A worker is out of contact once all of them say so, and its last contact is the latest of theirs. Homes are forgotten once their leases have expired.

--- a/internal/worker/registrar/monitor.go
+++ b/internal/worker/registrar/monitor.go
@@ -47,13 +47,29 @@
 	keeper      KeeperStatus // as of the latest heartbeat with an identity
 }
 
+// workerStatus holds the homes of a worker's latest incarnation. A worker that moves is listed by both homes for a while, and
+// each may have renewed its leases.
 type workerStatus struct {
-	incarnation   uint64
-	home          string
+	incarnation uint64
+	homes       map[string]homeStatus // by daemon
+}
+
+// homeStatus is what a home last said of a worker.
+type homeStatus struct {
 	outOfContact  bool
 	lostContactAt time.Time // set while out of contact
 }
 
+// isOutOfContact reports whether no home has contact with the worker.
+func (w *workerStatus) isOutOfContact() bool {
+	for _, h := range w.homes {
+		if !h.outOfContact {
+			return false
+		}
+	}
+	return true
+}
+
 // NewMonitor returns the monitor of a leader whose lease started at the given time. That time counts as the
 // last contact with every worker, because leases may have been renewed under an earlier leader until then.
 func NewMonitor(timing Timing, startedAt time.Time, log *zap.Logger) *Monitor {
@@ -78,17 +94,39 @@
 		d.keeper = KeeperStatus{Name: b.GetDaemon(), Place: b.GetPlace(), Address: b.GetAddress(), Identity: b.GetIdentity(), Last: now}
 	}
 	for _, heard := range b.GetHeard() {
-		m.workers[heard.GetWorker()] = &workerStatus{incarnation: heard.GetIncarnation(), home: b.GetDaemon()}
+		m.recordContact(now, b.GetDaemon(), heard)
 	}
 	for _, name := range b.GetSilent() {
-		if ws := m.workers[name]; ws != nil && ws.home == b.GetDaemon() && !ws.outOfContact {
-			ws.outOfContact = true
-			ws.lostContactAt = now
+		if ws := m.workers[name]; ws != nil {
+			ws.loseContact(now, b.GetDaemon())
 		}
 	}
 	return !d.full
 }
 
+// recordContact records that a home lists a worker. Homes whose leases have expired are forgotten.
+func (m *Monitor) recordContact(now time.Time, daemon string, heard *messages.Heard) {
+	ws := m.workers[heard.GetWorker()]
+	if ws == nil || heard.GetIncarnation() > ws.incarnation {
+		ws = &workerStatus{incarnation: heard.GetIncarnation(), homes: map[string]homeStatus{}}
+		m.workers[heard.GetWorker()] = ws
+	}
+	if heard.GetIncarnation() < ws.incarnation {
+		return
+	}
+	maps.DeleteFunc(ws.homes, func(_ string, h homeStatus) bool {
+		return h.outOfContact && now.Sub(h.lostContactAt) > m.timing.LostAfter()
+	})
+	ws.homes[daemon] = homeStatus{}
+}
+
+// loseContact records that a home has no contact with the worker any more.
+func (w *workerStatus) loseContact(now time.Time, daemon string) {
+	if h, ok := w.homes[daemon]; ok && !h.outOfContact {
+		w.homes[daemon] = homeStatus{outOfContact: true, lostContactAt: now}
+	}
+}
+
 // logContact logs a heartbeat that is the first of a daemon in this term, of another process, or after a loss of contact.
 func (m *Monitor) logContact(now time.Time, d *daemonStatus, b *messages.Beat) {
 	fields := []zap.Field{
@@ -131,13 +169,17 @@
 	if ws == nil || ws.incarnation != incarnation {
 		return m.startedAt
 	}
-	if ws.outOfContact {
-		return ws.lostContactAt
-	}
-	if d := m.daemons[ws.home]; d != nil && d.lastContact.After(m.startedAt) {
-		return d.lastContact
+	latest := m.startedAt
+	for daemon, h := range ws.homes {
+		contact := h.lostContactAt
+		if d := m.daemons[daemon]; !h.outOfContact && d != nil {
+			contact = d.lastContact
+		}
+		if contact.After(latest) {
+			latest = contact
+		}
 	}
-	return m.startedAt
+	return latest
 }
 
 // Lost returns the workers whose leases have all expired.
@@ -159,7 +201,7 @@
 	seen := map[scheduler.Attempt]bool{}
 	s.EachWorker(func(info scheduler.WorkerInfo) {
 		ws := m.workers[info.Name]
-		outOfContact := ws != nil && ws.outOfContact && ws.incarnation == info.Incarnation
+		outOfContact := ws != nil && ws.incarnation == info.Incarnation && ws.isOutOfContact()
 		if !outOfContact && now.Sub(m.lastContact(info.Name, info.Incarnation)) <= m.timing.ContactTimeout {
 			return
 		}
@@ -178,7 +220,7 @@
 func (m *Monitor) Unknown(b *messages.Beat, s *scheduler.State) []string {
 	var unknown []string
 	for name, ws := range m.workers {
-		if ws.home != b.GetDaemon() || ws.outOfContact {
+		if h, ok := ws.homes[b.GetDaemon()]; !ok || h.outOfContact {
 			continue
 		}
 		if info, ok := s.Worker(name); !ok || info.Incarnation != ws.incarnation {
