registrar, runner: a late heartbeat does not replace a later one of the same process

On the own interface, a heartbeat that arrived after a later one of its daemon, as after a delay of its connection, replaced it. If it said that a worker is out of contact, and the later one had listed the worker again, the leader declared the worker lost after 12 s while its home, which had told of it, went on renewing its leases: its tasks ran twice.

Heartbeats carry their number among those of the process; earlier ones are ignored. Earlier builds send none.

TestLateHeartbeatLosesNoWorker failed before. Found by reading; no run of whole processes showed it.

--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -111,6 +111,7 @@
 type Runner struct {
 	opts          Options
 	started       time.Time
+	heartbeats    uint64 // number of the last heartbeat
 	log           *zap.Logger
 	recoverer     *recoverer.Recoverer
 	bound         *drainer.Bound
@@ -346,7 +347,11 @@
 // heartbeat sends one heartbeat, applies the response and returns the interval from its start to the next one.
 func (r *Runner) heartbeat() time.Duration {
 	s := r.opts.Settings
-	b := &messages.Beat{Daemon: s.Name, Place: s.Place, Address: s.Peering, Listen: s.Listen, Draining: r.isDraining(), Started: r.started.UnixNano()}
+	r.heartbeats++
+	b := &messages.Beat{
+		Daemon: s.Name, Place: s.Place, Address: s.Peering, Listen: s.Listen, Draining: r.isDraining(),
+		Started: r.started.UnixNano(), Number: r.heartbeats,
+	}
 	if r.replica != nil {
 		b.Identity = r.replica.identity(r.ctx)
 	}
--- a/internal/worker/registrar/lease_test.go
+++ b/internal/worker/registrar/lease_test.go
@@ -26,13 +26,20 @@
 	leaseExpiry time.Time // end of the worker's lease
 }
 
-func newNetwork(t *rapid.T) *network {
-	n := &network{t: t, now: time.Unix(1_000_000, 0), timing: DefaultTiming(), state: scheduler.New(), term: 1}
-	n.state.Step(n.now, scheduler.ApplyManifest{Text: []byte(`{"version": 1, "places": [{"name": "p", "service": "s",
+// newNetworkState returns the state of a fleet with the worker w.
+func newNetworkState(now time.Time) *scheduler.State {
+	state := scheduler.New()
+	state.Step(now, scheduler.ApplyManifest{Text: []byte(`{"version": 1, "places": [{"name": "p", "service": "s",
 		"racks": 1, "workers": 1, "slots": 8, "processors": 8, "memory": 8}]}`)})
-	n.state.Step(n.now, scheduler.Announce{Worker: scheduler.WorkerInfo{
+	state.Step(now, scheduler.Announce{Worker: scheduler.WorkerInfo{
 		Name: "w", Place: "p", Rack: "r", Service: "s", Incarnation: 1, Slots: 8, Address: netip.MustParseAddrPort("127.0.0.1:1"),
 	}})
+	return state
+}
+
+func newNetwork(t *rapid.T) *network {
+	now := time.Unix(1_000_000, 0)
+	n := &network{t: t, now: now, timing: DefaultTiming(), state: newNetworkState(now), term: 1}
 	for range 3 {
 		n.homes = append(n.homes, NewHome(n.timing, func() time.Time { return n.now }))
 	}
--- a/internal/worker/registrar/monitor.go
+++ b/internal/worker/registrar/monitor.go
@@ -83,6 +83,9 @@
 		d = &daemonStatus{}
 		m.daemons[b.GetDaemon()] = d
 	}
+	if isLate(d.heartbeat, b) {
+		return !d.full
+	}
 	m.logContact(now, d, b)
 	d.full = d.full || b.GetFull()
 	if !sameDaemon(d.heartbeat, b) || now.Sub(d.lastContact) > daemonTimeout {
@@ -104,6 +107,11 @@
 	return !d.full
 }
 
+// isLate reports whether a heartbeat was sent before the last one of the same process.
+func isLate(last, b *messages.Beat) bool {
+	return last != nil && b.GetNumber() != 0 && b.GetStarted() == last.GetStarted() && b.GetNumber() <= last.GetNumber()
+}
+
 // recordContact records that a home lists a worker. Homes whose leases have expired are forgotten.
 func (m *Monitor) recordContact(now time.Time, daemon string, heard *messages.Heard) {
 	ws := m.workers[heard.GetWorker()]
--- a/internal/worker/registrar/move_test.go
+++ b/internal/worker/registrar/move_test.go
@@ -4,8 +4,11 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"go.uber.org/zap"
 	"pgregory.net/rapid"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
 
 // TestMovedWorkerIsNotLost guards against a second run of a task that goes on: a worker has moved to another home, the
@@ -36,3 +39,27 @@
 		}
 	})
 }
+
+// TestLateHeartbeatLosesNoWorker guards against a second run of a task that goes on: a heartbeat that says that a worker is
+// out of contact, or is the first of its home, arrives after a later one that lists the worker.
+func TestLateHeartbeatLosesNoWorker(t *testing.T) {
+	for _, late := range []*messages.Beat{{Silent: []string{"w"}}, {Full: true}} {
+		is := is.New(t)
+		now := time.Unix(1_000_000, 0)
+		state := newNetworkState(now)
+		m := NewMonitor(DefaultTiming(), now, zap.NewNop())
+		beat := func(number uint64, b *messages.Beat) {
+			b.Daemon, b.Started, b.Number = "d", 1, number
+			m.Heartbeat(now, b)
+		}
+		heard := []*messages.Heard{{Worker: "w", Incarnation: 1}}
+		beat(1, &messages.Beat{Full: true, Heard: heard})
+		beat(3, &messages.Beat{Heard: heard})
+		beat(2, late)
+		for number := range uint64(3 * m.timing.LostAfter() / m.timing.Heartbeat) {
+			now = now.Add(m.timing.Heartbeat)
+			beat(4+number, &messages.Beat{})
+			is.Equal(len(m.Lost(now, state)), 0)
+		}
+	}
+}
