registrar: a worker that ends together with its home's process is lost

On the own interface, a worker that ended while its home restarted, as when a machine loses power, was never declared lost: the home no longer knew it after its restart, so it never said that the worker is out of contact, and its own heartbeats counted as contact with the worker. The worker's jobs were neither answered nor run again.

A full heartbeat lists every worker of its home, so a worker that it lacks is out of contact there.

TestWorkerOfRestartedHomeIsLost failed before; the properties of the package pass with 5000 checks. Found by reading.

--- a/internal/worker/registrar/monitor.go
+++ b/internal/worker/registrar/monitor.go
@@ -96,6 +96,11 @@
 	if b.GetIdentity() != "" {
 		d.keeper = KeeperStatus{Name: b.GetDaemon(), Place: b.GetPlace(), Address: b.GetAddress(), Identity: b.GetIdentity(), Last: now}
 	}
+	if b.GetFull() {
+		for _, ws := range m.workers {
+			ws.loseContact(now, b.GetDaemon()) // unless it is listed
+		}
+	}
 	for _, heard := range b.GetHeard() {
 		m.recordContact(now, b.GetDaemon(), heard)
 	}
--- a/internal/worker/registrar/move_test.go
+++ b/internal/worker/registrar/move_test.go
@@ -63,3 +63,24 @@
 		}
 	}
 }
+
+// TestWorkerOfRestartedHomeIsLost guards against a worker that is never declared lost: it ends together with its home, and
+// the home, which no longer knows it once it has restarted, keeps sending heartbeats.
+func TestWorkerOfRestartedHomeIsLost(t *testing.T) {
+	is := is.New(t)
+	rapid.Check(t, func(t *rapid.T) {
+		n := newNetwork(t)
+		for range 5 {
+			n.report(0, 0)
+			n.heartbeat(0, 0, true, true)
+			n.now = n.now.Add(n.timing.Heartbeat)
+		}
+		n.homes[0] = NewHome(n.timing, func() time.Time { return n.now })
+		for range int(n.timing.LostAfter()/n.timing.Heartbeat) + 6 {
+			n.heartbeat(0, 0, true, true)
+			n.check()
+			n.now = n.now.Add(n.timing.Heartbeat)
+		}
+		is.Equal(len(n.monitor.Lost(n.now, n.state)), 1)
+	})
+}
