--- a/internal/worker/registrar/monitor.go
+++ b/internal/worker/registrar/monitor.go
@@ -24,7 +24,7 @@
 	log           *zap.Logger
 	startedAt     time.Time
 	daemons       map[string]*daemonStatus
-	workers       map[string]*workerStatus
+	workers       map[string]map[string]homeStatus // by worker and home
 	roster        Roster
 	rosterBuiltAt time.Time // zero if the roster must be rebuilt
 }
@@ -47,33 +47,41 @@
 	keeper      KeeperStatus // as of the latest heartbeat with an identity
 }
 
-// workerStatus holds the homes of a worker's latest incarnation. A worker that moves is listed by both homes for a while, and
-// each may have renewed its leases.
-type workerStatus struct {
-	incarnation uint64
-	homes       map[string]homeStatus // by daemon
-}
-
-// homeStatus is what a home last said of a worker.
+// homeStatus is what a home last said of a worker. A worker that moves is listed by both homes for a while, and each may have
+// renewed its leases.
 type homeStatus struct {
+	incarnation   uint64
 	outOfContact  bool
 	lostContactAt time.Time // set while out of contact
 }
 
-// isOutOfContact reports whether no home has contact with the worker.
-func (w *workerStatus) isOutOfContact() bool {
-	for _, h := range w.homes {
+// loseContact records that a home has no contact with a worker any more.
+func loseContact(homes map[string]homeStatus, now time.Time, daemon string) {
+	if h, ok := homes[daemon]; ok && !h.outOfContact {
+		h.outOfContact, h.lostContactAt = true, now
+		homes[daemon] = h
+	}
+}
+
+// isOutOfContact reports whether an incarnation of a worker has been listed, and no home has contact with it.
+func (m *Monitor) isOutOfContact(name string, incarnation uint64) bool {
+	listed := false
+	for _, h := range m.workers[name] {
+		if h.incarnation != incarnation {
+			continue
+		}
 		if !h.outOfContact {
 			return false
 		}
+		listed = true
 	}
-	return true
+	return listed
 }
 
 // NewMonitor returns the monitor of a leader whose lease started at the given time. That time counts as the
 // last contact with every worker, because leases may have been renewed under an earlier leader until then.
 func NewMonitor(timing Timing, startedAt time.Time, log *zap.Logger) *Monitor {
-	return &Monitor{timing: timing, log: log, startedAt: startedAt, daemons: map[string]*daemonStatus{}, workers: map[string]*workerStatus{}}
+	return &Monitor{timing: timing, log: log, startedAt: startedAt, daemons: map[string]*daemonStatus{}, workers: map[string]map[string]homeStatus{}}
 }
 
 // Heartbeat handles a daemon's heartbeat. resync is true if the daemon must send a full one.
@@ -97,17 +105,15 @@
 		d.keeper = KeeperStatus{Name: b.GetDaemon(), Place: b.GetPlace(), Address: b.GetAddress(), Identity: b.GetIdentity(), Last: now}
 	}
 	if b.GetFull() {
-		for _, ws := range m.workers {
-			ws.loseContact(now, b.GetDaemon()) // unless it is listed
+		for _, homes := range m.workers {
+			loseContact(homes, now, b.GetDaemon()) // unless it is listed
 		}
 	}
 	for _, heard := range b.GetHeard() {
 		m.recordContact(now, b.GetDaemon(), heard)
 	}
 	for _, name := range b.GetSilent() {
-		if ws := m.workers[name]; ws != nil {
-			ws.loseContact(now, b.GetDaemon())
-		}
+		loseContact(m.workers[name], now, b.GetDaemon())
 	}
 	return !d.full
 }
@@ -119,25 +125,15 @@
 
 // recordContact records that a home lists a worker. Homes whose leases have expired are forgotten.
 func (m *Monitor) recordContact(now time.Time, daemon string, heard *messages.Heard) {
-	ws := m.workers[heard.GetWorker()]
-	if ws == nil || heard.GetIncarnation() > ws.incarnation {
-		ws = &workerStatus{incarnation: heard.GetIncarnation(), homes: map[string]homeStatus{}}
-		m.workers[heard.GetWorker()] = ws
+	homes := m.workers[heard.GetWorker()]
+	if homes == nil {
+		homes = map[string]homeStatus{}
+		m.workers[heard.GetWorker()] = homes
 	}
-	if heard.GetIncarnation() < ws.incarnation {
-		return
-	}
-	maps.DeleteFunc(ws.homes, func(_ string, h homeStatus) bool {
+	maps.DeleteFunc(homes, func(_ string, h homeStatus) bool {
 		return h.outOfContact && now.Sub(h.lostContactAt) > m.timing.LostAfter()
 	})
-	ws.homes[daemon] = homeStatus{}
-}
-
-// loseContact records that a home has no contact with the worker any more.
-func (w *workerStatus) loseContact(now time.Time, daemon string) {
-	if h, ok := w.homes[daemon]; ok && !h.outOfContact {
-		w.homes[daemon] = homeStatus{outOfContact: true, lostContactAt: now}
-	}
+	homes[daemon] = homeStatus{incarnation: heard.GetIncarnation()}
 }
 
 // logContact logs a heartbeat that is the first of a daemon in this term, of another process, or after a loss of contact.
@@ -178,12 +174,11 @@
 // lastContact returns the latest time at which a lease of the worker may have been renewed, minus the grace
 // period of its home.
 func (m *Monitor) lastContact(name string, incarnation uint64) time.Time {
-	ws := m.workers[name]
-	if ws == nil || ws.incarnation != incarnation {
-		return m.startedAt
-	}
 	latest := m.startedAt
-	for daemon, h := range ws.homes {
+	for daemon, h := range m.workers[name] {
+		if h.incarnation != incarnation {
+			continue
+		}
 		contact := h.lostContactAt
 		if d := m.daemons[daemon]; !h.outOfContact && d != nil {
 			contact = d.lastContact
@@ -213,9 +208,7 @@
 	var barred []*messages.Attempt
 	seen := map[scheduler.Attempt]bool{}
 	s.EachWorker(func(info scheduler.WorkerInfo) {
-		ws := m.workers[info.Name]
-		outOfContact := ws != nil && ws.incarnation == info.Incarnation && ws.isOutOfContact()
-		if !outOfContact && now.Sub(m.lastContact(info.Name, info.Incarnation)) <= m.timing.ContactTimeout {
+		if !m.isOutOfContact(info.Name, info.Incarnation) && now.Sub(m.lastContact(info.Name, info.Incarnation)) <= m.timing.ContactTimeout {
 			return
 		}
 		for _, a := range s.GangsOn(info.Name) {
@@ -232,11 +225,12 @@
 // not contain their incarnation.
 func (m *Monitor) Unknown(b *messages.Beat, s *scheduler.State) []string {
 	var unknown []string
-	for name, ws := range m.workers {
-		if h, ok := ws.homes[b.GetDaemon()]; !ok || h.outOfContact {
+	for name, homes := range m.workers {
+		h, ok := homes[b.GetDaemon()]
+		if !ok || h.outOfContact {
 			continue
 		}
-		if info, ok := s.Worker(name); !ok || info.Incarnation != ws.incarnation {
+		if info, ok := s.Worker(name); !ok || info.Incarnation != h.incarnation {
 			unknown = append(unknown, name)
 		}
 	}
--- a/internal/worker/registrar/move_test.go
+++ b/internal/worker/registrar/move_test.go
@@ -84,3 +84,24 @@
 		is.Equal(len(n.monitor.Lost(n.now, n.state)), 1)
 	})
 }
+
+// TestLowerIncarnationIsListed guards against jobs that are neither answered nor run again: a worker has restarted after its
+// clock went back, so that its incarnation is lower than the one that the leader knows.
+func TestLowerIncarnationIsListed(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	state := newNetworkState(now)
+	m := NewMonitor(DefaultTiming(), now, zap.NewNop())
+	beat := func(b *messages.Beat) []string {
+		b.Daemon = "d"
+		m.Heartbeat(now, b)
+		return m.Unknown(b, state)
+	}
+	is.Equal(len(beat(&messages.Beat{Full: true, Heard: []*messages.Heard{{Worker: "w", Incarnation: 1}}})), 0)
+	is.Equal(beat(&messages.Beat{Heard: []*messages.Heard{{Worker: "w", Incarnation: 0}}}), []string{"w"}) // it must announce itself
+	for range m.timing.LostAfter()/m.timing.Heartbeat + 2 {
+		now = now.Add(m.timing.Heartbeat)
+		beat(&messages.Beat{})
+	}
+	is.Equal(len(m.Lost(now, state)), 1)
+}
