--- a/cmd/bluebellplatformd/memory_test.go
+++ b/cmd/bluebellplatformd/memory_test.go
@@ -193,7 +193,7 @@
 	response, err := http.ReadResponse(bufio.NewReader(silent), nil)
 	is.NoErr(err)
 	is.NoErr(response.Body.Close())
-	is.Equal(response.StatusCode, http.StatusBadRequest)
+	is.Equal(response.StatusCode, http.StatusRequestTimeout)
 }
 
 // TestLargeAnswers guards against a process that is killed for its memory: each call for the configuration held copies of it, on any
