--- a/internal/entry/recoverer/recoverer.go
+++ b/internal/entry/recoverer/recoverer.go
@@ -56,7 +56,9 @@
 			if tracked.written {
 				panic(http.ErrAbortHandler) // which net/http does not log
 			}
+			connection := w.Header().Values("Connection") // set by the server before the handler
 			clear(w.Header())
+			w.Header()["Connection"] = connection
 			reply(w, q)
 		}()
 		next.ServeHTTP(tracked, q)
