applier: a leader that leaves resigns at its end, and a suspended replica notices that it leaves

A leader whose only successors leave too kept the lead to its end, so that the others waited for an election timeout, and one more as they leave. It now lets one of them campaign at once as it ends.

TestLastOfLeavingReplicasResigns fails without the resignation.

--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -272,6 +272,9 @@
 			err = a.suspend(err)
 		}
 		if errors.Is(err, errStop) {
+			if a.leaving {
+				a.resign() // there was no voter that does not leave
+			}
 			return nil
 		}
 		if err != nil {
@@ -350,9 +353,15 @@
 	probe := time.NewTimer(a.resumeWait)
 	defer probe.Stop()
 	for {
+		leave := a.leave
+		if a.leaving {
+			leave = nil
+		}
 		select {
 		case <-a.stop:
 			return errStop
+		case <-leave:
+			a.startLeaving()
 		case <-a.peerInbox:
 		case in := <-a.inbox:
 			a.handle(in)
--- a/internal/state/applier/handover_test.go
+++ b/internal/state/applier/handover_test.go
@@ -94,3 +94,46 @@
 		is.NoErr(ctx.Err())
 	}
 }
+
+// TestLastOfLeavingReplicasResigns guards against an election timeout without a leader: the leader stops while all others
+// leave too, so that it could not hand over before.
+func TestLastOfLeavingReplicasResigns(t *testing.T) {
+	is := is.New(t)
+	core, lines := observer.New(zap.InfoLevel)
+	c := newTestClusterOnDisks(t, 1000, true, func(o *Options) { o.Log = zap.New(core).With(zap.String("replica", o.Name)) })
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	leader := c.leader()
+	for _, a := range c.replicas {
+		if a != leader {
+			a.Leave()
+		}
+	}
+	told := func() bool {
+		leaving := 0
+		is.NoErr(leader.call(ctx, func() error {
+			for _, s := range leader.node.Successors() {
+				if s.Leaving {
+					leaving++
+				}
+			}
+			return nil
+		}))
+		return leaving == len(c.replicas)-1
+	}
+	for !told() {
+		time.Sleep(time.Millisecond)
+	}
+	leader.Leave()
+	defer c.stopOnce.Do(func() {
+		for _, a := range c.replicas {
+			if a != leader {
+				a.Stop()
+			}
+		}
+	})
+	leader.Stop()
+	resigned := lines.FilterMessage("resigns the lead").FilterField(zap.String("replica", leader.opts.Name)).All()
+	is.Equal(len(resigned), 1)
+	is.True(resigned[0].ContextMap()["to"] != "")
+}
