--- a/internal/entry/drainer/drainer_test.go
+++ b/internal/entry/drainer/drainer_test.go
@@ -266,6 +266,11 @@
 				is.NoErr(err)
 				time.Sleep(100 * time.Millisecond)
 			}
+			if test.name == "response in part" {
+				_, err := io.ReadFull(c, make([]byte, 1)) // it has begun
+				is.NoErr(err)
+				time.Sleep(100 * time.Millisecond)
+			}
 			if test.leave {
 				is.NoErr(c.Close())
 				time.Sleep(100 * time.Millisecond)
