--- a/internal/entry/drainer/conn.go
+++ b/internal/entry/drainer/conn.go
@@ -257,13 +257,13 @@
 // logUnanswered logs the request that the connection carries at its end. The caller must hold the lock.
 func (c *conn) logUnanswered() {
 	handled := c.handlers > 0 || c.writes > 0
-	left := !c.reading && c.hasSurplus()
-	if !handled && !c.reading && !left {
+	surplus := !c.reading && c.hasSurplus()
+	if !handled && !c.reading && !surplus {
 		return
 	}
 	c.drainer.opts.Log.Warn("connection ends with an unanswered request", zap.Stringer("peer", c.RemoteAddr()),
 		zap.String("method", c.method), zap.String("path", c.path), zap.Bool("read", handled), zap.Bool("body", handled && c.bodyRead),
-		zap.Bool("unread", left), zap.Int("written", c.written), zap.NamedError("ended", c.ended), zap.Duration("open", time.Since(c.opened)),
+		zap.Bool("unread", surplus), zap.Int("written", c.written), zap.NamedError("ended", c.ended), zap.Duration("open", time.Since(c.opened)),
 		zap.Bool("stopping", c.drainer.isDraining()), zap.Stringer("stage", stage(c.drainer.stage.Load())))
 }
 
--- a/internal/entry/limiter/budget.go
+++ b/internal/entry/limiter/budget.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	firstBytes = 512      // read into a new buffer
-	freeBytes  = 16 << 10 // of a hold that do not count
+	firstBytes     = 512      // read into a new buffer
+	uncountedBytes = 16 << 10 // of a hold that do not count
 )
 
 // Errors of a hold that does not get the memory it asks for.
@@ -39,7 +39,7 @@
 // Add adds a number of bytes to the hold. The error is ErrTooLarge if it exceeds the budget alone, and ErrBusy if it does so with others.
 func (h *Hold) Add(n int64) error {
 	h.bytes += n
-	need := h.bytes - freeBytes - h.used
+	need := h.bytes - uncountedBytes - h.used
 	if need <= 0 {
 		return nil
 	}
--- a/internal/entry/limiter/budget_test.go
+++ b/internal/entry/limiter/budget_test.go
@@ -16,7 +16,7 @@
 func TestBudget(t *testing.T) {
 	is := is.New(t)
 	b := NewBudget(90 << 10)
-	large, small := strings.Repeat("x", 60<<10), strings.Repeat("x", freeBytes-1)
+	large, small := strings.Repeat("x", 60<<10), strings.Repeat("x", uncountedBytes-1)
 	read := func(r io.Reader) (*Hold, []byte, error) {
 		h := b.Hold()
 		body, err := h.Read(r)
