placer, coordinator: log why a job waits beside idle workers

Callers saw accepted jobs stand still for up to 25 s, and no line said what kept them. The placer names the obstacle to each unit that does not start, and the leader logs it once a job has had nothing running for a second in a pool that is mostly idle, whenever the obstacle changes, and when the wait ends: at most 20 lines a second.

--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -137,6 +137,8 @@
 	unexplainedAt   time.Time // of the last loss of a worker that was starting nothing, zero for none
 	verdicts        map[tracker.TaskKey]verdict
 	deferrals       map[placer.StepKey]*deferral
+	waits           map[string]*jobWait // by job
+	waitLog         waitLog
 	restarts        map[tracker.TaskKey]restart
 	seenAt          map[string]time.Time // when this leader first saw a job
 	endedAt         map[string]time.Time // when this leader first saw a job as ended
@@ -200,6 +202,8 @@
 	c.unexplainedAt = time.Time{}
 	c.verdicts = map[tracker.TaskKey]verdict{}
 	c.deferrals = map[placer.StepKey]*deferral{}
+	c.waits = map[string]*jobWait{}
+	c.waitLog = waitLog{}
 	c.restarts = map[tracker.TaskKey]restart{}
 	c.seenAt = map[string]time.Time{}
 	c.endedAt = map[string]time.Time{}
--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -174,6 +174,7 @@
 func (c *Coordinator) planStarts(state *tracker.Tracker) []*messages.Run {
 	plan := placer.NewPlan(c.placerInput(state))
 	c.recordDeferrals(plan)
+	c.recordBlocked(plan)
 	for _, a := range plan.Stops {
 		c.stopping[a.Key] = true
 		c.wakeWorker(a.Job.Step(a.Key.Occurrence, a.Key.Step).Tasks[a.Key.Task].Worker)
--- a/internal/queue/placer/gang.go
+++ b/internal/queue/placer/gang.go
@@ -27,10 +27,15 @@
 		// Pending stops will free enough capacity, unless it is reserved for earlier gangs.
 		if !u.usesReserved(allocations) || !p.placeRelaxedGang(u) {
 			reserveCapacity(u, allocations)
+			p.block(u.key(), StopsPending)
 		}
 		return
 	}
-	if u.urgent && p.evict(u, domains) != nil || p.placeRelaxedGang(u) {
+	if u.urgent && p.evict(u, domains) != nil {
+		p.block(u.key(), StopsPending)
+		return
+	}
+	if p.placeRelaxedGang(u) {
 		return
 	}
 	if p.reservations < maxReservations {
--- /dev/null
+++ b/internal/queue/placer/obstacle.go
@@ -0,0 +1,53 @@
+package placer
+
+// Obstacle is why a unit does not start.
+type Obstacle string
+
+// The obstacles to a start.
+const (
+	NoPool           Obstacle = "no pool"           // the catalog names no pool for its queue
+	NoCapacity       Obstacle = "no capacity"       // it fits on none of the workers that it may use
+	PreferredWorkers Obstacle = "preferred workers" // it waits for workers that it prefers, though it fits on others
+	StopsPending     Obstacle = "stops pending"     // runs that have been stopped for it have not ended
+	TrialLimit       Obstacle = "trial limit"       // as many trials as the pool may have are under way
+	TrialOfJob       Obstacle = "trial of its job"  // another trial of its job is under way
+	StartsPending    Obstacle = "starts pending"    // others are starting on the worker that is to try it
+	Held             Obstacle = "held"              // it is suspect and workers are being lost, or it is about to be given up
+	LikelyGivenUp    Obstacle = "likely given up"   // a task of its step is likely to be given up
+	MembersActive    Obstacle = "members active"    // members of its previous run have not ended
+	Resting          Obstacle = "resting"           // the next start of a lasting task is delayed
+	PlanFull         Obstacle = "plan full"         // the pass has started as many tasks as fit into one change
+)
+
+// Blocked is a step of which no task started in a pass, though the turn of one has come.
+type Blocked struct {
+	Key      StepKey
+	Obstacle Obstacle // to the last unit of the step
+	Idle     bool     // most of the pool is idle
+}
+
+// block records the obstacle to a unit of a step.
+func (p *pass) block(key StepKey, obstacle Obstacle) { p.obstacles[key] = obstacle }
+
+// listBlocked lists the steps of jobs without runs of which nothing starts in this pass.
+func (p *pass) listBlocked() {
+	if len(p.obstacles) == 0 {
+		return
+	}
+	started := map[string]bool{}
+	for _, r := range p.plan.Starts {
+		started[r.GetJob()] = true
+	}
+	for _, j := range p.input.Jobs {
+		if j.Active() > 0 || started[j.Work.GetId()] {
+			continue
+		}
+		steps := j.Steps()
+		for i := range steps {
+			key := keyOf(j, &steps[i])
+			if obstacle, ok := p.obstacles[key]; ok {
+				p.plan.Blocked = append(p.plan.Blocked, Blocked{Key: key, Obstacle: obstacle, Idle: p.isPoolIdle(p.input.Pool(j))})
+			}
+		}
+	}
+}
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -80,6 +80,8 @@
 	Deferred []Deferral
 	// Relaxed are the steps that have waited so long enough.
 	Relaxed []Deferral
+	// Blocked are the steps of jobs without runs that have a task whose turn has come.
+	Blocked []Blocked
 }
 
 // unit is a set of tasks that are placed together: a gang, or the tasks of a step that are neither done nor
@@ -125,6 +127,7 @@
 	tried        map[*tracker.Job]bool // jobs with a trial
 	idle         map[string]bool       // pools of which less than half is in use, once known
 	doubtful     map[string]bool       // pools with workers in quarantine or probation
+	obstacles    map[StepKey]Obstacle
 }
 
 // maxStarts limits the starts of a plan, so that they fit into one change. A gang that exceeds it starts nevertheless, as a
@@ -159,7 +162,7 @@
 		input: in, racks: map[string][]*candidate{}, pools: map[string][]*candidate{},
 		gangs: map[*tracker.Step][]*ActiveRun{}, workerOf: map[*ActiveRun]*candidate{}, costs: map[*ActiveRun]int64{},
 		trials: map[string]int{}, old: map[string]int{}, tried: map[*tracker.Job]bool{}, idle: map[string]bool{},
-		doubtful: map[string]bool{},
+		doubtful: map[string]bool{}, obstacles: map[StepKey]Obstacle{},
 	}
 	p.planTrials()
 	for _, w := range in.Workers {
@@ -185,10 +188,12 @@
 	}
 	for _, u := range p.units() {
 		if len(p.plan.Starts) >= maxStarts {
-			break
+			p.block(u.key(), PlanFull)
+			continue
 		}
 		p.place(u)
 	}
+	p.listBlocked()
 	return p.plan
 }
 
@@ -206,9 +211,6 @@
 			continue
 		}
 		pool := p.input.Pool(j)
-		if pool == "" {
-			continue
-		}
 		steps := j.Steps()
 		for i := range steps {
 			if u := p.newUnit(j, &steps[i], pool); u != nil {
@@ -238,8 +240,15 @@
 		return nil
 	}
 	tasks := p.waitingTasks(j, s)
-	if len(tasks) == 0 || s.Spec.GetGang() && len(tasks) < len(s.Tasks) {
+	switch {
+	case pool == "":
+		p.block(keyOf(j, s), NoPool)
+		return nil
+	case len(tasks) == 0:
+		return nil
+	case s.Spec.GetGang() && len(tasks) < len(s.Tasks):
 		// A gang restarts only after all members of its previous run have ended.
+		p.block(keyOf(j, s), MembersActive)
 		return nil
 	}
 	u := &unit{
@@ -265,9 +274,14 @@
 func (p *pass) waitingTasks(j *tracker.Job, s *tracker.Step) []int32 {
 	var tasks []int32
 	for i := range s.Tasks {
-		if !s.Tasks[i].Done && s.Tasks[i].Active == 0 && !p.isResting(j, s, int32(i)) {
-			tasks = append(tasks, int32(i))
+		if s.Tasks[i].Done || s.Tasks[i].Active > 0 {
+			continue
+		}
+		if p.isResting(j, s, int32(i)) {
+			p.block(keyOf(j, s), Resting)
+			continue
 		}
+		tasks = append(tasks, int32(i))
 	}
 	return tasks
 }
@@ -301,6 +315,7 @@
 
 // place starts a gang, or as many single tasks as fit. A unit that does not fit may reserve capacity.
 func (p *pass) place(u *unit) {
+	p.block(u.key(), NoCapacity)
 	if u.crashes > 0 {
 		p.placeTrial(u)
 		return
--- a/internal/queue/placer/preference.go
+++ b/internal/queue/placer/preference.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
 )
 
 // Running work can keep the workers that a unit prefers from ever becoming free, so each preference is dropped in the end.
@@ -41,8 +43,10 @@
 	limit   time.Duration // the unit keeps its preferences at most so long in a busy pool, 0 for ever
 }
 
-func (u *unit) key() StepKey {
-	return StepKey{Job: u.job.Work.GetId(), Occurrence: u.step.Occurrence, Step: u.step.Index}
+func (u *unit) key() StepKey { return keyOf(u.job, u.step) }
+
+func keyOf(j *tracker.Job, s *tracker.Step) StepKey {
+	return StepKey{Job: j.Work.GetId(), Occurrence: s.Occurrence, Step: s.Index}
 }
 
 // prefersRack reports whether the unit may only use the workers of a single rack.
@@ -138,6 +142,7 @@
 			return r.unit
 		}
 		p.plan.Deferred = append(p.plan.Deferred, d)
+		p.block(d.Key, PreferredWorkers)
 	}
 	return nil
 }
@@ -148,17 +153,22 @@
 	if u.step.Spec.GetLasting() {
 		return true
 	}
-	idle, known := p.idle[u.pool]
+	return p.isPoolIdle(u.pool)
+}
+
+// isPoolIdle reports whether less than half of the usable part of a pool is in use.
+func (p *pass) isPoolIdle(pool string) bool {
+	idle, known := p.idle[pool]
 	if !known {
 		total, free := int64(0), int64(0)
 		for _, w := range p.input.Workers {
-			if w.Pool == u.pool && w.Usable {
+			if w.Pool == pool && w.Usable {
 				total += w.Capacity.Weight()
 				free += w.Free.Weight()
 			}
 		}
 		idle = 2*free > total
-		p.idle[u.pool] = idle
+		p.idle[pool] = idle
 	}
 	return idle
 }
--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -21,7 +21,7 @@
 		case p.waitsForReserved(u, counts) && p.placeRelaxedTasks(u, u.tasks[i:], counts):
 			return
 		case u.urgent && p.evictForTask(u, counts):
-			// Capacity is reserved for the task.
+			p.block(u.key(), StopsPending) // capacity is reserved for the task
 		default:
 			p.placeRelaxedTasks(u, u.tasks[i:], counts)
 			return
--- a/internal/queue/placer/trial.go
+++ b/internal/queue/placer/trial.go
@@ -58,6 +58,7 @@
 	if u.step.Spec.GetGang() {
 		for _, task := range u.tasks {
 			if u.suspect(&u.step.Tasks[task]); p.isHeld(u, task) {
+				p.block(u.key(), Held)
 				return nil
 			}
 		}
@@ -72,6 +73,7 @@
 			continue
 		}
 		if p.isHeld(u, task) {
+			p.block(u.key(), Held)
 			continue
 		}
 		trial := *u
@@ -80,7 +82,11 @@
 		trial.needsOldWorker = trial.needsOldWorker && p.old[u.pool] > 0
 		units = append(units, &trial)
 	}
-	if u.tasks = rest; len(rest) > 0 && !p.isDoomed(u) {
+	switch u.tasks = rest; {
+	case len(rest) == 0:
+	case p.isDoomed(u):
+		p.block(u.key(), LikelyGivenUp)
+	default:
 		units = append(units, u)
 	}
 	return units
@@ -119,7 +125,12 @@
 
 // placeTrial starts a suspect task or gang. Nothing else starts on its workers until they are seen alive after it.
 func (p *pass) placeTrial(u *unit) {
-	if p.trials[u.pool] <= 0 || u.isOneAtATime() && p.tried[u.job] {
+	switch {
+	case p.trials[u.pool] <= 0:
+		p.block(u.key(), TrialLimit)
+		return
+	case u.isOneAtATime() && p.tried[u.job]:
+		p.block(u.key(), TrialOfJob)
 		return
 	}
 	before := len(p.plan.Starts)
@@ -130,6 +141,8 @@
 	} else {
 		if !c.assigned && !c.starting {
 			p.start(u, u.tasks[0], c)
+		} else {
+			p.block(u.key(), StartsPending)
 		}
 		c.close() // also while the trial waits for starts on the worker to succeed
 		p.trials[u.pool]--
@@ -152,7 +165,11 @@
 // placeWaitingTrial reserves room for a suspect task that fits on no worker now, or places it without preferences.
 func (p *pass) placeWaitingTrial(u *unit) {
 	counts := p.runsPerWorker(u)
-	if p.waitsForReserved(u, counts) && p.placeRelaxedTrial(u) || u.urgent && p.evictForTask(u, counts) {
+	switch {
+	case p.waitsForReserved(u, counts) && p.placeRelaxedTrial(u):
+		return
+	case u.urgent && p.evictForTask(u, counts):
+		p.block(u.key(), StopsPending)
 		return
 	}
 	p.placeRelaxedTrial(u)
