--- a/internal/queue/coordinator/suspicion_test.go
+++ b/internal/queue/coordinator/suspicion_test.go
@@ -58,9 +58,12 @@
 	return f
 }
 
-// step lets all workers report and the leader decide, each 250 ms. It returns the number of tasks at work.
+// stepInterval is the time between two reports of a worker of a poweredFleet.
+const stepInterval = 250 * time.Millisecond
+
+// step lets all workers report and the leader decide. It returns the number of tasks at work.
 func (f *poweredFleet) step(t *testing.T) int {
-	f.now = f.now.Add(250 * time.Millisecond)
+	f.now = f.now.Add(stepInterval)
 	n := 0
 	for _, w := range f.workers {
 		if !w.up {
