placer: no unit waits for ever for trials beside idle workers

A suspect task waits for the quota of trials of its pool, for another trial of its job, and for starts on the worker that is to try it; other units wait for workers without trials. All of these are put off by other work, and nothing ended them. The time for which a unit waits beside idle workers started anew with each pass that did not reach the question of its preferences, such as one in which the quota was used up.

The leader now counts for each step how long it has been blocked in a mostly idle pool, whatever the obstacle. After maxIdleWait a job of which nothing runs starts one trial regardless of quotas and of other starts, and workers with trials are one more preference that is dropped. So the bound does not depend on what other work does.

TestOverdueTrialsWaitForNoOthers and TestWorkersOfTrialsAreUsedInTheEnd failed before, in two cases each.

--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -137,7 +137,8 @@
 	unexplainedAt   time.Time // of the last loss of a worker that was starting nothing, zero for none
 	verdicts        map[tracker.TaskKey]verdict
 	deferrals       map[placer.StepKey]*deferral
-	waits           map[string]*jobWait // by job
+	idleSince       map[placer.StepKey]time.Time // since when steps wait though most of their pool is idle
+	waits           map[string]*jobWait          // by job
 	waitLog         waitLog
 	restarts        map[tracker.TaskKey]restart
 	seenAt          map[string]time.Time // when this leader first saw a job
@@ -202,6 +203,7 @@
 	c.unexplainedAt = time.Time{}
 	c.verdicts = map[tracker.TaskKey]verdict{}
 	c.deferrals = map[placer.StepKey]*deferral{}
+	c.idleSince = map[placer.StepKey]time.Time{}
 	c.waits = map[string]*jobWait{}
 	c.waitLog = waitLog{}
 	c.restarts = map[tracker.TaskKey]restart{}
--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -210,7 +210,7 @@
 		Held:     c.isHeld,
 		Resting:  c.isResting,
 		FailedAt: func(j *tracker.Job) time.Time { return c.failedWorkers.failedAt(now, j.Work.GetId()) },
-		Deferred: c.waitOf, RackFactor: c.opts.RackFactor,
+		Waited:   c.waitOf, RackFactor: c.opts.RackFactor,
 	}
 	quarantined := map[string]int{} // number of workers by pool
 	total := map[string]int{}
--- a/internal/queue/coordinator/deferral.go
+++ b/internal/queue/coordinator/deferral.go
@@ -12,21 +12,19 @@
 
 // deferral is the wait of a step for the workers that it prefers.
 type deferral struct {
-	since     time.Time
-	idleSince time.Time // zero while the pool is busy
-	over      bool      // it has been long enough
+	since time.Time
+	over  bool // it has been long enough
 }
 
-// waitOf returns how long a step has been kept by its preferences from workers on which it fits.
+// waitOf returns how long a step has waited.
 func (c *Coordinator) waitOf(key placer.StepKey) placer.Wait {
-	d := c.deferrals[key]
-	if d == nil {
-		return placer.Wait{}
-	}
 	now := c.opts.Now()
-	w := placer.Wait{Total: now.Sub(d.since)}
-	if !d.idleSince.IsZero() {
-		w.Idle = now.Sub(d.idleSince)
+	var w placer.Wait
+	if d := c.deferrals[key]; d != nil {
+		w.Deferred = now.Sub(d.since)
+	}
+	if since, ok := c.idleSince[key]; ok {
+		w.Idle = now.Sub(since)
 	}
 	return w
 }
@@ -34,9 +32,7 @@
 // recordDeferrals updates the waits after a pass.
 func (c *Coordinator) recordDeferrals(plan placer.Plan) {
 	now := c.opts.Now()
-	idle := map[placer.StepKey]bool{}
 	for _, d := range plan.Deferred {
-		idle[d.Key] = idle[d.Key] || d.Idle
 		if c.deferrals[d.Key] == nil {
 			c.deferrals[d.Key] = &deferral{since: now}
 			c.logDeferral("step waits for workers that it prefers", d, 0)
@@ -48,14 +44,6 @@
 			c.logDeferral("step no longer waits for workers that it prefers", d, now.Sub(w.since))
 		}
 	}
-	for key, d := range c.deferrals {
-		switch {
-		case !idle[key]:
-			d.idleSince = time.Time{}
-		case d.idleSince.IsZero():
-			d.idleSince = now
-		}
-	}
 	for _, r := range plan.Starts {
 		delete(c.deferrals, placer.StepKey{Job: r.GetJob(), Occurrence: r.GetOccurrence(), Step: r.GetStep()})
 	}
--- a/internal/queue/coordinator/waiting.go
+++ b/internal/queue/coordinator/waiting.go
@@ -39,12 +39,29 @@
 	return l.lines <= maxWaitLines
 }
 
-// recordBlocked logs which jobs wait beside idle workers, and for what.
+// recordBlocked updates since when steps wait beside idle workers.
 func (c *Coordinator) recordBlocked(plan placer.Plan) {
+	now := c.opts.Now()
+	waiting := make(map[placer.StepKey]time.Time, len(c.idleSince))
+	for _, b := range plan.Blocked {
+		if !b.Idle {
+			continue
+		}
+		waiting[b.Key] = now
+		if since, ok := c.idleSince[b.Key]; ok {
+			waiting[b.Key] = since
+		}
+	}
+	c.idleSince = waiting
+	c.logBlocked(plan)
+}
+
+// logBlocked logs which jobs have nothing running beside idle workers, and why.
+func (c *Coordinator) logBlocked(plan placer.Plan) {
 	now := c.opts.Now()
 	blocked := map[string]bool{}
 	for _, b := range plan.Blocked {
-		if !b.Idle || blocked[b.Key.Job] {
+		if !b.Idle || !b.Stands || blocked[b.Key.Job] {
 			continue
 		}
 		blocked[b.Key.Job] = true
--- a/internal/queue/placer/gang.go
+++ b/internal/queue/placer/gang.go
@@ -147,7 +147,7 @@
 		}
 		remaining := int64(0)
 		for _, c := range d {
-			if !c.Quarantined {
+			if !c.Quarantined && !c.closed {
 				remaining += free(c).Weight()
 			}
 		}
@@ -183,7 +183,7 @@
 	rack := u.step.Spec.GetRack()
 	slices.SortStableFunc(allocations, func(a, b allocation) int {
 		return cmp.Or(
-			compareBool(a.candidate.Suspect, b.candidate.Suspect),
+			compareBool(a.candidate.Suspect, b.candidate.Suspect), compareBool(a.candidate.closed, b.candidate.closed),
 			compareBool(rack != "" && a.candidate.Rack != rack, rack != "" && b.candidate.Rack != rack),
 			cmp.Compare(free(a.candidate).Weight(), free(b.candidate).Weight()),
 		)
--- a/internal/queue/placer/obstacle.go
+++ b/internal/queue/placer/obstacle.go
@@ -23,30 +23,32 @@
 type Blocked struct {
 	Key      StepKey
 	Obstacle Obstacle // to the last unit of the step
-	Idle     bool     // most of the pool is idle
+	Idle     bool     // most of the pool is idle, or the step is a lasting one, which need not wait for that
+	Stands   bool     // nothing of the job runs
 }
 
 // block records the obstacle to a unit of a step.
 func (p *pass) block(key StepKey, obstacle Obstacle) { p.obstacles[key] = obstacle }
 
-// listBlocked lists the steps of jobs without runs of which nothing starts in this pass.
+// listBlocked lists the steps of which nothing starts in this pass.
 func (p *pass) listBlocked() {
 	if len(p.obstacles) == 0 {
 		return
 	}
-	started := map[string]bool{}
+	jobs, started := map[string]bool{}, map[StepKey]bool{}
 	for _, r := range p.plan.Starts {
-		started[r.GetJob()] = true
+		jobs[r.GetJob()] = true
+		started[StepKey{Job: r.GetJob(), Occurrence: r.GetOccurrence(), Step: r.GetStep()}] = true
 	}
 	for _, j := range p.input.Jobs {
-		if j.Active() > 0 || started[j.Work.GetId()] {
-			continue
-		}
 		steps := j.Steps()
 		for i := range steps {
 			key := keyOf(j, &steps[i])
-			if obstacle, ok := p.obstacles[key]; ok {
-				p.plan.Blocked = append(p.plan.Blocked, Blocked{Key: key, Obstacle: obstacle, Idle: p.isPoolIdle(p.input.Pool(j))})
+			if obstacle, ok := p.obstacles[key]; ok && !started[key] {
+				p.plan.Blocked = append(p.plan.Blocked, Blocked{
+					Key: key, Obstacle: obstacle, Idle: steps[i].Spec.GetLasting() || p.isPoolIdle(p.input.Pool(j)),
+					Stands: j.Active() == 0 && !jobs[key.Job],
+				})
 			}
 		}
 	}
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -66,8 +66,8 @@
 	// FailedAt returns when a run of a job last failed as soon as it started, zero if not lately. Its last attempt then
 	// starts on workers that have proven sound since, as one that fails all that it starts would use the attempt up.
 	FailedAt func(*tracker.Job) time.Time
-	// Deferred returns how long a step has been kept by its preferences from workers on which it fits.
-	Deferred func(StepKey) Wait
+	// Waited returns how long a step has waited.
+	Waited func(StepKey) Wait
 	// RackFactor is the run time of a compact gang across racks as a multiple of that in a single rack.
 	RackFactor float64
 }
@@ -80,7 +80,7 @@
 	Deferred []Deferral
 	// Relaxed are the steps that have waited so long enough.
 	Relaxed []Deferral
-	// Blocked are the steps of jobs without runs that have a task whose turn has come.
+	// Blocked are the steps of which nothing starts though the turn of a task has come.
 	Blocked []Blocked
 }
 
@@ -126,7 +126,7 @@
 	old          map[string]int        // usable workers that have not started lately, by pool
 	tried        map[*tracker.Job]bool // jobs with a trial
 	idle         map[string]bool       // pools of which less than half is in use, once known
-	doubtful     map[string]bool       // pools with workers in quarantine or probation
+	doubtful     map[string]bool       // pools with workers in quarantine, probation or trials
 	obstacles    map[StepKey]Obstacle
 }
 
@@ -142,7 +142,7 @@
 	// units.
 	projected Vector
 	assigned  bool  // a task was started on it in this pass
-	closed    bool  // nothing may start on it
+	closed    bool  // a trial is under way or about to start on it; nothing else starts on it without need
 	starting  bool  // a run is starting on it
 	loss      int64 // cost of the work that its crash would lose, negative until it is computed
 	// reservedIn is the estimated time until a waiting gang starts here. Later units may use the worker only
@@ -150,8 +150,11 @@
 	reservedIn time.Duration
 }
 
-// close lets no later unit of the pass use the worker.
-func (c *candidate) close() { c.closed, c.free, c.projected = true, Vector{}, Vector{} }
+// close keeps the worker from later units of the pass that can wait.
+func (p *pass) close(c *candidate) {
+	c.closed = true
+	p.doubtful[c.Pool] = true
+}
 
 // hosts reports whether a run starts on the worker.
 func (c *candidate) hosts(r *messages.Run) bool { return r.GetWorker() == c.ID }
@@ -178,7 +181,7 @@
 		}
 		p.workers = append(p.workers, c)
 		if w.hasTrial() {
-			c.close()
+			p.close(c)
 		}
 		if w.Usable {
 			p.doubtful[w.Pool] = p.doubtful[w.Pool] || w.Quarantined || w.Probed
@@ -329,7 +332,7 @@
 
 // mayUse reports whether the unit may use the worker in this pass, regardless of free capacity.
 func (u *unit) mayUse(c *candidate) bool {
-	if c.closed || u.startsAlone() && (c.assigned || c.starting) {
+	if c.closed && !u.incautious || u.startsAlone() && (c.assigned || c.starting) {
 		return false
 	}
 	return u.canRunOn(c.Worker)
--- a/internal/queue/placer/placer_test.go
+++ b/internal/queue/placer/placer_test.go
@@ -39,7 +39,7 @@
 		FailedAt: func(*tracker.Job) time.Time { return time.Time{} },
 		Held:     func(tracker.TaskKey, *tracker.Task) bool { return false },
 		Resting:  func(tracker.TaskKey) bool { return false },
-		Deferred: func(StepKey) Wait { return Wait{} }, RackFactor: 3,
+		Waited:   func(StepKey) Wait { return Wait{} }, RackFactor: 3,
 	}
 }
 
--- a/internal/queue/placer/preference.go
+++ b/internal/queue/placer/preference.go
@@ -23,10 +23,10 @@
 	Occurrence, Step int32
 }
 
-// Wait is how long a step has been kept by its preferences from workers on which it fits.
+// Wait is how long a step has waited, though the turn of a task has come.
 type Wait struct {
-	Total time.Duration // since that was first so
-	Idle  time.Duration // since then, or since the pool was last busy
+	Deferred time.Duration // since its preferences have kept it from workers on which it fits
+	Idle     time.Duration // for which nothing of it has started and most of the pool has been idle, whatever the obstacle
 }
 
 // Deferral is a step that waits for the workers that it prefers, or no longer does.
@@ -136,8 +136,8 @@
 			continue
 		}
 		d := Deferral{Key: u.key(), Preferred: strings.Join(r.dropped, ", "), Idle: p.isIdle(r.unit) && p.fitsTwice(r.unit)}
-		wait := p.input.Deferred(d.Key)
-		if r.limit > 0 && wait.Total >= r.limit || d.Idle && wait.Idle >= maxIdleWait {
+		wait := p.input.Waited(d.Key)
+		if r.limit > 0 && wait.Deferred >= r.limit || d.Idle && wait.Idle >= maxIdleWait {
 			p.plan.Relaxed = append(p.plan.Relaxed, d)
 			return r.unit
 		}
--- a/internal/queue/placer/preference_test.go
+++ b/internal/queue/placer/preference_test.go
@@ -24,13 +24,13 @@
 		deferred []Deferral
 	}{
 		{"idle pool", 1, 0, Wait{}, 0, 0, []Deferral{{StepKey{Job: "gang"}, "a single rack", true}}},
-		{"idle pool, not for long", 1, 0, Wait{Total: time.Minute / 4, Idle: maxIdleWait - 1}, 0, 0, []Deferral{{StepKey{Job: "gang"}, "a single rack", true}}},
-		{"idle pool, for long", 1, 0, Wait{Total: maxIdleWait, Idle: maxIdleWait}, 3, 0, nil},
-		{"busy pool, not for long", 1, 4, Wait{Total: maxBusyWait - 1, Idle: maxIdleWait}, 0, 0, []Deferral{{StepKey{Job: "gang"}, "a single rack", false}}},
-		{"busy pool, for long", 1, 4, Wait{Total: maxBusyWait}, 3, 0, nil},
-		{"full pool, for long", 1, 8, Wait{Total: maxBusyWait}, 0, 0, nil},
+		{"idle pool, not for long", 1, 0, Wait{Deferred: time.Minute / 4, Idle: maxIdleWait - 1}, 0, 0, []Deferral{{StepKey{Job: "gang"}, "a single rack", true}}},
+		{"idle pool, for long", 1, 0, Wait{Deferred: maxIdleWait, Idle: maxIdleWait}, 3, 0, nil},
+		{"busy pool, not for long", 1, 4, Wait{Deferred: maxBusyWait - 1, Idle: maxIdleWait}, 0, 0, []Deferral{{StepKey{Job: "gang"}, "a single rack", false}}},
+		{"busy pool, for long", 1, 4, Wait{Deferred: maxBusyWait}, 3, 0, nil},
+		{"full pool, for long", 1, 8, Wait{Deferred: maxBusyWait}, 0, 0, nil},
 		{"full pool, urgent", 0, 8, Wait{}, 0, 0, []Deferral{{StepKey{Job: "gang"}, "a single rack", false}}},
-		{"full pool, urgent, for long", 0, 8, Wait{Total: maxBusyWait}, 0, 3, nil},
+		{"full pool, urgent, for long", 0, 8, Wait{Deferred: maxBusyWait}, 0, 3, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -50,7 +50,7 @@
 			submit(tr, "gang", c.priority, &messages.Step{Count: 3, Accelerators: 8, Gang: true, Compact: true})
 			in := input(workers, tr)
 			in.Jobs = []*tracker.Job{tr.Job("gang")}
-			in.Deferred = func(StepKey) Wait { return c.wait }
+			in.Waited = func(StepKey) Wait { return c.wait }
 			plan := NewPlan(in)
 			is.Equal(len(plan.Starts), c.starts)
 			is.Equal(len(plan.Stops), c.stops)
@@ -81,21 +81,21 @@
 		starts   int
 		stops    int
 	}{
-		{"suspects, not for long", &messages.Step{Count: 2, Accelerators: 1}, 1, 0, suspect, 0, Wait{Total: maxIdleWait, Idle: maxIdleWait - 1}, 0, 0},
-		{"suspects, for long", &messages.Step{Count: 2, Accelerators: 1}, 1, 0, suspect, 0, Wait{Total: maxIdleWait, Idle: maxIdleWait}, 2, 0},
-		{"suspects in a busy pool, not for long", &messages.Step{Count: 1, Accelerators: 1}, 1, 6, suspect, 0, Wait{Total: maxBusyWait - 1, Idle: maxIdleWait}, 0, 0},
-		{"suspects in a busy pool, for long", &messages.Step{Count: 1, Accelerators: 1}, 1, 6, suspect, 0, Wait{Total: maxBusyWait}, 1, 0},
-		{"suspects in a full pool, urgent", &messages.Step{Count: 1, Accelerators: 1}, 0, 8, suspect, 0, Wait{Total: maxBusyWait}, 0, 1},
-		{"suspects, gang", &messages.Step{Count: 2, Accelerators: 8, Gang: true}, 1, 0, suspect, 0, Wait{Total: maxIdleWait, Idle: maxIdleWait}, 2, 0},
-		{"suspects, compact gang", &messages.Step{Count: 2, Accelerators: 8, Gang: true, Compact: true}, 1, 0, suspect, 0, Wait{Total: maxIdleWait, Idle: maxIdleWait}, 2, 0},
-		{"unproven workers", &messages.Step{Count: 1, Accelerators: 1}, 1, 0, func(*Worker) {}, 0, Wait{Total: maxIdleWait, Idle: maxIdleWait}, 1, 0},
-		{"probed workers, not for long", &messages.Step{Count: 1, Accelerators: 1}, 1, 0, probed, 0, Wait{Total: maxIdleWait, Idle: maxIdleWait - 1}, 0, 0},
-		{"probed workers, for long", &messages.Step{Count: 1, Accelerators: 1}, 1, 0, probed, 0, Wait{Total: maxIdleWait, Idle: maxIdleWait}, 1, 0},
-		{"quarantined workers, not for long", &messages.Step{Count: 1, Accelerators: 1}, 1, 0, quarantined, 0, Wait{Total: maxIdleWait, Idle: maxIdleWait - 1}, 0, 0},
-		{"quarantined workers, for long", &messages.Step{Count: 1, Accelerators: 1}, 1, 0, quarantined, 0, Wait{Total: maxIdleWait, Idle: maxIdleWait}, 1, 0},
-		{"quarantined workers, gang", &messages.Step{Count: 2, Accelerators: 8, Gang: true}, 1, 0, quarantined, 0, Wait{Total: maxIdleWait, Idle: maxIdleWait}, 2, 0},
-		{"young workers", &messages.Step{Count: 1, Accelerators: 8}, 1, 1, func(w *Worker) { w.Young = w.ID != "w00" }, 2, Wait{Total: maxIdleWait, Idle: maxIdleWait}, 1, 0},
-		{"workers on which others start", &messages.Step{Count: 2, Accelerators: 4, Gang: true}, 1, 0, starting, 2, Wait{Total: maxIdleWait, Idle: maxIdleWait}, 2, 0},
+		{"suspects, not for long", &messages.Step{Count: 2, Accelerators: 1}, 1, 0, suspect, 0, Wait{Deferred: maxIdleWait, Idle: maxIdleWait - 1}, 0, 0},
+		{"suspects, for long", &messages.Step{Count: 2, Accelerators: 1}, 1, 0, suspect, 0, Wait{Deferred: maxIdleWait, Idle: maxIdleWait}, 2, 0},
+		{"suspects in a busy pool, not for long", &messages.Step{Count: 1, Accelerators: 1}, 1, 6, suspect, 0, Wait{Deferred: maxBusyWait - 1, Idle: maxIdleWait}, 0, 0},
+		{"suspects in a busy pool, for long", &messages.Step{Count: 1, Accelerators: 1}, 1, 6, suspect, 0, Wait{Deferred: maxBusyWait}, 1, 0},
+		{"suspects in a full pool, urgent", &messages.Step{Count: 1, Accelerators: 1}, 0, 8, suspect, 0, Wait{Deferred: maxBusyWait}, 0, 1},
+		{"suspects, gang", &messages.Step{Count: 2, Accelerators: 8, Gang: true}, 1, 0, suspect, 0, Wait{Deferred: maxIdleWait, Idle: maxIdleWait}, 2, 0},
+		{"suspects, compact gang", &messages.Step{Count: 2, Accelerators: 8, Gang: true, Compact: true}, 1, 0, suspect, 0, Wait{Deferred: maxIdleWait, Idle: maxIdleWait}, 2, 0},
+		{"unproven workers", &messages.Step{Count: 1, Accelerators: 1}, 1, 0, func(*Worker) {}, 0, Wait{Deferred: maxIdleWait, Idle: maxIdleWait}, 1, 0},
+		{"probed workers, not for long", &messages.Step{Count: 1, Accelerators: 1}, 1, 0, probed, 0, Wait{Deferred: maxIdleWait, Idle: maxIdleWait - 1}, 0, 0},
+		{"probed workers, for long", &messages.Step{Count: 1, Accelerators: 1}, 1, 0, probed, 0, Wait{Deferred: maxIdleWait, Idle: maxIdleWait}, 1, 0},
+		{"quarantined workers, not for long", &messages.Step{Count: 1, Accelerators: 1}, 1, 0, quarantined, 0, Wait{Deferred: maxIdleWait, Idle: maxIdleWait - 1}, 0, 0},
+		{"quarantined workers, for long", &messages.Step{Count: 1, Accelerators: 1}, 1, 0, quarantined, 0, Wait{Deferred: maxIdleWait, Idle: maxIdleWait}, 1, 0},
+		{"quarantined workers, gang", &messages.Step{Count: 2, Accelerators: 8, Gang: true}, 1, 0, quarantined, 0, Wait{Deferred: maxIdleWait, Idle: maxIdleWait}, 2, 0},
+		{"young workers", &messages.Step{Count: 1, Accelerators: 8}, 1, 1, func(w *Worker) { w.Young = w.ID != "w00" }, 2, Wait{Deferred: maxIdleWait, Idle: maxIdleWait}, 1, 0},
+		{"workers on which others start", &messages.Step{Count: 2, Accelerators: 4, Gang: true}, 1, 0, starting, 2, Wait{Deferred: maxIdleWait, Idle: maxIdleWait}, 2, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -114,7 +114,7 @@
 			in := input(workers, tr)
 			in.Jobs = []*tracker.Job{tr.Job("j")}
 			in.FailedAt = func(*tracker.Job) time.Time { return failed }
-			in.Deferred = func(StepKey) Wait { return c.wait }
+			in.Waited = func(StepKey) Wait { return c.wait }
 			plan := NewPlan(in)
 			is.Equal(len(plan.Starts), c.starts)
 			is.Equal(len(plan.Stops), c.stops)
@@ -126,7 +126,7 @@
 // TestReservationsEndInIdlePool guards against work that waits beside idle workers for as long as a gang waits for all of
 // them. In a busy pool the gang would starve, so there the reservations hold, but for lasting tasks.
 func TestReservationsEndInIdlePool(t *testing.T) {
-	long := Wait{Total: time.Minute, Idle: maxIdleWait}
+	long := Wait{Deferred: time.Minute, Idle: maxIdleWait}
 	for _, c := range []struct {
 		name   string
 		busy   int // of eight workers
@@ -134,7 +134,7 @@
 		wait   Wait
 		starts int
 	}{
-		{"idle pool, not for long", 2, &messages.Step{Count: 1, Accelerators: 1, Estimate: 60_000}, Wait{Total: time.Minute, Idle: maxIdleWait - 1}, 0},
+		{"idle pool, not for long", 2, &messages.Step{Count: 1, Accelerators: 1, Estimate: 60_000}, Wait{Deferred: time.Minute, Idle: maxIdleWait - 1}, 0},
 		{"idle pool, for long", 2, &messages.Step{Count: 1, Accelerators: 1, Estimate: 60_000}, long, 1},
 		{"idle pool, room for one", 2, &messages.Step{Count: 4, Processors: 64_000, Accelerators: 8, Gang: true, Estimate: 60_000}, long, 0},
 		{"idle pool, gang", 2, &messages.Step{Count: 3, Processors: 64_000, Accelerators: 8, Gang: true, Estimate: 60_000}, long, 3},
@@ -153,7 +153,7 @@
 				submit(tr, "j", priority, c.step)
 				in := input(workers, tr)
 				in.Jobs = []*tracker.Job{tr.Job("waiting"), tr.Job("j")}
-				in.Deferred = func(key StepKey) Wait {
+				in.Waited = func(key StepKey) Wait {
 					if key.Job == "j" {
 						return c.wait
 					}
@@ -180,7 +180,7 @@
 	submit(tr, "j", 1, &messages.Step{Count: 1, Accelerators: 1, Estimate: 60_000})
 	in := input(workers, tr)
 	in.Jobs = []*tracker.Job{tr.Job("waiting"), tr.Job("j")}
-	in.Deferred = func(StepKey) Wait { return Wait{Total: maxIdleWait, Idle: maxIdleWait} }
+	in.Waited = func(StepKey) Wait { return Wait{Deferred: maxIdleWait, Idle: maxIdleWait} }
 	is.Equal(len(workersOf(NewPlan(in), "j")), 1)
 }
 
@@ -194,7 +194,7 @@
 	submit(tr, "j", 1, &messages.Step{Count: 4, Accelerators: 1, Spread: 1})
 	fail(tr, "j", 2)
 	in := input(workers, tr)
-	in.Deferred = func(StepKey) Wait { return Wait{Total: maxIdleWait, Idle: maxIdleWait} }
+	in.Waited = func(StepKey) Wait { return Wait{Deferred: maxIdleWait, Idle: maxIdleWait} }
 	used := map[string]int{}
 	for _, r := range NewPlan(in).Starts {
 		used[r.GetWorker()]++
--- a/internal/queue/placer/trial.go
+++ b/internal/queue/placer/trial.go
@@ -123,9 +123,18 @@
 // isLikelyGivenUp reports whether one more crash would show that a task crashes its workers.
 func isLikelyGivenUp(t *tracker.Task) bool { return len(t.Crashes) > 1 && t.AloneCrashes() > 0 }
 
+// isOverdue reports whether a suspect task or gang no longer waits for other trials: the turn of its job has come for some
+// time and nothing of it runs, though most of the pool is idle.
+func (p *pass) isOverdue(u *unit) bool {
+	stands := u.job.Active() == 0 && !p.tried[u.job] || u.step.Spec.GetLasting()
+	return stands && p.isIdle(u) && p.input.Waited(u.key()).Idle >= maxIdleWait
+}
+
 // placeTrial starts a suspect task or gang. Nothing else starts on its workers until they are seen alive after it.
 func (p *pass) placeTrial(u *unit) {
+	overdue := p.isOverdue(u)
 	switch {
+	case overdue:
 	case p.trials[u.pool] <= 0:
 		p.block(u.key(), TrialLimit)
 		return
@@ -139,12 +148,12 @@
 	} else if c := p.selectTrialWorker(u); c == nil {
 		p.placeWaitingTrial(u)
 	} else {
-		if !c.assigned && !c.starting {
+		if overdue || !c.assigned && !c.starting {
 			p.start(u, u.tasks[0], c)
 		} else {
 			p.block(u.key(), StartsPending)
 		}
-		c.close() // also while the trial waits for starts on the worker to succeed
+		p.close(c) // also while the trial waits for starts on the worker to succeed
 		p.trials[u.pool]--
 	}
 	if len(p.plan.Starts) == before {
@@ -157,7 +166,7 @@
 	p.trials[u.pool]--
 	for _, c := range p.pools[u.pool] {
 		if slices.ContainsFunc(p.plan.Starts[before:], c.hosts) {
-			c.close()
+			p.close(c)
 		}
 	}
 }
@@ -198,7 +207,7 @@
 		}
 		loss := p.lossOf(c)
 		if best == nil || cmp.Or(
-			compareBool(c.Suspect, best.Suspect), compareBool(c.Young, best.Young),
+			compareBool(c.Suspect, best.Suspect), compareBool(c.closed, best.closed), compareBool(c.Young, best.Young),
 			compareBool(c.assigned || c.starting, best.assigned || best.starting), cmp.Compare(loss, bestLoss),
 			cmp.Compare(len(c.Runs), len(best.Runs)), cmp.Compare(c.free.Weight(), best.free.Weight()),
 		) < 0 {
--- a/internal/queue/placer/trial_test.go
+++ b/internal/queue/placer/trial_test.go
@@ -239,3 +239,105 @@
 		}
 	}
 }
+
+// TestOverdueTrialsWaitForNoOthers guards against jobs that stand still beside idle workers because the trials of other
+// jobs, or starts on the worker of their own trial, go on and on.
+func TestOverdueTrialsWaitForNoOthers(t *testing.T) {
+	overdue := func(StepKey) Wait { return Wait{Idle: maxIdleWait} }
+	small := func() *messages.Step { return &messages.Step{Count: 3, Processors: 1000} }
+	// submitSuspects submits jobs of which each task is a suspect.
+	submitSuspects := func(tr *tracker.Tracker, n int) {
+		for i := range n {
+			id := fmt.Sprintf("suspect%d", i)
+			submit(tr, id, 1, small())
+			for task := range int32(3) {
+				crash(tr, id, task, 2, false)
+			}
+		}
+	}
+	startedJobs := func(in *Input) int {
+		started := map[string]bool{}
+		for _, r := range NewPlan(in).Starts {
+			started[r.GetJob()] = true
+		}
+		return len(started)
+	}
+	t.Run("more suspects than trials", func(t *testing.T) {
+		is := is.New(t)
+		tr := tracker.New()
+		submitSuspects(tr, 20)
+		in := input(fleet(4), tr)
+		is.Equal(startedJobs(in), 2)
+		in = input(fleet(4), tr)
+		in.Waited = overdue
+		is.Equal(startedJobs(in), 20) // more than there are workers
+	})
+	t.Run("one task of a job that stands still", func(t *testing.T) {
+		is := is.New(t)
+		tr := tracker.New()
+		submitSuspects(tr, 1)
+		in := input(fleet(8), tr)
+		in.Waited = overdue
+		is.Equal(len(NewPlan(in).Starts), 1)
+	})
+	t.Run("not in a busy fleet", func(t *testing.T) {
+		is := is.New(t)
+		tr := tracker.New()
+		workers := fleet(4)
+		submit(tr, "old", 1, &messages.Step{Count: 4, Processors: 40_000, Accelerators: 8})
+		occupy(tr, "old", workers...)
+		submitSuspects(tr, 4)
+		in := input(workers, tr)
+		in.Waited = overdue
+		is.Equal(len(NewPlan(in).Starts), 1)
+	})
+	t.Run("beside starts", func(t *testing.T) {
+		is := is.New(t)
+		tr := tracker.New()
+		workers := fleet(1)
+		submit(tr, "new", 1, small())
+		occupy(tr, "new", workers[0])
+		workers[0].Runs[0].Starting = true
+		submit(tr, "suspect", 1, &messages.Step{Count: 1, Processors: 1000})
+		crash(tr, "suspect", 0, 1, false)
+		in := input(workers, tr)
+		is.Equal(len(workersOf(NewPlan(in), "suspect")), 0)
+		in.Waited = overdue
+		is.Equal(len(workersOf(NewPlan(in), "suspect")), 1)
+	})
+}
+
+// TestWorkersOfTrialsAreUsedInTheEnd guards against a task that stands still beside idle workers because each of them has
+// a trial.
+func TestWorkersOfTrialsAreUsedInTheEnd(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		step *messages.Step
+		wait Wait
+		want int
+	}{
+		{"a task, not for long", &messages.Step{Count: 1, Processors: 1000}, Wait{Idle: maxIdleWait - 1}, 0},
+		{"a task, for long", &messages.Step{Count: 1, Processors: 1000}, Wait{Idle: maxIdleWait}, 1},
+		{"a gang, for long", &messages.Step{Count: 2, Processors: 1000, Gang: true}, Wait{Idle: maxIdleWait}, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			tr := tracker.New()
+			workers := fleet(2)
+			submit(tr, "tried", 1, &messages.Step{Count: 2, Processors: 1000})
+			crash(tr, "tried", 0, 1, false)
+			crash(tr, "tried", 1, 1, false)
+			for i, w := range workers {
+				run := &messages.Run{Job: "tried", Task: int32(i), Number: 2, Worker: w.ID, Born: w.Started}
+				tr.Apply(&messages.QueueChange{Starts: []*messages.Run{run}})
+				j := tr.Job("tried")
+				w.Runs = []*ActiveRun{{Key: tracker.KeyOf(run), Job: j, Step: j.Step(0, 0), Need: Need(j.Step(0, 0).Spec), Starting: true}}
+				w.Free = w.Free.Sub(Need(j.Step(0, 0).Spec))
+			}
+			submit(tr, "a", 1, c.step)
+			in := input(workers, tr)
+			in.Waited = func(StepKey) Wait { return c.wait }
+			is.Equal(len(workersOf(NewPlan(in), "a")), c.want)
+		})
+	}
+}
