coordinator: a hold of suspect tasks ends soon after the last loss

Callers saw accepted jobs stand still after crashes of workers. A task with two crashes or more was held until no worker had been lost for 3 s, or for 30 s: any loss extended the hold, and the 3 s are all the time that a job may stand still beside idle workers. It is held for 1.5 s after the last loss now, at most 2 s after its second crash, 6 s after its third and 18 s after its fourth one. Crashes that no single task explains count as losses too, as a gang that runs ahead of an operator's restarts hides them otherwise: TestRollingRestartFailsNoInnocentJobs, 300 ms, failed without that.

--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -135,6 +135,7 @@
 	failedWorkers   failedWorkers
 	stopping        map[tracker.RunKey]bool
 	unexplainedAt   time.Time // of the last loss of a worker that was starting nothing, zero for none
+	lossAt          time.Time // of the last loss of a worker that no task alone explains, zero for none
 	verdicts        map[tracker.TaskKey]verdict
 	deferrals       map[placer.StepKey]*deferral
 	idleSince       map[placer.StepKey]time.Time // since when steps wait though most of their pool is idle
@@ -200,7 +201,7 @@
 	c.committedStarts = map[tracker.RunKey]bool{}
 	c.failedWorkers = failedWorkers{}
 	c.stopping = map[tracker.RunKey]bool{}
-	c.unexplainedAt = time.Time{}
+	c.unexplainedAt, c.lossAt = time.Time{}, time.Time{}
 	c.verdicts = map[tracker.TaskKey]verdict{}
 	c.deferrals = map[placer.StepKey]*deferral{}
 	c.idleSince = map[placer.StepKey]time.Time{}
--- a/internal/queue/coordinator/crash.go
+++ b/internal/queue/coordinator/crash.go
@@ -29,9 +29,13 @@
 	// verdictDelay is the time from a task's last crash until its job is given up. Unexplained losses at the same moment
 	// become known meanwhile.
 	verdictDelay = 2 * time.Second
-	// A task with several crashes is tried again once there was no unexplained loss for quietPeriod, or after maxHoldTime.
-	quietPeriod = 3 * time.Second
-	maxHoldTime = 30 * time.Second
+	// A task with several crashes is tried again once no worker was lost for quietPeriod, but for crashes that one task
+	// alone explains.
+	quietPeriod = 1500 * time.Millisecond
+	// minHoldTime is how long it waits for that after its second crash, and holdTimeFactor times as long after each further
+	// one, so that losses that go on do not hold it for ever.
+	minHoldTime    = 2 * time.Second
+	holdTimeFactor = 3
 )
 
 // hasSurvived reports whether the worker has been seen alive some time after it started a run.
@@ -51,6 +55,7 @@
 		return
 	}
 	c.unexplainedAt = c.opts.Now()
+	c.lossAt = c.unexplainedAt
 	c.opts.Log.Info("worker lost while no run started", zap.String("worker", id))
 }
 
@@ -78,6 +83,9 @@
 		list = append(list, &messages.Crash{
 			Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number, Alone: alone,
 		})
+		if !alone {
+			c.lossAt = c.opts.Now()
+		}
 		c.metrics.crashes.Inc(1)
 		c.opts.Log.Info("worker lost as a run started", zap.String("request", key.Job), zap.Int32("occurrence", key.Occurrence),
 			zap.Int32("step", key.Step), zap.Int32("task", key.Task), zap.Uint32("run", key.Number), zap.String("worker", id),
@@ -163,9 +171,8 @@
 // isDoubtful reports whether there was an unexplained loss after the last crash.
 func (c *Coordinator) isDoubtful(v verdict) bool { return c.unexplainedAt.After(v.since) }
 
-// isHeld reports whether a suspect task must not start: it is about to be given up, or there are unexplained losses, as
-// while an operator restarts one worker after the other, and a trial would say nothing. A task with one crash does not
-// wait.
+// isHeld reports whether a suspect task must not start: it is about to be given up, or workers are being lost, as while an
+// operator restarts one after the other, and a trial would say nothing. A task with one crash does not wait.
 func (c *Coordinator) isHeld(key tracker.TaskKey, t *tracker.Task) bool {
 	now, v := c.opts.Now(), c.verdicts[key]
 	switch {
@@ -174,7 +181,16 @@
 	case t.CrashesWorkers() && (now.Sub(v.since) < verdictDelay || !c.isDoubtful(v) || t.IsExhausted()):
 		return true
 	}
-	return !c.unexplainedAt.IsZero() && now.Sub(c.unexplainedAt) < quietPeriod && now.Sub(v.since) < maxHoldTime
+	return !c.lossAt.IsZero() && now.Sub(c.lossAt) < quietPeriod && now.Sub(v.since) < holdTime(len(t.Crashes))
+}
+
+// holdTime returns how long a task with several crashes waits at most until workers are no longer being lost.
+func holdTime(crashes int) time.Duration {
+	limit := minHoldTime
+	for range crashes - 2 {
+		limit *= holdTimeFactor
+	}
+	return limit
 }
 
 func (c *Coordinator) logGiveUp(key tracker.TaskKey, t *tracker.Task) {
