coordinator: crashes amid widespread losses give up no job

Callers saw sound jobs shown as failed: five crashes of any kind under one task give up its job, and while half of the workers crash every 0.8 s each start of an innocent task has an even chance to be one of them.

A crash that others may explain is not counted as the fifth one while a quarter of the workers, starting nothing, has been lost within 5 s; the task waits as after a further crash. Losses under tasks do not count here, as deadly tasks cause them: with them TestDeadlyTasksAreLimitedInTrouble failed. The new case of TestJobsStartAfterCrashes failed before: 3 jobs failed.

--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -134,8 +134,9 @@
 	committedStarts map[tracker.RunKey]bool // starts committed in this term
 	failedWorkers   failedWorkers
 	stopping        map[tracker.RunKey]bool
-	unexplainedAt   time.Time // of the last loss of a worker that was starting nothing, zero for none
-	lossAt          time.Time // of the last loss of a worker that no task alone explains, zero for none
+	unexplainedAt   time.Time            // of the last loss of a worker that was starting nothing, zero for none
+	lossAt          time.Time            // of the last loss of a worker that no task alone explains, zero for none
+	losses          map[string]time.Time // of workers that were starting nothing, within widespreadPeriod before the last one
 	verdicts        map[tracker.TaskKey]verdict
 	deferrals       map[placer.StepKey]*deferral
 	idleSince       map[placer.StepKey]time.Time // since when steps wait though most of their pool is idle
@@ -202,6 +203,7 @@
 	c.failedWorkers = failedWorkers{}
 	c.stopping = map[tracker.RunKey]bool{}
 	c.unexplainedAt, c.lossAt = time.Time{}, time.Time{}
+	c.losses = map[string]time.Time{}
 	c.verdicts = map[tracker.TaskKey]verdict{}
 	c.deferrals = map[placer.StepKey]*deferral{}
 	c.idleSince = map[placer.StepKey]time.Time{}
--- a/internal/queue/coordinator/crash.go
+++ b/internal/queue/coordinator/crash.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -36,6 +37,10 @@
 	// one, so that losses that go on do not hold it for ever.
 	minHoldTime    = 2 * time.Second
 	holdTimeFactor = 3
+	// While one in widespreadDivisor of the workers has been lost without an explanation within widespreadPeriod, no crash is
+	// the one after which a task must not be tried again.
+	widespreadPeriod  = 5 * time.Second
+	widespreadDivisor = 4
 )
 
 // hasSurvived reports whether the worker has been seen alive some time after it started a run.
@@ -54,8 +59,10 @@
 	if w != nil && w.hasAnnouncedExit() {
 		return
 	}
-	c.unexplainedAt = c.opts.Now()
-	c.lossAt = c.unexplainedAt
+	now := c.opts.Now()
+	c.unexplainedAt, c.lossAt = now, now
+	maps.DeleteFunc(c.losses, func(_ string, at time.Time) bool { return now.Sub(at) >= widespreadPeriod })
+	c.losses[id] = now
 	c.opts.Log.Info("worker lost while no run started", zap.String("worker", id))
 }
 
@@ -77,23 +84,40 @@
 		age = w.age()
 	}
 	calm := c.unexplainedAt.IsZero() || c.opts.Now().Sub(c.unexplainedAt) >= unexplainedPeriod
+	one := crashed && calm && age >= minWorkerAge && isOneUnit(state, starting)
+	if !one || slices.ContainsFunc(starting, func(key tracker.RunKey) bool { return !c.committedStarts[key] }) {
+		c.lossAt = c.opts.Now()
+	}
 	var list []*messages.Crash
 	for _, key := range starting {
-		alone := crashed && calm && c.committedStarts[key] && age >= minWorkerAge && isOneUnit(state, starting)
-		list = append(list, &messages.Crash{
-			Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number, Alone: alone,
-		})
-		if !alone {
-			c.lossAt = c.opts.Now()
+		alone := one && c.committedStarts[key]
+		counted := alone || c.counts(state, key)
+		if counted {
+			list = append(list, &messages.Crash{
+				Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number, Alone: alone,
+			})
 		}
 		c.metrics.crashes.Inc(1)
 		c.opts.Log.Info("worker lost as a run started", zap.String("request", key.Job), zap.Int32("occurrence", key.Occurrence),
 			zap.Int32("step", key.Step), zap.Int32("task", key.Task), zap.Uint32("run", key.Number), zap.String("worker", id),
-			zap.Bool("crashed", crashed), zap.Bool("calm", calm), zap.Duration("age", age), zap.Int("starting", len(starting)), zap.Bool("alone", alone))
+			zap.Bool("crashed", crashed), zap.Bool("calm", calm), zap.Duration("age", age), zap.Int("starting", len(starting)), zap.Bool("alone", alone),
+			zap.Bool("counted", counted))
 	}
 	return list
 }
 
+// counts reports whether a crash that others may explain is evidence against a task. While a large part of the workers is
+// being lost, an innocent task may crash any number of times, so no such crash is the last one that is needed; the task
+// waits as after a further crash.
+func (c *Coordinator) counts(state *tracker.Tracker, key tracker.RunKey) bool {
+	t := &state.Job(key.Job).Step(key.Occurrence, key.Step).Tasks[key.Task]
+	if !t.IsOnLastTrial() || c.opts.Now().Sub(c.unexplainedAt) >= widespreadPeriod || len(c.losses)*widespreadDivisor < len(c.workers) {
+		return true
+	}
+	c.verdicts[key.TaskKey] = verdict{len(t.Crashes), c.opts.Now()}
+	return false
+}
+
 // startingRuns returns the runs of a lost incarnation that may have been starting when the worker was last alive.
 func (c *Coordinator) startingRuns(runs map[tracker.RunKey]*messages.Run, born int64, w *worker) []tracker.RunKey {
 	youngest := int64(0)
@@ -181,7 +205,7 @@
 	case t.CrashesWorkers() && (now.Sub(v.since) < verdictDelay || !c.isDoubtful(v) || t.IsExhausted()):
 		return true
 	}
-	return !c.lossAt.IsZero() && now.Sub(c.lossAt) < quietPeriod && now.Sub(v.since) < holdTime(len(t.Crashes))
+	return now.Sub(c.lossAt) < quietPeriod && now.Sub(v.since) < holdTime(len(t.Crashes))
 }
 
 // holdTime returns how long a task with several crashes waits at most until workers are no longer being lost.
--- a/internal/queue/coordinator/storm_test.go
+++ b/internal/queue/coordinator/storm_test.go
@@ -109,6 +109,7 @@
 		{"gangs", &messages.Step{Count: 3, Processors: 1000, Estimate: 60_000, Gang: true}, 24, 0.5, 800 * time.Millisecond, 12000 * time.Millisecond},
 		{"large tasks", &messages.Step{Count: 2, Processors: 8000, Estimate: 60_000}, 5, 0.5, 800 * time.Millisecond, 12000 * time.Millisecond},
 		{"0.4 of the workers each 1.5 s", &messages.Step{Count: 4, Processors: 1000, Estimate: 60_000}, 20, 0.4, 1500 * time.Millisecond, 12000 * time.Millisecond},
+		{"half of the workers each 0.8 s, for long", &messages.Step{Count: 3, Processors: 1000, Estimate: 60_000}, 24, 0.5, 800 * time.Millisecond, 48 * time.Second},
 		{"a quarter of the workers each 2.6 s", &messages.Step{Count: 4, Processors: 1000, Estimate: 60_000}, 20, 0.25, 2600 * time.Millisecond, 23400 * time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/queue/tracker/job.go
+++ b/internal/queue/tracker/job.go
@@ -82,6 +82,9 @@
 // IsExhausted reports whether the task must not be tried again.
 func (t *Task) IsExhausted() bool { return len(t.Crashes) >= maxCrashes }
 
+// IsOnLastTrial reports whether one more crash of any kind exhausts the task.
+func (t *Task) IsOnLastTrial() bool { return len(t.Crashes) == maxCrashes-1 }
+
 // AloneCrashes returns the number of crashes that no other run can have caused.
 func (t *Task) AloneCrashes() int {
 	n := 0
