placer: stops that are pending hold no other work in an idle pool

Callers saw jobs without a run beside idle workers while runs were stopped for an urgent gang, and again for the next one. The capacity for which the gang waits was kept from all later units, and only the workers that a gang reserves were a preference that ends. Both end now after maxIdleWait in a pool that is mostly idle.

TestPendingStopsHoldNoOthersInIdlePool failed before in four of ten cases.

--- a/internal/queue/placer/evict.go
+++ b/internal/queue/placer/evict.go
@@ -30,7 +30,7 @@
 	if !ok {
 		return nil
 	}
-	reserveCapacity(u, allocations)
+	p.reserveCapacity(u, allocations)
 	return allocations
 }
 
--- a/internal/queue/placer/gang.go
+++ b/internal/queue/placer/gang.go
@@ -26,7 +26,7 @@
 	if allocations := p.bestFit(u, domains, func(c *candidate) Vector { return c.projected }); allocations != nil {
 		// Pending stops will free enough capacity, unless it is reserved for earlier gangs.
 		if !u.usesReserved(allocations) || !p.placeRelaxedGang(u) {
-			reserveCapacity(u, allocations)
+			p.reserveCapacity(u, allocations)
 			p.block(u.key(), StopsPending)
 		}
 		return
@@ -61,11 +61,15 @@
 	return p.bestFit(u, domains, func(c *candidate) Vector { return c.available(u) })
 }
 
-// available returns the capacity that the unit may use on the worker in this pass.
+// available returns the capacity that the unit may use on the worker in this pass. A unit that has waited long enough in an
+// idle pool does not wait for the stops that earlier units wait for.
 func (c *candidate) available(u *unit) Vector {
 	if u.isExcludedFrom(c) {
 		return Vector{}
 	}
+	if u.anyReserved {
+		return c.free
+	}
 	// Reservations for earlier units are deducted from projected, not from free, so both limits apply.
 	return Vector{
 		Processors:   min(c.free.Processors, c.projected.Processors),
@@ -200,7 +204,8 @@
 }
 
 // reserveCapacity withholds projected capacity from later units.
-func reserveCapacity(u *unit, allocations []allocation) {
+func (p *pass) reserveCapacity(u *unit, allocations []allocation) {
+	p.reserved = true
 	for _, a := range allocations {
 		a.candidate.projected = a.candidate.projected.Sub(u.need.Times(a.members))
 	}
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -122,6 +122,7 @@
 	costs        map[*ActiveRun]int64 // of evicting a run together with its gang
 	infeasible   []*unit              // units that no eviction could fit
 	reservations int
+	reserved     bool                  // capacity is reserved for units that wait for stops
 	trials       map[string]int        // trials that may still start, by pool
 	old          map[string]int        // usable workers that have not started lately, by pool
 	tried        map[*tracker.Job]bool // jobs with a trial
--- a/internal/queue/placer/preference_test.go
+++ b/internal/queue/placer/preference_test.go
@@ -165,6 +165,48 @@
 	}
 }
 
+// TestPendingStopsHoldNoOthersInIdlePool guards against work that waits beside idle workers for as long as runs are stopped
+// for an urgent gang, one after another.
+func TestPendingStopsHoldNoOthersInIdlePool(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		busy   int // of eight workers
+		step   *messages.Step
+		idle   time.Duration
+		starts int
+	}{
+		{"idle pool, not for long", 2, &messages.Step{Count: 1, Accelerators: 1}, maxIdleWait - 1, 0},
+		{"idle pool, for long", 2, &messages.Step{Count: 1, Accelerators: 1}, maxIdleWait, 1},
+		{"idle pool, gang", 2, &messages.Step{Count: 3, Accelerators: 8, Gang: true}, maxIdleWait, 3},
+		{"idle pool, room for one", 2, &messages.Step{Count: 4, Accelerators: 8, Gang: true}, maxIdleWait, 0},
+		{"busy pool", 5, &messages.Step{Count: 1, Accelerators: 1}, maxIdleWait, 0},
+	} {
+		for _, stopped := range []bool{false, true} { // the stops may be of an earlier pass
+			t.Run(fmt.Sprintf("%s, stopped %v", c.name, stopped), func(t *testing.T) {
+				is := is.New(t)
+				tr := tracker.New()
+				workers := fleet(8)
+				submit(tr, "batch", 2, &messages.Step{Count: 8, Processors: 64_000, Accelerators: 8})
+				occupy(tr, "batch", workers[:c.busy]...)
+				for _, w := range workers[:c.busy] {
+					w.Runs[0].Stopping = stopped
+				}
+				submit(tr, "urgent", 0, &messages.Step{Count: 8, Accelerators: 8, Gang: true})
+				submit(tr, "j", 1, c.step)
+				in := input(workers, tr)
+				in.Jobs = []*tracker.Job{tr.Job("urgent"), tr.Job("j")}
+				in.Waited = func(key StepKey) Wait {
+					if key.Job == "j" {
+						return Wait{Deferred: time.Minute, Idle: c.idle}
+					}
+					return Wait{}
+				}
+				is.Equal(len(workersOf(NewPlan(in), "j")), c.starts)
+			})
+		}
+	}
+}
+
 // TestLostWorkersAreNoPartOfAPool guards against a pool that counts as busy because of workers that are lost: the runs that
 // they last reported count as theirs for a minute.
 func TestLostWorkersAreNoPartOfAPool(t *testing.T) {
--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -118,7 +118,7 @@
 	single, candidates := p.singleTask(u, counts)
 	allocations, ok := single.pack(candidates, func(c *candidate) Vector { return c.projected })
 	if ok {
-		reserveCapacity(single, allocations)
+		p.reserveCapacity(single, allocations)
 	} else if allocations = p.evict(single, [][]*candidate{candidates}); allocations == nil {
 		return false
 	}
