placer: suspect lasting tasks of a step do not wait for each other

Callers saw tasks of a service stand still beside idle workers after crashes: the trials of a step's tasks came one after another, a second each. The leader counted the wait for the whole step, and each start of one task set it back for the others, so no task became overdue. The wait of a suspect lasting task is its own now.

--- a/internal/queue/coordinator/deferral.go
+++ b/internal/queue/coordinator/deferral.go
@@ -45,7 +45,10 @@
 		}
 	}
 	for _, r := range plan.Starts {
-		delete(c.deferrals, placer.StepKey{Job: r.GetJob(), Occurrence: r.GetOccurrence(), Step: r.GetStep()})
+		key := placer.StepKey{Job: r.GetJob(), Occurrence: r.GetOccurrence(), Step: r.GetStep()}
+		delete(c.deferrals, key)
+		key.Trial = r.GetTask() + 1
+		delete(c.deferrals, key)
 	}
 }
 
--- a/internal/queue/placer/obstacle.go
+++ b/internal/queue/placer/obstacle.go
@@ -1,5 +1,7 @@
 package placer
 
+import "github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
+
 // Obstacle is why a unit does not start.
 type Obstacle string
 
@@ -19,7 +21,8 @@
 	PlanFull         Obstacle = "plan full"         // the pass has started as many tasks as fit into one change
 )
 
-// Blocked is a step of which no task started in a pass, though the turn of one has come.
+// Blocked is a step of which no task started in a pass, though the turn of one has come, or such a suspect task of a lasting
+// step.
 type Blocked struct {
 	Key      StepKey
 	Obstacle Obstacle // to the last unit of the step
@@ -38,18 +41,33 @@
 	jobs, started := map[string]bool{}, map[StepKey]bool{}
 	for _, r := range p.plan.Starts {
 		jobs[r.GetJob()] = true
-		started[StepKey{Job: r.GetJob(), Occurrence: r.GetOccurrence(), Step: r.GetStep()}] = true
+		key := StepKey{Job: r.GetJob(), Occurrence: r.GetOccurrence(), Step: r.GetStep()}
+		started[key] = true
+		key.Trial = r.GetTask() + 1
+		started[key] = true
 	}
 	for _, j := range p.input.Jobs {
 		steps := j.Steps()
 		for i := range steps {
-			key := keyOf(j, &steps[i])
-			if obstacle, ok := p.obstacles[key]; ok && !started[key] {
-				p.plan.Blocked = append(p.plan.Blocked, Blocked{
-					Key: key, Obstacle: obstacle, Idle: steps[i].Spec.GetLasting() || p.isPoolIdle(p.input.Pool(j)),
-					Stands: j.Active() == 0 && !jobs[key.Job],
-				})
+			for _, key := range keysOf(j, &steps[i]) {
+				if obstacle, ok := p.obstacles[key]; ok && !started[key] {
+					p.plan.Blocked = append(p.plan.Blocked, Blocked{
+						Key: key, Obstacle: obstacle, Idle: steps[i].Spec.GetLasting() || p.isPoolIdle(p.input.Pool(j)),
+						Stands: j.Active() == 0 && !jobs[key.Job],
+					})
+				}
 			}
 		}
 	}
 }
+
+// keysOf returns the keys under which a step, or a task of it, may wait.
+func keysOf(j *tracker.Job, s *tracker.Step) []StepKey {
+	keys := []StepKey{keyOf(j, s)}
+	if s.Spec.GetLasting() && !s.Spec.GetGang() {
+		for i := range s.Tasks {
+			keys = append(keys, trialKeyOf(j, s, int32(i)))
+		}
+	}
+	return keys
+}
--- a/internal/queue/placer/preference.go
+++ b/internal/queue/placer/preference.go
@@ -17,10 +17,12 @@
 	maxBusyWait = 30 * time.Second
 )
 
-// StepKey identifies a step of one occurrence of a job.
+// StepKey identifies what waits: a step of one occurrence of a job, or one suspect task of a lasting step. Each lasting task
+// has to run, so the starts of others of its step must not end its wait.
 type StepKey struct {
 	Job              string
 	Occurrence, Step int32
+	Trial            int32 // number of the suspect task, counted from 1, 0 for a step
 }
 
 // Wait is how long a step has waited, though the turn of a task has come.
@@ -43,12 +45,26 @@
 	limit   time.Duration // the unit keeps its preferences at most so long in a busy pool, 0 for ever
 }
 
-func (u *unit) key() StepKey { return keyOf(u.job, u.step) }
+func (u *unit) key() StepKey {
+	if u.crashes > 0 {
+		return trialKeyOf(u.job, u.step, u.tasks[0])
+	}
+	return keyOf(u.job, u.step)
+}
 
 func keyOf(j *tracker.Job, s *tracker.Step) StepKey {
 	return StepKey{Job: j.Work.GetId(), Occurrence: s.Occurrence, Step: s.Index}
 }
 
+// trialKeyOf returns the key of a suspect task.
+func trialKeyOf(j *tracker.Job, s *tracker.Step, task int32) StepKey {
+	key := keyOf(j, s)
+	if s.Spec.GetLasting() && !s.Spec.GetGang() {
+		key.Trial = task + 1
+	}
+	return key
+}
+
 // prefersRack reports whether the unit may only use the workers of a single rack.
 func (u *unit) prefersRack() bool { return u.step.Spec.GetCompact() && !u.anyRack }
 
--- a/internal/queue/placer/trial.go
+++ b/internal/queue/placer/trial.go
@@ -73,7 +73,7 @@
 			continue
 		}
 		if p.isHeld(u, task) {
-			p.block(u.key(), Held)
+			p.block(trialKeyOf(u.job, u.step, task), Held)
 			continue
 		}
 		trial := *u
