placer: restarts of one lasting task do not begin the wait of another anew

A lasting task whose worker was lost waited for workers that no gang has reserved, beside idle ones and for ever, while another task of its step failed and was started again every 1.05 s. The time for which a step has been blocked began anew with each start of any of its tasks, so maxIdleWait was never reached. For a job that ends that is right, as something of it runs; each task that lasts is to run.

A lasting step counts as blocked now while any of its tasks waits. TestLastingTaskBesideFailingSibling failed before: no start in 30 s, where 9 s are allowed.

--- a/internal/queue/placer/obstacle.go
+++ b/internal/queue/placer/obstacle.go
@@ -21,8 +21,8 @@
 	PlanFull         Obstacle = "plan full"         // the pass has started as many tasks as fit into one change
 )
 
-// Blocked is a step of which no task started in a pass, though the turn of one has come, or such a suspect task of a lasting
-// step.
+// Blocked is a step of which no task started in a pass, though the turn of one has come, or a lasting step of which any task
+// still waits, or such a suspect task of a lasting step.
 type Blocked struct {
 	Key      StepKey
 	Obstacle Obstacle // to the last unit of the step
@@ -33,24 +33,24 @@
 // block records the obstacle to a unit of a step.
 func (p *pass) block(key StepKey, obstacle Obstacle) { p.obstacles[key] = obstacle }
 
-// listBlocked lists the steps of which nothing starts in this pass.
+// listBlocked lists the steps that are blocked after this pass.
 func (p *pass) listBlocked() {
 	if len(p.obstacles) == 0 {
 		return
 	}
-	jobs, started := map[string]bool{}, map[StepKey]bool{}
+	jobs, starts := map[string]bool{}, map[StepKey]int{}
 	for _, r := range p.plan.Starts {
 		jobs[r.GetJob()] = true
 		key := StepKey{Job: r.GetJob(), Occurrence: r.GetOccurrence(), Step: r.GetStep()}
-		started[key] = true
+		starts[key]++
 		key.Trial = r.GetTask() + 1
-		started[key] = true
+		starts[key]++
 	}
 	for _, j := range p.input.Jobs {
 		steps := j.Steps()
 		for i := range steps {
 			for _, key := range keysOf(j, &steps[i]) {
-				if obstacle, ok := p.obstacles[key]; ok && !started[key] {
+				if obstacle, ok := p.obstacles[key]; ok && p.isBlocked(key, j, &steps[i], starts[key]) {
 					p.plan.Blocked = append(p.plan.Blocked, Blocked{
 						Key: key, Obstacle: obstacle, Idle: steps[i].Spec.GetLasting() || p.isPoolIdle(p.input.Pool(j)),
 						Stands: j.Active() == 0 && !jobs[key.Job],
@@ -71,3 +71,9 @@
 	}
 	return keys
 }
+
+// isBlocked reports whether a step is blocked after some of its tasks have started in this pass. Tasks that last wait each
+// for itself: restarts of one must not begin the wait of another anew.
+func (p *pass) isBlocked(key StepKey, j *tracker.Job, s *tracker.Step, starts int) bool {
+	return starts == 0 || key.Trial == 0 && s.Spec.GetLasting() && starts < len(p.waitingTasks(j, s))
+}
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -80,7 +80,7 @@
 	Deferred []Deferral
 	// Relaxed are the steps that have waited so long enough.
 	Relaxed []Deferral
-	// Blocked are the steps of which nothing starts though the turn of a task has come.
+	// Blocked are the steps that wait though the turn of a task has come.
 	Blocked []Blocked
 }
 
--- a/internal/queue/placer/preference.go
+++ b/internal/queue/placer/preference.go
@@ -28,7 +28,7 @@
 // Wait is how long a step has waited, though the turn of a task has come.
 type Wait struct {
 	Deferred time.Duration // since its preferences have kept it from workers on which it fits
-	Idle     time.Duration // for which nothing of it has started and most of the pool has been idle, whatever the obstacle
+	Idle     time.Duration // for which it has been blocked and most of the pool idle, whatever the obstacle
 }
 
 // Deferral is a step that waits for the workers that it prefers, or no longer does.
