coordinator: tasks of lost workers resume from the last listed checkpoint

Callers saw jobs wait for steps that were repeated from the beginning after the loss of a worker, though their tasks write checkpoints and every report lists the last one. Only a checkpoint in an end was committed, and a lost worker reports no ends; the last listed ones are now part of the change that commits the loss, up to 1 MiB in one change. Runs that may have crashed the worker are left out, as such an end clears a task of suspicion.

TestLostRunsResumeFromCheckpoints (expired lease, replaced worker, restarted worker) and the first case of TestLostGangResumesFromItsLastCheckpoint failed before.

--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -42,6 +42,7 @@
 // expiredWorkers returns the worker incarnations whose leases have expired or that have been replaced.
 func (c *Coordinator) expiredWorkers(state *tracker.Tracker) []*messages.WorkerEnds {
 	var list []*messages.WorkerEnds
+	checkpointLimit := maxCheckpointBytes
 	state.EachWorker(func(id string, runs map[tracker.RunKey]*messages.Run) {
 		born := int64(0)
 		for _, r := range runs {
@@ -62,7 +63,9 @@
 		if w != nil && w.born != born {
 			w = nil
 		}
-		list = append(list, &messages.WorkerEnds{Worker: id, Born: born, Over: true, Crashes: c.crashes(state, id, born, w, replaced)})
+		ends := c.checkpointEnds(state, id, born, checkpointLimit)
+		checkpointLimit -= checkpointBytes(ends)
+		list = append(list, &messages.WorkerEnds{Worker: id, Born: born, Ends: ends, Over: true, Crashes: c.crashes(state, id, born, w, replaced)})
 		if w != nil {
 			w.expiring = true
 		}
--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -422,8 +422,12 @@
 		}
 		c.recordEnd(state, w, key, e.GetEnd())
 	}
+	list := []*messages.WorkerEnds{ends}
 	earlier, crashed := earlierIncarnation(runs, w.born)
 	if crashed {
+		if saved := c.checkpointEnds(state, w.id, earlier, maxCheckpointBytes); len(saved) > 0 {
+			list = []*messages.WorkerEnds{{Worker: w.id, Born: earlier, Ends: saved}, ends}
+		}
 		ends.Crashes = c.crashes(state, w.id, earlier, w.previousAt(earlier), true)
 	}
 	if len(r.GetEnds()) < splitEndsThreshold {
@@ -432,7 +436,7 @@
 	if ends.Sequence == incarnation.Sequence && !crashed && len(ends.Ends) == 0 {
 		return nil
 	}
-	return &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Ends: []*messages.WorkerEnds{ends}}
+	return &messages.QueueChange{Time: c.opts.Wall().UnixMilli(), Ends: list}
 }
 
 // earlierIncarnation returns the last incarnation before the given one that has runs, whose ends it could not report.
