replicator: disks are lost while all other nodes lose power, in tests

The schedules of lost disks synced every write at once, so that a loss of power never lost anything. Nodes have slow writes now, and a strike replaces as many disks as are tolerated while all others restart without their unsynced writes, also during changes of the membership. No callers are affected; the test found no fault in the node.

--- a/internal/state/replicator/wipe_test.go
+++ b/internal/state/replicator/wipe_test.go
@@ -54,6 +54,23 @@
 	w.start(name, uint64(1000+w.starts))
 }
 
+// strike replaces disks, if that is tolerated, while all other nodes lose power and with it the writes that aren't synced.
+func (w *wipedCluster) strike() {
+	wiped := map[string]bool{}
+	for range rapid.IntRange(0, w.tolerance).Draw(w.t, "disks") {
+		name := w.drawNode()
+		if !wiped[name] {
+			w.wipe(name)
+		}
+		wiped[name] = true
+	}
+	for _, name := range w.names {
+		if !wiped[name] {
+			w.restart(name)
+		}
+	}
+}
+
 // isWhole reports whether a leader with a lease has committed a membership with all voters, none of which has lost its
 // disk.
 func (w *wipedCluster) isWhole() bool {
@@ -123,6 +140,9 @@
 // settle removes all partitions. The cluster must become whole again, with all that was acknowledged.
 func (w *wipedCluster) settle() {
 	clear(w.blocked)
+	for _, name := range w.names {
+		w.finishWrite(name)
+	}
 	for range 600 {
 		w.tick()
 		w.deliverAll()
@@ -137,8 +157,9 @@
 	w.t.Fatalf("the membership is not whole after all partitions were removed: %v", w.nodes[w.names[0]].members)
 }
 
-// TestWipedDisks draws lost disks, as many at once as are tolerated, beside partitions, restarts, lost messages and the
-// changes of the membership that follow. What was acknowledged must stay, and the group must find back to all its voters.
+// TestWipedDisks draws lost disks, as many at once as are tolerated, beside partitions, restarts, slow writes, losses of power of
+// all other nodes, lost messages and the changes of the membership that follow. What was acknowledged must stay, and the group
+// must find back to all its voters.
 func TestWipedDisks(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWipedCluster(t)
@@ -157,7 +178,7 @@
 				i := rapid.IntRange(0, min(len(w.network)-1, 5)).Draw(w.t, "which")
 				to := w.network[i].GetTo()
 				w.deliver(i, rapid.IntRange(0, 19).Draw(w.t, "double") == 0)
-				w.processOutputs(to, goOn)
+				w.processOutputs(to, rapid.SampledFrom([]end{goOn, goOn, goOn, slow}).Draw(w.t, "write"))
 			}
 		})
 		calm := act(func() {
@@ -196,8 +217,18 @@
 				w.nodes[name].Transfer()
 				w.processOutputs(name, goOn)
 			}),
-			"wipe":  act(func() { w.wipe(w.drawNode()) }),
-			"wipe2": act(func() { w.wipe(w.drawNode()) }),
+			"wipe":   act(func() { w.wipe(w.drawNode()) }),
+			"wipe2":  act(func() { w.wipe(w.drawNode()) }),
+			"strike": act(w.strike),
+			"slow": act(func() {
+				for _, name := range w.names {
+					if rapid.Bool().Draw(w.t, "slow") {
+						w.nodes[name].Propose(messages.EntryKind_ENTRY_EVENT, []byte("stored late"))
+						w.processOutputs(name, slow)
+					}
+				}
+			}),
+			"finish": act(func() { w.finishWrite(w.drawNode()) }),
 		})
 		w.t = t
 		w.settle()
