coordinator: the property test of waiting jobs restarts workers, too

Only losses of workers came before the check, so no task had evidence against it when the waits were measured. Workers now crash in series and start again at once, and the check begins 3 s after the last event, not 14 s, with the same end.

--- a/internal/queue/coordinator/deferral_test.go
+++ b/internal/queue/coordinator/deferral_test.go
@@ -30,12 +30,13 @@
 	ends     map[string][]*messages.NumberedEnd // all that a worker has had, by worker
 	runs     func(worker string, run *messages.Run, listed time.Duration) (how string)
 	begun    map[tracker.RunKey]time.Time
+	born     map[string]int64 // of workers that have restarted, Unix milliseconds
 }
 
 // newRackFleet returns a fleet with four workers in each rack. The label marks the first two of a rack. runs returns how
 // a run ends after it has been at work for some time, or "" while it goes on.
 func newRackFleet(racks int, runs func(worker string, run *messages.Run, elapsed time.Duration) string) *rackFleet {
-	f := &rackFleet{fixture: newFixture(), ends: map[string][]*messages.NumberedEnd{}, runs: runs, begun: map[tracker.RunKey]time.Time{}}
+	f := &rackFleet{fixture: newFixture(), ends: map[string][]*messages.NumberedEnd{}, runs: runs, begun: map[tracker.RunKey]time.Time{}, born: map[string]int64{}}
 	f.opts.RackFactor = 3
 	for rack := range racks {
 		for i := range 4 {
@@ -62,6 +63,9 @@
 	for _, id := range f.workers {
 		orders := f.report(t, f.sequence, func(r *messages.FleetReport) {
 			r.Worker, r.Rack = id, rackOf(id)
+			if born, ok := f.born[id]; ok {
+				r.Born = born
+			}
 			if isFirst(id) {
 				r.Labels = []string{"first"}
 			}
@@ -77,6 +81,9 @@
 // addRuns adds to a report what runs on its worker, and what has ended there.
 func (f *rackFleet) addRuns(r *messages.FleetReport) {
 	for key, run := range f.state.RunsOn(r.GetWorker()) {
+		if run.GetBorn() != r.GetBorn() {
+			continue // it was lost in a restart
+		}
 		if _, ok := f.begun[key]; !ok {
 			f.begun[key] = f.now
 		}
@@ -90,6 +97,12 @@
 	r.Ends = f.ends[r.GetWorker()]
 }
 
+// restart lets a worker crash and start again at once.
+func (f *rackFleet) restart(id string) {
+	f.born[id] = f.now.UnixMilli()
+	delete(f.ends, id)
+}
+
 // end adds an end to the next report of a worker.
 func (f *rackFleet) end(worker string, run *messages.Run, how string) {
 	f.ends[worker] = append(f.ends[worker], &messages.NumberedEnd{
--- a/internal/queue/coordinator/waiting_test.go
+++ b/internal/queue/coordinator/waiting_test.go
@@ -16,8 +16,8 @@
 
 const (
 	arrivalTime = 12 * time.Second // in which jobs come and workers are lost
-	calmTime    = 14 * time.Second // after it, until a job may no longer wait beside idle workers
-	checkTime   = 12 * time.Second // for which that is checked
+	calmTime    = 3 * time.Second  // after it, until a job may no longer wait beside idle workers
+	checkTime   = 23 * time.Second // for which that is checked
 
 	workerProcessors = 8000 // of each worker of a fixture
 )
@@ -141,7 +141,7 @@
 
 // TestNoJobWaitsBesideIdleWorkers guards against work that waits for a condition which other work can keep from ever being
 // true: an empty rack, workers that nothing speaks against, workers that are not reserved. Random gangs, lasting tasks,
-// failures and losses of workers come first. The loads are the same in each run unless -rapid.seed draws others.
+// failures, losses of workers and crashes after which they start again come first. The loads are the same in each run unless -rapid.seed draws others.
 func TestNoJobWaitsBesideIdleWorkers(outer *testing.T) {
 	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
 		if err := seed.Value.Set("1"); err != nil {
@@ -167,6 +167,16 @@
 		for range rapid.IntRange(0, 3).Draw(t, "losses") {
 			losses[rapid.IntRange(1, int(arrivalTime/testInterval)).Draw(t, "loss")] = true
 		}
+		restarts := map[int]int{} // how many workers restart
+		for range rapid.IntRange(0, 4).Draw(t, "storms") {
+			first, period := rapid.IntRange(1, int(arrivalTime/testInterval)).Draw(t, "storm"), rapid.IntRange(8, 60).Draw(t, "period")
+			share := rapid.IntRange(1, len(f.workers)).Draw(t, "restarting")
+			for n := range rapid.IntRange(1, 6).Draw(t, "crashes") {
+				if at := first + n*period; at <= int(arrivalTime/testInterval) {
+					restarts[at] = max(restarts[at], share)
+				}
+			}
+		}
 		idle := &idleTimes{fleet: f, lastRun: map[tracker.TaskKey]time.Time{}, since: map[tracker.TaskKey]time.Time{}}
 		for n := range int((arrivalTime + calmTime + checkTime) / testInterval) {
 			elapsed := time.Duration(n) * testInterval
@@ -180,6 +190,9 @@
 			if losses[n] {
 				f.workers = f.workers[1:]
 			}
+			for i := range restarts[n] {
+				f.restart(f.workers[(n+i)%len(f.workers)])
+			}
 			f.step(outer)
 			if longest, what := idle.observe(); elapsed > arrivalTime+calmTime && longest > maxIdleTime {
 				t.Fatalf("%v after the start: %s has waited for %v, %d of %d processors are in use", elapsed, what, longest, f.used(), len(f.workers)*workerProcessors)
