placer: no unit waits for pending stops for long beside idle workers

An urgent task or gang that prefers workers with low-priority work, as the idle ones are young or in quarantine, has that work stopped, and a gang also waits for runs that are stopped for other reasons. As long as a stop was pending the unit kept all its preferences. The end of a stop is up to the worker, and nothing else ended the wait.

A unit that has been blocked for maxIdleWait in a mostly idle pool drops its preferences before it asks for stops now.

--- a/internal/queue/placer/gang.go
+++ b/internal/queue/placer/gang.go
@@ -20,7 +20,7 @@
 // and otherwise reserves workers.
 func (p *pass) placeGang(u *unit) {
 	domains := p.domains(u)
-	if p.startGang(u, domains) {
+	if p.startGang(u, domains) || p.startRelaxedGang(u) {
 		return
 	}
 	if allocations := p.bestFit(u, domains, func(c *candidate) Vector { return c.projected }); allocations != nil {
--- a/internal/queue/placer/preference.go
+++ b/internal/queue/placer/preference.go
@@ -163,6 +163,26 @@
 	return nil
 }
 
+// relaxOverdue returns the unit without the preferences, and the wait for runs to stop, that it gives up after maxIdleWait
+// in a pool that is mostly idle. It returns nil if the unit has not waited so long or fits nowhere.
+func (p *pass) relaxOverdue(u *unit, fits func(*unit) bool) *unit {
+	if !p.hasWaited(u) {
+		return nil
+	}
+	for _, r := range p.relaxations(u) {
+		if fits(r.unit) && p.fitsTwice(r.unit) {
+			p.plan.Relaxed = append(p.plan.Relaxed, Deferral{Key: u.key(), Preferred: strings.Join(r.dropped, ", "), Idle: true})
+			return r.unit
+		}
+	}
+	return nil
+}
+
+// hasWaited reports whether the unit has been blocked for maxIdleWait in a pool that is mostly idle.
+func (p *pass) hasWaited(u *unit) bool {
+	return p.isIdle(u) && p.input.Waited(u.key()).Idle >= maxIdleWait
+}
+
 // isIdle reports whether less than half of the usable part of the unit's pool is in use. A lasting task need not wait
 // for that.
 func (p *pass) isIdle(u *unit) bool {
@@ -217,3 +237,9 @@
 	domains := p.domains(v)
 	return p.startGang(v, domains) || p.evict(v, domains) != nil
 }
+
+// startRelaxedGang starts a gang that no longer waits for stops. It reports false if it does not start.
+func (p *pass) startRelaxedGang(u *unit) bool {
+	v := p.relaxOverdue(u, func(v *unit) bool { return p.fitGang(v, p.domains(v)) != nil })
+	return v != nil && p.startGang(v, p.domains(v))
+}
--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -20,6 +20,8 @@
 			p.start(u, task, c)
 		case p.waitsForReserved(u, counts) && p.placeRelaxedTasks(u, u.tasks[i:], counts):
 			return
+		case p.startRelaxedTasks(u, u.tasks[i:], counts):
+			return
 		case u.urgent && p.evictForTask(u, counts):
 			p.block(u.key(), StopsPending) // capacity is reserved for the task
 		default:
@@ -51,6 +53,17 @@
 	return v != nil
 }
 
+// startRelaxedTasks starts tasks of a unit that no longer waits for stops. It reports false if it starts none.
+func (p *pass) startRelaxedTasks(u *unit, tasks []int32, counts map[string]int) bool {
+	v := p.relaxOverdue(u, func(v *unit) bool { return p.selectWorker(v, counts) != nil })
+	if v == nil {
+		return false
+	}
+	v.tasks = tasks
+	p.placeCounted(v, counts)
+	return true
+}
+
 // canEvictForTask reports whether evictions can make room for one task of an urgent unit.
 func (p *pass) canEvictForTask(u *unit, counts map[string]int) bool {
 	single, candidates := p.singleTask(u, counts)
--- a/internal/queue/placer/trial.go
+++ b/internal/queue/placer/trial.go
@@ -127,7 +127,7 @@
 // time and nothing of it runs, though most of the pool is idle.
 func (p *pass) isOverdue(u *unit) bool {
 	stands := u.job.Active() == 0 && !p.tried[u.job] || u.step.Spec.GetLasting()
-	return stands && p.isIdle(u) && p.input.Waited(u.key()).Idle >= maxIdleWait
+	return stands && p.hasWaited(u)
 }
 
 // placeTrial starts a suspect task or gang. Nothing else starts on its workers until they are seen alive after it.
@@ -175,7 +175,7 @@
 func (p *pass) placeWaitingTrial(u *unit) {
 	counts := p.runsPerWorker(u)
 	switch {
-	case p.waitsForReserved(u, counts) && p.placeRelaxedTrial(u):
+	case p.waitsForReserved(u, counts) && p.placeRelaxedTrial(u), p.startRelaxedTrial(u):
 		return
 	case u.urgent && p.evictForTask(u, counts):
 		p.block(u.key(), StopsPending)
@@ -194,6 +194,15 @@
 	return v != nil
 }
 
+// startRelaxedTrial places a suspect task that no longer waits for stops. It reports false if there is no such task.
+func (p *pass) startRelaxedTrial(u *unit) bool {
+	v := p.relaxOverdue(u, func(v *unit) bool { return p.selectTrialWorker(v) != nil })
+	if v != nil {
+		p.placeTrial(v)
+	}
+	return v != nil
+}
+
 // selectTrialWorker returns the worker on which a crash would cost the least work, nil if the task fits on none.
 // Workers on which other runs are starting, or that have started lately themselves, are left for last: their crash says
 // little about the task.
