placer, coordinator: a trial on a silent worker holds up no other task of its job

Where several tasks of a job have crashes, one is tried at a time. If the worker of the trial went silent, for example as it was lost and did not come back, its run counted as one until the end of the lease. All other tasks of the job waited for that beside idle workers, and the bound on such waits held for jobs without active runs only.

A job counts as running now if it has a run on a worker in contact. The lines on waiting jobs follow the same rule. TestTrialOnSilentWorker failed before: nothing of the job ran for 7 s, where less than 3 s are allowed.

--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -265,9 +265,10 @@
 
 // workerView returns the placer's input for a worker.
 func (c *Coordinator) workerView(state *tracker.Tracker, w *worker, now time.Time) *placer.Worker {
+	silent := now.Sub(w.lastContact) >= c.opts.Timing.contactTimeout(w.interval) || !now.Before(w.leaseEnd)
 	v := &placer.Worker{
 		ID: w.id, Started: w.born, Pool: w.pool, Rack: w.rack, Labels: w.labels, Capacity: w.capacity, Free: w.capacity,
-		Usable:  !w.leaving && !w.unreachable && state.Pools()[w.pool] != nil && now.Sub(w.lastContact) < c.opts.Timing.contactTimeout(w.interval) && now.Before(w.leaseEnd),
+		Usable: !w.leaving && !w.unreachable && state.Pools()[w.pool] != nil && !silent, Silent: silent,
 		Suspect: w.health.isSuspect(now), ProvenAt: w.health.provenLately(now), Young: w.age() < minWorkerAge,
 	}
 	runs := state.RunsOn(w.id)
--- a/internal/queue/placer/obstacle.go
+++ b/internal/queue/placer/obstacle.go
@@ -27,7 +27,7 @@
 	Key      StepKey
 	Obstacle Obstacle // to the last unit of the step
 	Idle     bool     // most of the pool is idle, or the step is a lasting one, which need not wait for that
-	Stands   bool     // nothing of the job runs
+	Stands   bool     // nothing of the job is known to run
 }
 
 // block records the obstacle to a unit of a step.
@@ -38,9 +38,8 @@
 	if len(p.obstacles) == 0 {
 		return
 	}
-	jobs, starts := map[string]bool{}, map[StepKey]int{}
+	starts := map[StepKey]int{}
 	for _, r := range p.plan.Starts {
-		jobs[r.GetJob()] = true
 		key := StepKey{Job: r.GetJob(), Occurrence: r.GetOccurrence(), Step: r.GetStep()}
 		starts[key]++
 		key.Trial = r.GetTask() + 1
@@ -53,7 +52,7 @@
 				if obstacle, ok := p.obstacles[key]; ok && p.isBlocked(key, j, &steps[i], starts[key]) {
 					p.plan.Blocked = append(p.plan.Blocked, Blocked{
 						Key: key, Obstacle: obstacle, Idle: steps[i].Spec.GetLasting() || p.isPoolIdle(p.input.Pool(j)),
-						Stands: j.Active() == 0 && !jobs[key.Job],
+						Stands: !p.running[j],
 					})
 				}
 			}
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -21,6 +21,7 @@
 	Capacity Vector
 	Free     Vector    // capacity minus all runs that have not ended
 	Usable   bool      // new tasks may start on it
+	Silent   bool      // it is out of contact, so its runs may have ended
 	Suspect  bool      // used only if no other worker fits, and not for a last attempt
 	Probed   bool      // used for one task at a time, not for a gang or a last attempt
 	ProvenAt time.Time // when a run that had just started was last seen at work on it, zero if not lately
@@ -126,6 +127,7 @@
 	trials       map[string]int        // trials that may still start, by pool
 	old          map[string]int        // usable workers that have not started lately, by pool
 	tried        map[*tracker.Job]bool // jobs with a trial
+	running      map[*tracker.Job]bool // jobs with a run on a worker in contact, or with a start in this pass
 	idle         map[string]bool       // pools of which less than half is in use, once known
 	doubtful     map[string]bool       // pools with workers in quarantine, probation or trials
 	obstacles    map[StepKey]Obstacle
@@ -165,7 +167,7 @@
 	p := &pass{
 		input: in, racks: map[string][]*candidate{}, pools: map[string][]*candidate{},
 		gangs: map[*tracker.Step][]*ActiveRun{}, workerOf: map[*ActiveRun]*candidate{}, costs: map[*ActiveRun]int64{},
-		trials: map[string]int{}, old: map[string]int{}, tried: map[*tracker.Job]bool{}, idle: map[string]bool{},
+		trials: map[string]int{}, old: map[string]int{}, tried: map[*tracker.Job]bool{}, running: map[*tracker.Job]bool{}, idle: map[string]bool{},
 		doubtful: map[string]bool{}, obstacles: map[StepKey]Obstacle{},
 	}
 	p.planTrials()
@@ -173,6 +175,7 @@
 		c := &candidate{Worker: w, free: w.Free, projected: w.Free, starting: w.hasStarts(), loss: -1}
 		for _, a := range w.Runs {
 			p.workerOf[a] = c
+			p.running[a.Job] = p.running[a.Job] || !w.Silent
 			if a.Step.Spec.GetGang() {
 				p.gangs[a.Step] = append(p.gangs[a.Step], a)
 			}
@@ -360,6 +363,7 @@
 func (p *pass) start(u *unit, task int32, c *candidate) {
 	number, checkpoint := u.step.NextRun(task)
 	c.assigned = true
+	p.running[u.job] = true
 	c.free = c.free.Sub(u.need)
 	c.projected = c.projected.Sub(u.need)
 	p.plan.Starts = append(p.plan.Starts, &messages.Run{
--- a/internal/queue/placer/trial.go
+++ b/internal/queue/placer/trial.go
@@ -124,9 +124,9 @@
 func isLikelyGivenUp(t *tracker.Task) bool { return len(t.Crashes) > 1 && t.AloneCrashes() > 0 }
 
 // isOverdue reports whether a suspect task or gang no longer waits for other trials: the turn of its job has come for some
-// time and nothing of it runs, though most of the pool is idle.
+// time and nothing of it is known to run, though most of the pool is idle.
 func (p *pass) isOverdue(u *unit) bool {
-	stands := u.job.Active() == 0 && !p.tried[u.job] || u.step.Spec.GetLasting()
+	stands := !p.running[u.job] || u.step.Spec.GetLasting()
 	return stands && p.hasWaited(u)
 }
 
