--- a/internal/queue/coordinator/checkpoint_test.go
+++ b/internal/queue/coordinator/checkpoint_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -68,6 +69,29 @@
 	}
 }
 
+// TestCheckpointsOfLostRunsAreLimited guards against a loss that is never committed, as it does not fit into an entry of the
+// log.
+func TestCheckpointsOfLostRunsAreLimited(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	is.Equal(len(f.submitCheckpointed(t, &messages.Step{Count: 3})), 3)
+	large := strings.Repeat("x", maxCheckpointBytes/2)
+	for i := range uint64(2) {
+		f.listSaved(t, "w", 3+i, 1, map[int32]string{0: large, 1: large, 2: large})
+		f.now = f.now.Add(time.Second)
+	}
+	f.now = f.now.Add(7 * time.Second)
+	f.Pass(context.Background())
+	is.Equal(f.state.Job("a").Active(), 0)
+	resumed := 0
+	for task := range int32(3) {
+		if _, checkpoint := f.state.Job("a").Step(0, 0).NextRun(task); checkpoint == large {
+			resumed++
+		}
+	}
+	is.Equal(resumed, 2)
+}
+
 // TestStartingRunsAreSuspectsWithCheckpoints guards against a task that crashes its workers as it resumes and is cleared by
 // the checkpoint that it started with.
 func TestStartingRunsAreSuspectsWithCheckpoints(t *testing.T) {
