coordinator: the loss of a worker is recorded once

A worker whose lease had expired was recorded as lost, and again when its successor reported, also if a run that was starting on it explained the loss. So holds, which wait for the last loss, went on for 1.5 s more, and for 10 s no crash could speak against a task.

--- a/internal/queue/coordinator/crash.go
+++ b/internal/queue/coordinator/crash.go
@@ -54,9 +54,20 @@
 	return max(time.Duration(w.clock)*time.Millisecond, w.lastContact.Sub(w.firstContact))
 }
 
+// markLost notes that the loss of the worker has been recorded. It reports false if it was before. A worker that is not known
+// has no such note.
+func (w *worker) markLost() bool {
+	if w == nil {
+		return true
+	}
+	before := w.lost
+	w.lost = true
+	return !before
+}
+
 // recordLoss records the loss of a worker that was starting nothing.
 func (c *Coordinator) recordLoss(id string, w *worker) {
-	if w != nil && w.hasAnnouncedExit() {
+	if w != nil && w.hasAnnouncedExit() || !w.markLost() {
 		return
 	}
 	now := c.opts.Now()
@@ -79,6 +90,7 @@
 		c.recordLoss(id, w)
 		return nil
 	}
+	w.markLost()
 	age := time.Duration(0)
 	if w != nil {
 		age = w.age()
--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -28,6 +28,7 @@
 	exitNotice    bool          // it has sent a notice that it is about to exit
 	previous      *worker       // the incarnation before it, nil if this leader did not know it
 	replaced      bool          // a later worker reports from its address, so this one has ended
+	lost          bool          // its loss has been recorded
 	expiring      bool          // its end is being committed; it gets no orders until then
 	firstContact  time.Time     // when this leader first heard of it
 	lastContact   time.Time     // latest possible send time of its last report
@@ -345,6 +346,7 @@
 	if r.GetLeaving() && !w.leaving {
 		c.opts.Log.Info("worker leaves", zap.String("worker", w.id), zap.Int64("remaining", r.GetRemaining()))
 	}
+	w.lost = false
 	// A worker that received no response reports again only after its response timeout.
 	w.unreachable = !w.nextReportDue.IsZero() && now.After(w.nextReportDue)
 	w.nextReportDue = time.Time{}
