recorder: a damaged history does not keep a keeper from starting

Callers saw a keeper that did not start any more after a loss of power, or the loss of a quorum if that happened to several: the history is not synced, and New failed if a file could not be read or held no end of a line for 1 MiB.

Lines that are too long are skipped now, as other malformed ones are, and an error of a read is reported like one of a write.

--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -58,13 +58,9 @@
 	if err := r.opts.Files.MakeFolder(s.Data); err != nil {
 		return fmt.Errorf("create data folder: %w", err)
 	}
-	history, err := recorder.New(r.opts.Files, s.Data, func(l recorder.Line) { rep.burn.Observe(l.Record) }, func(err error) {
-		r.log.Warn("history write failed", zap.Error(err))
+	rep.history = recorder.New(r.opts.Files, s.Data, func(l recorder.Line) { rep.burn.Observe(l.Record) }, func(err error) {
+		r.log.Warn("history failed", zap.Error(err))
 	})
-	if err != nil {
-		return err
-	}
-	rep.history = history
 	rep.dispatcher = dispatcher.New(dispatcher.Options{
 		Locate: rep.workerAddress, Report: rep.commitAcks, Metrics: metrics, Log: r.log,
 	})
@@ -75,7 +71,7 @@
 	})
 	if err != nil {
 		rep.dispatcher.Stop()
-		return errors.Join(err, history.Close())
+		return errors.Join(err, rep.history.Close())
 	}
 	rep.applier = a
 	identity := a.Identity()
@@ -84,7 +80,7 @@
 	r.peering.storedMembers.Store(&members)
 	rep.repair = newRepairer(cmp.Or(r.opts.Voters, len(s.Keepers)), r.opts.RepairAfter)
 	rep.server = forwarder.NewServer(forwarder.ServerOptions{
-		Replica: a, Timing: r.opts.Timing, Now: time.Now, Address: r.peering.replicaAddress, History: history, Burn: rep.burn, Log: r.log,
+		Replica: a, Timing: r.opts.Timing, Now: time.Now, Address: r.peering.replicaAddress, History: rep.history, Burn: rep.burn, Log: r.log,
 	})
 	rep.queues = r.startCoordinator(rep)
 	r.replica = rep
--- a/internal/report/recorder/recorder.go
+++ b/internal/report/recorder/recorder.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"sync"
@@ -58,19 +59,17 @@
 }
 
 // New opens the history in a folder and starts its writer. visit is called for every existing line. onError is
-// called for the first of consecutive errors of the file; they lose history lines and affect nothing else.
-func New(files filer.Files, folder string, visit func(Line), onError func(error)) (*Recorder, error) {
+// called for the first of consecutive errors of the files, also if they can't be read; they lose history lines and affect
+// nothing else.
+func New(files filer.Files, folder string, visit func(Line), onError func(error)) *Recorder {
 	r := &Recorder{files: files, folder: folder, queue: make(chan []Line, queueLength), done: make(chan struct{}), onError: onError}
 	err := r.scan(func(l Line) {
 		r.lastIndex = max(r.lastIndex, l.Index)
 		visit(l)
 	})
+	err = errors.Join(err, r.open())
 	if err != nil {
-		return nil, err
-	}
-	err = r.open()
-	if err != nil {
-		r.onError(err)
+		r.onError(err) // the history is only derived
 	}
 	failing := err != nil
 	go func() {
@@ -83,7 +82,7 @@
 			failing = err != nil
 		}
 	}()
-	return r, nil
+	return r
 }
 
 func (r *Recorder) path(name string) string { return filepath.Join(r.folder, name) }
@@ -205,21 +204,41 @@
 		if err != nil {
 			return fmt.Errorf("read history: %w", err)
 		}
-		s := bufio.NewScanner(f)
-		s.Buffer(nil, maxLineBytes)
-		for s.Scan() {
-			var l Line
-			if json.Unmarshal(s.Bytes(), &l) == nil {
-				visit(l)
-			}
-		}
-		if err := errors.Join(s.Err(), f.Close()); err != nil {
+		if err := errors.Join(scanLines(f, visit), f.Close()); err != nil {
 			return fmt.Errorf("read history: %w", err)
 		}
 	}
 	return nil
 }
 
+// scanLines reads the lines of a file. Those longer than maxLineBytes are skipped: a loss of power may leave a large part of the
+// file without the end of a line.
+func scanLines(f io.Reader, visit func(Line)) error {
+	reader := bufio.NewReader(f)
+	var line []byte
+	for skipped := false; ; {
+		part, err := reader.ReadSlice('\n')
+		skipped = skipped || len(line)+len(part) > maxLineBytes
+		if !skipped {
+			line = append(line, part...)
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		var l Line
+		if !skipped && json.Unmarshal(line, &l) == nil {
+			visit(l)
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		line, skipped = line[:0], false
+	}
+}
+
 // Close writes the queued lines and closes the file.
 func (r *Recorder) Close() error {
 	close(r.queue)
