persister: the names of new folders on the way to the data folder are durable

A keeper acknowledged what a loss of power could take away as a whole: of a data folder that the daemon had created itself, only the names inside were synced, not its own name nor those of its new parents. Found by reading. Still open: a process that is killed between the creation of a folder and the sync of its parent.

--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -20,6 +20,7 @@
 	"github.com/bluebellgauge/bluebellgauge/internal/report/evaluator"
 	"github.com/bluebellgauge/bluebellgauge/internal/report/recorder"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/applier"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/persister"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/replicator"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
@@ -55,7 +56,7 @@
 		bootstrap.Voters = append(bootstrap.Voters, &messages.Member{Name: peer.Name, Place: peer.Place, Address: peer.Address})
 	}
 	rep := &replica{log: r.log, burn: evaluator.New(), answered: metrics.Counter("answers")}
-	if err := r.opts.Files.MakeFolder(s.Data); err != nil {
+	if err := filer.MakeFolder(r.opts.Files, s.Data); err != nil {
 		return fmt.Errorf("create data folder: %w", err)
 	}
 	rep.history = recorder.New(r.opts.Files, s.Data, func(l recorder.Line) { rep.burn.Observe(l.Record) }, func(err error) {
--- a/internal/state/filer/filer.go
+++ b/internal/state/filer/filer.go
@@ -2,8 +2,12 @@
 package filer
 
 import (
+	"errors"
 	"io"
+	"io/fs"
 	"os"
+	"path/filepath"
+	"slices"
 )
 
 const (
@@ -65,3 +69,23 @@
 	}
 	return d.Close()
 }
+
+// MakeFolder creates a folder and its parents unless they exist, and makes their names durable.
+func MakeFolder(files Files, path string) error {
+	var missing []string
+	for p := filepath.Clean(path); ; p = filepath.Dir(p) {
+		if _, err := os.Stat(p); !errors.Is(err, fs.ErrNotExist) {
+			break // another error is that of Files.MakeFolder too
+		}
+		missing = append(missing, p)
+	}
+	if err := files.MakeFolder(path); err != nil {
+		return err
+	}
+	for _, p := range slices.Backward(missing) {
+		if err := files.SyncFolder(filepath.Dir(p)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/state/persister/persister.go
+++ b/internal/state/persister/persister.go
@@ -77,7 +77,7 @@
 // ErrCorrupt.
 func Open(files filer.Files, folder, name string, bootstrap *messages.Members) (*Persister, replicator.InitialState, error) {
 	var none replicator.InitialState
-	if err := files.MakeFolder(folder); err != nil {
+	if err := filer.MakeFolder(files, folder); err != nil {
 		return nil, none, unwritable("create data folder", err)
 	}
 	p := &Persister{files: files, folder: folder, name: name, bootstrap: bootstrap}
@@ -424,7 +424,7 @@
 
 // Writable writes and syncs a probe file in a folder. It returns ErrUnwritable if the disk is full or failing.
 func Writable(files filer.Files, folder string) error {
-	if err := files.MakeFolder(folder); err != nil {
+	if err := filer.MakeFolder(files, folder); err != nil {
 		return unwritable("create data folder", err)
 	}
 	path := filepath.Join(folder, probeName)
