simulator: check in all plays that no accepted job stands still beside idle workers

All plays now check the 3 s of the rule: the turn of a task has come, there is room for it twice over, under half of the capacity is in use, and no fault has begun or ended and no run was lost meanwhile; each lasting task has 9 s. Not counted are runs that may go on as far as a leader can know: on workers that are down or out of reach, and those that an earlier leader has started on a worker that lists no such run, until the longest lease is over. Workers out of reach are no part of the capacity, as a leader cannot use them.

--- a/internal/queue/simulator/job.go
+++ b/internal/queue/simulator/job.go
@@ -31,6 +31,8 @@
 	startedTasks     map[tracker.TaskKey]bool
 	firstStepStarted time.Time // when all tasks of the first step had started
 	size             float64   // core-seconds
+	running          int       // runs on workers
+	wait             wait
 }
 
 // scheduleArrivals draws all jobs and schedules their submissions as Poisson processes, one for each queue.
@@ -81,7 +83,7 @@
 		mean := s.lognormal(float64(q.Work), q.WorkSpread, float64(q.MaxWork))
 		step := &messages.Step{
 			Count: int32(width), Processors: q.Processors, Memory: q.Memory, Accelerators: accelerators,
-			Gang: q.Gang, Compact: q.Gang && s.random.Float64() < q.Compact, Checkpoints: s.random.Float64() < q.Checkpoints,
+			Gang: q.Gang, Compact: q.Gang && s.random.Float64() < q.Compact, Checkpoints: s.random.Float64() < q.Checkpoints, Lasting: q.Lasting, Spread: q.Spread,
 			Estimate: int64(mean * s.lognormal(1, q.EstimateSpread, 10) / float64(time.Millisecond)),
 		}
 		if i > 0 {
--- a/internal/queue/simulator/run.go
+++ b/internal/queue/simulator/run.go
@@ -98,8 +98,11 @@
 		return
 	}
 	target, how := r.total, tracker.EndDone
-	if r.failAt > 0 {
+	switch {
+	case r.failAt > 0:
 		target, how = r.failAt, tracker.EndFailed
+	case r.spec.GetLasting():
+		return // it runs until it is stopped
 	}
 	delay := r.advancedAt.Sub(w.sim.now) + time.Duration(float64(max(target-r.done, 0))/rate)
 	w.sim.after(max(delay, 0), func() {
--- a/internal/queue/simulator/simulator.go
+++ b/internal/queue/simulator/simulator.go
@@ -95,6 +95,8 @@
 	AlwaysFailing    float64 // share of jobs whose runs all fail
 	Cancelled        float64 // share of jobs that their callers cancel
 	Deadly           float64 // share of jobs with one task that crashes each worker on which it starts
+	Lasting          bool    // the tasks run until the job is cancelled
+	Spread           int32   // most tasks of a step on one worker, 0 for no limit
 }
 
 // Fault is a fault injected into some workers, or into the leader, for some time.
@@ -134,7 +136,9 @@
 	Fleet  Fleet
 	Load   Load
 	Faults []Fault
-	Log    *zap.Logger
+	// DrainTime is how long the simulation continues after the end of the arrivals, 0 for drainTime.
+	DrainTime time.Duration
+	Log       *zap.Logger
 }
 
 // Simulator is the state of one simulation.
@@ -161,7 +165,10 @@
 	finishedTasks     map[tracker.TaskKey]bool // done on a worker
 	acknowledgedTasks map[tracker.TaskKey]bool // done and acknowledged by the leader
 	catalog           *messages.Catalog
-	triggered         []bool // faults with AfterCrashes that have been scheduled, by index
+	triggered         []bool    // faults with AfterCrashes that have been scheduled, by index
+	disturbedAt       time.Time // last begin or end of a fault, or loss of a run
+	electedAt         time.Time // of the last leader
+	lastingWaits      map[tracker.TaskKey]*wait
 	result            Result
 }
 
@@ -173,6 +180,7 @@
 		opts: opts, random: rand.New(rand.NewPCG(opts.Seed, opts.Seed^0x5bd1e995)), start: time.Unix(1_700_000_000, 0),
 		state: tracker.New(), jobsByID: map[string]*job{}, gangs: map[gangKey]*gang{}, activeRuns: map[tracker.TaskKey]int{},
 		finishedTasks: map[tracker.TaskKey]bool{}, acknowledgedTasks: map[tracker.TaskKey]bool{},
+		lastingWaits: map[tracker.TaskKey]*wait{},
 	}
 	s.now = s.start
 	s.triggered = make([]bool, len(opts.Faults))
@@ -190,7 +198,8 @@
 			})
 		}
 	})
-	end := s.start.Add(opts.Load.Duration + drainTime)
+	s.every(waitCheckInterval, s.checkWaits)
+	end := s.start.Add(opts.Load.Duration + cmp.Or(opts.DrainTime, drainTime))
 	for len(s.events) > 0 {
 		e := heap.Pop(&s.events).(*event)
 		if e.at.After(end) {
@@ -369,6 +378,7 @@
 func (s *Simulator) resolveCommit(c *commit, applied bool, err error) {
 	c.resolved, c.err = true, err
 	if applied {
+		s.recordLosses(c.change)
 		s.state.Apply(c.change)
 	}
 	s.commits = slices.DeleteFunc(s.commits, func(other *commit) bool { return other == c })
@@ -377,6 +387,7 @@
 // endLeadership removes the leader. Of the commits in flight, a random prefix in log order is applied, as if
 // the next leader held the log up to there; the outcome of all of them is unknown to their callers.
 func (s *Simulator) endLeadership() {
+	s.disturb()
 	s.leader = nil
 	s.passing = false
 	kept := s.random.IntN(len(s.commits) + 1)
@@ -396,6 +407,8 @@
 
 // electLeader starts a new leader. All it has is the replicated state.
 func (s *Simulator) electLeader() {
+	s.disturb()
+	s.electedAt = s.now
 	s.term++
 	term := s.term
 	s.leader = coordinator.NewStepped(coordinator.Options{
@@ -459,6 +472,7 @@
 }
 
 func (s *Simulator) startFault(f Fault) {
+	s.disturb()
 	switch f.Kind {
 	case LeaderChange:
 		s.endLeadership()
@@ -466,7 +480,10 @@
 		return
 	case UnknownOutcome:
 		s.outcomeUnknown = true
-		s.after(f.Duration, func() { s.outcomeUnknown = false })
+		s.after(f.Duration, func() {
+			s.disturb()
+			s.outcomeUnknown = false
+		})
 		return
 	case Crash, Partition, Unreachable, Slow, Failing, Stuck, Resize, Leave:
 	}
--- a/internal/queue/simulator/worker.go
+++ b/internal/queue/simulator/worker.go
@@ -81,6 +81,7 @@
 
 // start begins a new incarnation.
 func (w *worker) start() {
+	w.sim.disturb()
 	w.up = true
 	w.incarnation++
 	w.started = w.sim.now.UnixMilli()
@@ -119,6 +120,9 @@
 	})
 }
 
+// labels returns the labels that the worker reports.
+func (w *worker) labels() []string { return []string{"a", w.rack} }
+
 func (w *worker) report() {
 	w.expireLease()
 	w.sequence++
@@ -126,7 +130,7 @@
 	w.endPending = false
 	w.reportGrowth()
 	report := &messages.FleetReport{
-		Worker: w.id, Born: w.started, Sequence: w.sequence, Pool: poolName, Rack: w.rack, Labels: []string{"a", w.rack},
+		Worker: w.id, Born: w.started, Sequence: w.sequence, Pool: poolName, Rack: w.rack, Labels: w.labels(),
 		Processors: w.capacity.Processors, Memory: w.capacity.Memory, Accelerators: w.capacity.Accelerators,
 		Clock: (w.sim.now.UnixMilli() - w.started) * clockPercent / 100,
 	}
@@ -262,6 +266,7 @@
 	w.checkCapacity()
 	w.recordGrowthUsed()
 	s.activeRuns[key.TaskKey]++
+	s.recordRunBegin(r)
 	s.result.Runs++
 	if w.failing > 0 {
 		w.endRun(key, tracker.EndFailed)
@@ -348,6 +353,10 @@
 		s.recordDone(r)
 	}
 	s.activeRuns[key.TaskKey]--
+	s.recordRunEnd(r)
+	if how == tracker.EndExpired {
+		s.disturb()
+	}
 	w.lastEndedRun[key.TaskKey] = max(w.lastEndedRun[key.TaskKey], key.Number)
 	w.lastEnd++
 	w.endTimes[w.lastEnd] = s.now
@@ -418,12 +427,14 @@
 	if !w.up {
 		return
 	}
+	w.sim.disturb()
 	w.up = false
 	for _, key := range slices.SortedFunc(maps.Keys(w.runs), tracker.CompareKeys) {
 		lost := w.runs[key]
 		lost.advance(w)
 		delete(w.runs, key)
 		w.sim.activeRuns[key.TaskKey]--
+		w.sim.recordRunEnd(lost)
 		w.sim.countEnd(lost, tracker.EndExpired)
 		if lost.spec.GetGang() {
 			w.sim.endGang(lost, tracker.EndExpired)
@@ -452,6 +463,7 @@
 
 // endFault removes a fault from the worker.
 func (w *worker) endFault(f Fault) {
+	w.sim.disturb()
 	switch f.Kind {
 	case Crash:
 		w.crashed--
