placer: a task that may be given up holds up no other task of its job for long

While a task has two crashes, one of them alone, the other tasks of its step wait, as its job may be given up. That wait had no bound: if the trial of the task was on a worker that went silent, or the task was held, nothing of the job ran, though no crash spoke against the other tasks and most workers were idle.

The wait ends like that of suspect tasks, after maxIdleWait in which nothing of the job is known to run.

--- a/internal/queue/placer/trial.go
+++ b/internal/queue/placer/trial.go
@@ -53,7 +53,7 @@
 }
 
 // separateTrials splits the suspect tasks off a unit, as units of their own. A gang starts as a whole. While a task is
-// likely to be given up, which fails its job, no other task of the step starts.
+// likely to be given up, which fails its job, no other task of the step starts, unless nothing of the job runs for long.
 func (p *pass) separateTrials(u *unit) []*unit {
 	if u.step.Spec.GetGang() {
 		for _, task := range u.tasks {
@@ -84,7 +84,7 @@
 	}
 	switch u.tasks = rest; {
 	case len(rest) == 0:
-	case p.isDoomed(u):
+	case p.isDoomed(u) && !p.isOverdue(u):
 		p.block(u.key(), LikelyGivenUp)
 	default:
 		units = append(units, u)
@@ -123,7 +123,7 @@
 // isLikelyGivenUp reports whether one more crash would show that a task crashes its workers.
 func isLikelyGivenUp(t *tracker.Task) bool { return len(t.Crashes) > 1 && t.AloneCrashes() > 0 }
 
-// isOverdue reports whether a suspect task or gang no longer waits for other trials: the turn of its job has come for some
+// isOverdue reports whether a unit no longer waits for trials of other tasks: the turn of its job has come for some
 // time and nothing of it is known to run, though most of the pool is idle.
 func (p *pass) isOverdue(u *unit) bool {
 	stands := !p.running[u.job] || u.step.Spec.GetLasting()
