simulator: jobs may fail once their attempts are used up

TestStormsFailNoInnocentJobs reported a job of reports/1 whose gang had ended as failed twice, on two workers that fail all that they start; its queue allows two attempts, so its phase is right (trace: runs 2 and 3, w021 and w032). The check counts the failed runs of each task or gang now, in all plays, in place of the share of jobs that may fail.

--- a/internal/queue/simulator/deadly.go
+++ b/internal/queue/simulator/deadly.go
@@ -86,13 +86,38 @@
 	}
 }
 
+// recordFailure records a run that ended as failed.
+func (j *job) recordFailure(r *run) {
+	key := r.key.TaskKey
+	if r.spec.GetGang() {
+		key.Task = 0
+	}
+	if j.failedRuns == nil {
+		j.failedRuns = map[tracker.TaskKey]map[uint32]bool{}
+	}
+	if j.failedRuns[key] == nil {
+		j.failedRuns[key] = map[uint32]bool{}
+	}
+	j.failedRuns[key][r.key.Number] = true
+}
+
+// attemptsUsed reports whether a task or gang of the job has failed as often as it may, as on failing workers.
+func (j *job) attemptsUsed() bool {
+	for _, runs := range j.failedRuns {
+		if len(runs) >= int(j.queue.Attempts) {
+			return true
+		}
+	}
+	return false
+}
+
 // checkFailedPhase checks that a job reported as failed has used up its attempts or has a deadly task under
 // which workers have crashed.
 func (s *Simulator) checkFailedPhase(j *job) {
 	switch {
 	case j.deadly != nil && j.deadly.crashes >= minGiveUpCrashes:
 		s.result.GivenUp++
-	case j.queue.FailureRate > 0 || j.queue.AlwaysFailing > 0:
+	case j.attemptsUsed():
 	case j.deadly != nil:
 		s.recordViolation("job %s of %s is reported as failed after %d crashes under its deadly task", j.id, j.queue.Name, j.deadly.crashes)
 	default:
--- a/internal/queue/simulator/job.go
+++ b/internal/queue/simulator/job.go
@@ -33,6 +33,7 @@
 	size             float64   // core-seconds
 	running          int       // runs on workers
 	wait             wait
+	failedRuns       map[tracker.TaskKey]map[uint32]bool // numbers of runs that ended as failed; of a gang, under its first task
 }
 
 // scheduleArrivals draws all jobs and schedules their submissions as Poisson processes, one for each queue.
