coordinator: a verdict waits for losses at the moment of the last crash

Callers saw sound jobs shown as failed in long series of crashes, as before, where the fifth crash was the first loss of its wave that the leader heard of, or the waves were further apart than the time that counts as one. The verdict comes 2 s after the crash; a task that has used up its trials is tried again if a quarter of the workers was lost around it meanwhile, unless two crashes have no other explanation.

--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -137,6 +137,7 @@
 	unexplainedAt   time.Time            // of the last loss of a worker that was starting nothing, zero for none
 	lossAt          time.Time            // of the last loss of a worker that no task alone explains, zero for none
 	losses          map[string]time.Time // of workers that were starting nothing, within widespreadPeriod before the last one
+	widespreadAt    time.Time            // when these were last a large part of the workers, zero for never
 	verdicts        map[tracker.TaskKey]verdict
 	deferrals       map[placer.StepKey]*deferral
 	idleSince       map[placer.StepKey]time.Time // since when steps wait though most of their pool is idle
@@ -203,7 +204,7 @@
 	c.failedWorkers = failedWorkers{}
 	c.stopping = map[tracker.RunKey]bool{}
 	c.unexplainedAt, c.lossAt = time.Time{}, time.Time{}
-	c.losses = map[string]time.Time{}
+	c.losses, c.widespreadAt = map[string]time.Time{}, time.Time{}
 	c.verdicts = map[tracker.TaskKey]verdict{}
 	c.deferrals = map[placer.StepKey]*deferral{}
 	c.idleSince = map[placer.StepKey]time.Time{}
--- a/internal/queue/coordinator/crash.go
+++ b/internal/queue/coordinator/crash.go
@@ -74,6 +74,9 @@
 	c.unexplainedAt, c.lossAt = now, now
 	maps.DeleteFunc(c.losses, func(_ string, at time.Time) bool { return now.Sub(at) >= widespreadPeriod })
 	c.losses[id] = now
+	if len(c.losses)*widespreadDivisor >= len(c.workers) {
+		c.widespreadAt = now
+	}
 	c.opts.Log.Info("worker lost while no run started", zap.String("worker", id))
 }
 
@@ -118,12 +121,17 @@
 	return list
 }
 
+// wasWidespread reports whether a large part of the workers was being lost without an explanation around the given time.
+func (c *Coordinator) wasWidespread(at time.Time) bool {
+	return !c.widespreadAt.IsZero() && at.Sub(c.widespreadAt) < widespreadPeriod
+}
+
 // counts reports whether a crash that others may explain is evidence against a task. While a large part of the workers is
 // being lost, an innocent task may crash any number of times, so no such crash is the last one that is needed; the task
 // waits as after a further crash.
 func (c *Coordinator) counts(state *tracker.Tracker, key tracker.RunKey) bool {
 	t := &state.Job(key.Job).Step(key.Occurrence, key.Step).Tasks[key.Task]
-	if !t.IsOnLastTrial() || c.opts.Now().Sub(c.unexplainedAt) >= widespreadPeriod || len(c.losses)*widespreadDivisor < len(c.workers) {
+	if !t.IsOnLastTrial() || !c.wasWidespread(c.opts.Now()) {
 		return true
 	}
 	c.verdicts[key.TaskKey] = verdict{len(t.Crashes), c.opts.Now()}
@@ -194,7 +202,7 @@
 	var list []string
 	state.EachSuspect(func(key tracker.TaskKey, j *tracker.Job, t *tracker.Task) {
 		v := c.verdicts[key]
-		if !t.CrashesWorkers() || c.opts.Now().Sub(v.since) < verdictDelay || c.isDoubtful(v) && !t.IsExhausted() {
+		if !t.CrashesWorkers() || c.opts.Now().Sub(v.since) < verdictDelay || c.isTriedAgain(v, t) {
 			return
 		}
 		c.logGiveUp(key, t)
@@ -204,8 +212,14 @@
 	return slices.Compact(list)
 }
 
-// isDoubtful reports whether there was an unexplained loss after the last crash.
-func (c *Coordinator) isDoubtful(v verdict) bool { return c.unexplainedAt.After(v.since) }
+// isTriedAgain reports whether a task that seems to crash its workers is not given up, because of unexplained losses after the
+// last crash, or, if it has used up its trials, of widespread ones around it.
+func (c *Coordinator) isTriedAgain(v verdict, t *tracker.Task) bool {
+	if t.IsExhausted() {
+		return !t.IsLikelyCause() && c.wasWidespread(v.since)
+	}
+	return c.unexplainedAt.After(v.since)
+}
 
 // isHeld reports whether a suspect task must not start: it is about to be given up, or workers are being lost, as while an
 // operator restarts one after the other, and a trial would say nothing. A task with one crash does not wait.
@@ -214,7 +228,7 @@
 	switch {
 	case len(t.Crashes) < 2:
 		return false
-	case t.CrashesWorkers() && (now.Sub(v.since) < verdictDelay || !c.isDoubtful(v) || t.IsExhausted()):
+	case t.CrashesWorkers() && (now.Sub(v.since) < verdictDelay || !c.isTriedAgain(v, t)):
 		return true
 	}
 	return now.Sub(c.lossAt) < quietPeriod && now.Sub(v.since) < holdTime(len(t.Crashes))
--- a/internal/queue/tracker/job.go
+++ b/internal/queue/tracker/job.go
@@ -76,7 +76,7 @@
 
 // CrashesWorkers reports whether the task crashes the workers that start it.
 func (t *Task) CrashesWorkers() bool {
-	return len(t.Crashes) >= maxCrashes || len(t.Crashes) >= minCrashes && t.AloneCrashes() >= minAloneCrashes
+	return t.IsExhausted() || len(t.Crashes) >= minCrashes && t.IsLikelyCause()
 }
 
 // IsExhausted reports whether the task must not be tried again.
@@ -85,6 +85,9 @@
 // IsOnLastTrial reports whether one more crash of any kind exhausts the task.
 func (t *Task) IsOnLastTrial() bool { return len(t.Crashes) == maxCrashes-1 }
 
+// IsLikelyCause reports whether enough crashes have no other explanation than the task.
+func (t *Task) IsLikelyCause() bool { return t.AloneCrashes() >= minAloneCrashes }
+
 // AloneCrashes returns the number of crashes that no other run can have caused.
 func (t *Task) AloneCrashes() int {
 	n := 0
