coordinator: one worker that restarts again and again spares no deadly task

The limit of five crashes under a task does not hold while a quarter of the workers, starting nothing, is being lost. In a fleet of up to four workers that was a single one, and in any fleet one that restarts each second under a new id counted up to five times within the 5 s. A task that crashes its workers was then started without limit.

Losses count by the address of the worker, and there must be two of them.

--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -136,7 +136,7 @@
 	stopping        map[tracker.RunKey]bool
 	unexplainedAt   time.Time            // of the last loss of a worker that was starting nothing, zero for none
 	lossAt          time.Time            // of the last loss of a worker that no task alone explains, zero for none
-	losses          map[string]time.Time // of workers that were starting nothing, within widespreadPeriod before the last one
+	losses          map[string]time.Time // of workers that were starting nothing, by machine, within widespreadPeriod before the last one
 	widespreadAt    time.Time            // when these were last a large part of the workers, zero for never
 	verdicts        map[tracker.TaskKey]verdict
 	deferrals       map[placer.StepKey]*deferral
--- a/internal/queue/coordinator/crash.go
+++ b/internal/queue/coordinator/crash.go
@@ -37,10 +37,11 @@
 	// one, so that losses that go on do not hold it for ever.
 	minHoldTime    = 2 * time.Second
 	holdTimeFactor = 3
-	// While one in widespreadDivisor of the workers has been lost without an explanation within widespreadPeriod, no crash is
-	// the one after which a task must not be tried again.
+	// While one in widespreadDivisor of the workers, and more than one, has been lost without an explanation within
+	// widespreadPeriod, no crash is the one after which a task must not be tried again.
 	widespreadPeriod  = 5 * time.Second
 	widespreadDivisor = 4
+	minWidespread     = 2
 )
 
 // hasSurvived reports whether the worker has been seen alive some time after it started a run.
@@ -73,13 +74,25 @@
 	now := c.opts.Now()
 	c.unexplainedAt, c.lossAt = now, now
 	maps.DeleteFunc(c.losses, func(_ string, at time.Time) bool { return now.Sub(at) >= widespreadPeriod })
-	c.losses[id] = now
-	if len(c.losses)*widespreadDivisor >= len(c.workers) {
+	if c.losses[machineOf(id, w)] = now; c.isWidespread(c.losses) {
 		c.widespreadAt = now
 	}
 	c.opts.Log.Info("worker lost while no run started", zap.String("worker", id))
 }
 
+// machineOf names the place of a worker, which may start again under another id: its address, or else its id.
+func machineOf(id string, w *worker) string {
+	if w == nil || w.address == "" {
+		return id
+	}
+	return w.address
+}
+
+// isWidespread reports whether a large part of the workers has been lost.
+func (c *Coordinator) isWidespread(losses map[string]time.Time) bool {
+	return len(losses) >= minWidespread && len(losses)*widespreadDivisor >= len(c.workers)
+}
+
 // crashes returns the runs of a lost incarnation that may have crashed their worker: those that had just started. w is
 // the worker as this leader knew it, or nil. crashed is false if the worker may be alive but out of reach. A crash speaks
 // against a run alone if this leader ordered its start, as it is not known how long a run of an earlier leader was at
--- a/internal/queue/coordinator/suspicion_test.go
+++ b/internal/queue/coordinator/suspicion_test.go
@@ -39,6 +39,7 @@
 // standIn is a worker that starts what it is told to.
 type standIn struct {
 	id      string
+	address string
 	born    time.Time
 	up      bool
 	running []*messages.Run
@@ -53,7 +54,8 @@
 func newPoweredFleet(t *testing.T, n int) *poweredFleet {
 	f := &poweredFleet{crashFixture: newCrashFixture(t)}
 	for i := range n {
-		f.workers = append(f.workers, &standIn{id: fmt.Sprintf("w%02d", i), born: f.now.Add(-time.Minute), up: true})
+		id := fmt.Sprintf("w%02d", i)
+		f.workers = append(f.workers, &standIn{id: id, address: "10.0.0.1:" + id, born: f.now.Add(-time.Minute), up: true})
 	}
 	return f
 }
@@ -71,7 +73,7 @@
 		}
 		f.sequence++
 		o := f.report(t, f.sequence, func(r *messages.FleetReport) {
-			r.Worker, r.Born, r.Address = w.id, w.born.UnixMilli(), "10.0.0.1:"+w.id
+			r.Worker, r.Born, r.Address = w.id, w.born.UnixMilli(), w.address
 			listing(w.running)(r)
 		})
 		for _, s := range o.GetStarts() {
