coordinator: one worker that restarts again and again holds no tasks

A task with several crashes waits until no worker has been lost for 1.5 s, at most 2, 6 or 18 s. A single worker that restarts each second extended that wait for all of them, though the trials are on other workers: jobs stood still beside idle workers for longer than 3 s.

Further losses of a worker within 5 s do not extend holds, unless two workers and a quarter of all were lost in that time.

--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -135,7 +135,8 @@
 	failedWorkers   failedWorkers
 	stopping        map[tracker.RunKey]bool
 	unexplainedAt   time.Time            // of the last loss of a worker that was starting nothing, zero for none
-	lossAt          time.Time            // of the last loss of a worker that no task alone explains, zero for none
+	lossAt          time.Time            // of the last loss that extended holds, zero for none
+	allLosses       map[string]time.Time // of workers that no task alone explains, by machine, within widespreadPeriod before the last one
 	losses          map[string]time.Time // of workers that were starting nothing, by machine, within widespreadPeriod before the last one
 	widespreadAt    time.Time            // when these were last a large part of the workers, zero for never
 	verdicts        map[tracker.TaskKey]verdict
@@ -204,7 +205,7 @@
 	c.failedWorkers = failedWorkers{}
 	c.stopping = map[tracker.RunKey]bool{}
 	c.unexplainedAt, c.lossAt = time.Time{}, time.Time{}
-	c.losses, c.widespreadAt = map[string]time.Time{}, time.Time{}
+	c.allLosses, c.losses, c.widespreadAt = map[string]time.Time{}, map[string]time.Time{}, time.Time{}
 	c.verdicts = map[tracker.TaskKey]verdict{}
 	c.deferrals = map[placer.StepKey]*deferral{}
 	c.idleSince = map[placer.StepKey]time.Time{}
--- a/internal/queue/coordinator/crash.go
+++ b/internal/queue/coordinator/crash.go
@@ -31,7 +31,7 @@
 	// become known meanwhile.
 	verdictDelay = 2 * time.Second
 	// A task with several crashes is tried again once no worker was lost for quietPeriod, but for crashes that one task
-	// alone explains.
+	// alone explains and further losses of a few workers.
 	quietPeriod = 1500 * time.Millisecond
 	// minHoldTime is how long it waits for that after its second crash, and holdTimeFactor times as long after each further
 	// one, so that losses that go on do not hold it for ever.
@@ -72,7 +72,8 @@
 		return
 	}
 	now := c.opts.Now()
-	c.unexplainedAt, c.lossAt = now, now
+	c.unexplainedAt = now
+	c.extendHolds(id, w)
 	maps.DeleteFunc(c.losses, func(_ string, at time.Time) bool { return now.Sub(at) >= widespreadPeriod })
 	if c.losses[machineOf(id, w)] = now; c.isWidespread(c.losses) {
 		c.widespreadAt = now
@@ -80,6 +81,17 @@
 	c.opts.Log.Info("worker lost while no run started", zap.String("worker", id))
 }
 
+// extendHolds lets held tasks wait on after a loss that no task alone explains. A single worker that is lost again and again
+// does not hold them: its losses say nothing about the others, on which they are tried.
+func (c *Coordinator) extendHolds(id string, w *worker) {
+	now, machine := c.opts.Now(), machineOf(id, w)
+	maps.DeleteFunc(c.allLosses, func(_ string, at time.Time) bool { return now.Sub(at) >= widespreadPeriod })
+	_, again := c.allLosses[machine]
+	if c.allLosses[machine] = now; !again || c.isWidespread(c.allLosses) {
+		c.lossAt = now
+	}
+}
+
 // machineOf names the place of a worker, which may start again under another id: its address, or else its id.
 func machineOf(id string, w *worker) string {
 	if w == nil || w.address == "" {
@@ -114,7 +126,7 @@
 	calm := c.unexplainedAt.IsZero() || c.opts.Now().Sub(c.unexplainedAt) >= unexplainedPeriod
 	one := crashed && calm && age >= minWorkerAge && isOneUnit(state, starting)
 	if !one || slices.ContainsFunc(starting, func(key tracker.RunKey) bool { return !c.committedStarts[key] }) {
-		c.lossAt = c.opts.Now()
+		c.extendHolds(id, w)
 	}
 	var list []*messages.Crash
 	for _, key := range starting {
