simulator: a loss of a run does not excuse a job that stands still

The check of waits began anew with each run whose lease ends, on its worker or for the leader. So only faults that begin or end do.

--- a/internal/queue/simulator/simulator.go
+++ b/internal/queue/simulator/simulator.go
@@ -166,7 +166,7 @@
 	acknowledgedTasks map[tracker.TaskKey]bool // done and acknowledged by the leader
 	catalog           *messages.Catalog
 	triggered         []bool    // faults with AfterCrashes that have been scheduled, by index
-	disturbedAt       time.Time // last begin or end of a fault, or loss of a run
+	disturbedAt       time.Time // last begin or end of a fault
 	electedAt         time.Time // of the last leader
 	lastingWaits      map[tracker.TaskKey]*wait
 	result            Result
@@ -378,7 +378,6 @@
 func (s *Simulator) resolveCommit(c *commit, applied bool, err error) {
 	c.resolved, c.err = true, err
 	if applied {
-		s.recordLosses(c.change)
 		s.state.Apply(c.change)
 	}
 	s.commits = slices.DeleteFunc(s.commits, func(other *commit) bool { return other == c })
--- a/internal/queue/simulator/waiting.go
+++ b/internal/queue/simulator/waiting.go
@@ -25,18 +25,9 @@
 	reported bool
 }
 
-// disturb records a fault that begins or ends, or the loss of a run. It starts the times of all waits anew.
+// disturb records a fault that begins or ends. It starts the times of all waits anew.
 func (s *Simulator) disturb() { s.disturbedAt = s.now }
 
-// recordLosses records the losses of runs that a leader has committed.
-func (s *Simulator) recordLosses(change *messages.QueueChange) {
-	for _, e := range change.GetEnds() {
-		if e.GetOver() && len(s.state.RunsOn(e.GetWorker())) > 0 {
-			s.disturb()
-		}
-	}
-}
-
 // checkWaits checks that no accepted job has nothing running for maxIdleTime though the turn of a task has come, there is
 // capacity for it twice over and less than half of the capacity is in use. A lasting task need not wait for the latter.
 func (s *Simulator) checkWaits() {
--- a/internal/queue/simulator/worker.go
+++ b/internal/queue/simulator/worker.go
@@ -354,10 +354,7 @@
 	}
 	s.activeRuns[key.TaskKey]--
 	s.recordRunEnd(r)
-	switch how {
-	case tracker.EndExpired:
-		s.disturb()
-	case tracker.EndFailed:
+	if how == tracker.EndFailed {
 		r.job.recordFailure(r)
 	}
 	w.lastEndedRun[key.TaskKey] = max(w.lastEndedRun[key.TaskKey], key.Number)
