--- a/internal/queue/coordinator/deferral_test.go
+++ b/internal/queue/coordinator/deferral_test.go
@@ -31,12 +31,18 @@
 	runs     func(worker string, run *messages.Run, listed time.Duration) (how string)
 	begun    map[tracker.RunKey]time.Time
 	born     map[string]int64 // of workers that have restarted, Unix milliseconds
+	stopTime time.Duration    // from the first stop order to the end of a run
+	stopAt   map[tracker.RunKey]time.Time
+	stopped  map[tracker.RunKey]bool
 }
 
 // newRackFleet returns a fleet with four workers in each rack. The label marks the first two of a rack. runs returns how
 // a run ends after it has been at work for some time, or "" while it goes on.
 func newRackFleet(racks int, runs func(worker string, run *messages.Run, elapsed time.Duration) string) *rackFleet {
-	f := &rackFleet{fixture: newFixture(), ends: map[string][]*messages.NumberedEnd{}, runs: runs, begun: map[tracker.RunKey]time.Time{}, born: map[string]int64{}}
+	f := &rackFleet{
+		fixture: newFixture(), ends: map[string][]*messages.NumberedEnd{}, runs: runs, begun: map[tracker.RunKey]time.Time{}, born: map[string]int64{},
+		stopAt: map[tracker.RunKey]time.Time{}, stopped: map[tracker.RunKey]bool{},
+	}
 	f.opts.RackFactor = 3
 	for rack := range racks {
 		for i := range 4 {
@@ -72,7 +78,14 @@
 			f.addRuns(r)
 		})
 		for _, run := range orders.GetStops() {
-			f.end(id, run, tracker.EndStopped)
+			key := tracker.KeyOf(run)
+			if f.stopAt[key].IsZero() {
+				f.stopAt[key] = f.now.Add(f.stopTime)
+			}
+			if f.begun[key].IsZero() || !f.now.Before(f.stopAt[key]) {
+				f.stopped[key] = true
+				f.end(id, run, tracker.EndStopped)
+			}
 		}
 	}
 	f.Pass(context.Background())
@@ -84,6 +97,9 @@
 		if run.GetBorn() != r.GetBorn() {
 			continue // it was lost in a restart
 		}
+		if f.stopped[key] {
+			continue // a worker does not list what it has ended
+		}
 		if _, ok := f.begun[key]; !ok {
 			f.begun[key] = f.now
 		}
