placer: late reports make no pool busy

A unit waits for its preferences for 1.5 s in a pool that is mostly idle and for 30 s in a busy one. Workers whose last report came late, as on a busy machine, get no new tasks and were not counted as part of the pool: with 9 of 24 workers in use and 8 late the pool passed for busy, and each such moment also began the 1.5 s anew. Jobs stood still beside idle workers.

Workers that would get work but for a late report count as part of the pool now. They still get no tasks, and workers out of contact still do not count, as they may be gone. The tests of placer, coordinator and simulator pass.

--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -266,9 +266,10 @@
 // workerView returns the placer's input for a worker.
 func (c *Coordinator) workerView(state *tracker.Tracker, w *worker, now time.Time) *placer.Worker {
 	silent := now.Sub(w.lastContact) >= c.opts.Timing.contactTimeout(w.interval) || !now.Before(w.leaseEnd)
+	sound := !w.leaving && state.Pools()[w.pool] != nil && !silent
 	v := &placer.Worker{
 		ID: w.id, Started: w.born, Pool: w.pool, Rack: w.rack, Labels: w.labels, Capacity: w.capacity, Free: w.capacity,
-		Usable: !w.leaving && !w.unreachable && state.Pools()[w.pool] != nil && !silent, Silent: silent,
+		Usable: sound && !w.unreachable, Late: sound && w.unreachable, Silent: silent,
 		Suspect: w.health.isSuspect(now), ProvenAt: w.health.provenLately(now), Young: w.age() < minWorkerAge,
 	}
 	runs := state.RunsOn(w.id)
@@ -296,7 +297,7 @@
 		}
 		j := state.Job(key.Job)
 		if j == nil || j.Step(key.Occurrence, key.Step) == nil {
-			v.Usable = false // it lists an unknown run, so its free capacity is unknown
+			v.Usable, v.Late = false, false // it lists an unknown run, so its free capacity is unknown
 			continue
 		}
 		v.Free = v.Free.Sub(placer.Need(j.Step(key.Occurrence, key.Step).Spec))
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -22,6 +22,7 @@
 	Free     Vector    // capacity minus all runs that have not ended
 	Usable   bool      // new tasks may start on it
 	Silent   bool      // it is out of contact, so its runs may have ended
+	Late     bool      // no new tasks may start on it only because its last report came late
 	Suspect  bool      // used only if no other worker fits, and not for a last attempt
 	Probed   bool      // used for one task at a time, not for a gang or a last attempt
 	ProvenAt time.Time // when a run that had just started was last seen at work on it, zero if not lately
--- a/internal/queue/placer/preference.go
+++ b/internal/queue/placer/preference.go
@@ -192,13 +192,13 @@
 	return p.isPoolIdle(u.pool)
 }
 
-// isPoolIdle reports whether less than half of the usable part of a pool is in use.
+// isPoolIdle reports whether less than half of the usable part of a pool is in use. Late reports do not make a pool busy.
 func (p *pass) isPoolIdle(pool string) bool {
 	idle, known := p.idle[pool]
 	if !known {
 		total, free := int64(0), int64(0)
 		for _, w := range p.input.Workers {
-			if w.Pool == pool && w.Usable {
+			if w.Pool == pool && (w.Usable || w.Late) {
 				total += w.Capacity.Weight()
 				free += w.Free.Weight()
 			}
