drainer: a stop waits a moment for the answers to cancelled requests

A caller's POST was cut 3.9 s after it was written, at the planned stop of an entry (LOST). The entry cancels the requests that are still in progress 200 ms before the end of a stop and closes all connections at its end; on a busy machine (load 40) the handler wrote its 502 a millisecond after that. Seen once, in a run of platform/soak beside other work: entry-3 stops at 46.23, the request is cut at 51.531, its handler ends at 51.532.

The end is 700 ms before SIGKILL. Up to 300 ms of these are now spent on connections that carry a request, and none if there is no such. TestStopWaitsForLateAnswers failed before (unexpected EOF), TestStopLeavesSilentHandlers shows the limit.

--- a/internal/entry/drainer/conn.go
+++ b/internal/entry/drainer/conn.go
@@ -214,6 +214,13 @@
 	return true
 }
 
+// carriesRequest reports whether the connection carries a request without a whole response.
+func (c *conn) carriesRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.closed && c.busy
+}
+
 // begin notes that a handler starts, and returns the request for it.
 func (c *conn) begin(r *http.Request) *http.Request {
 	c.mu.Lock()
--- a/internal/entry/drainer/drainer.go
+++ b/internal/entry/drainer/drainer.go
@@ -30,6 +30,9 @@
 	// abortTime is the time before the end of a stop at which the contexts of the requests in progress are cancelled, so
 	// that they are still answered.
 	abortTime = 200 * time.Millisecond
+	// overtime is the time after the end of a stop for which it waits for the answers to requests that have been cancelled, as
+	// their handlers may be late on a busy machine.
+	overtime = 300 * time.Millisecond
 	// quietTime is the time without a request after which a connection may be closed.
 	quietTime = 200 * time.Millisecond
 	// handshakeTime is the time for handshakes in progress to complete before a listener is closed.
@@ -149,7 +152,8 @@
 // Drain ends each connection with its next response, or where further requests have arrived, with the last one. It does not block.
 func (d *Drainer) Drain() { d.enter(draining) }
 
-// Stop drains the servers of a process and returns once all clients have left, at the latest at end. From refuse on, or once no
+// Stop drains the servers of a process and returns once all clients have left, at the latest at end, or overtime later while
+// a connection carries a request. From refuse on, or once no
 // connection is open at any of them, no connection is accepted. Shortly before end the connections without a request are
 // closed, and then the contexts of requests that are still in progress are cancelled with ErrStopping, so that they are
 // answered.
@@ -180,11 +184,26 @@
 		}
 		time.Sleep(pollInterval)
 	}
+	for slices.ContainsFunc(servers, (*Drainer).carriesRequests) && time.Now().Before(end.Add(overtime)) {
+		time.Sleep(pollInterval)
+	}
 	for _, d := range servers {
 		d.Kill()
 	}
 }
 
+// carriesRequests reports whether a connection carries a request.
+func (d *Drainer) carriesRequests() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for c := range d.conns {
+		if c.carriesRequest() {
+			return true
+		}
+	}
+	return false
+}
+
 // Kill closes all connections at once.
 func (d *Drainer) Kill() {
 	d.enter(closing)
--- a/internal/entry/drainer/drainer_test.go
+++ b/internal/entry/drainer/drainer_test.go
@@ -167,6 +167,53 @@
 	is.NoErr(c.Close())
 }
 
+// TestStopWaitsForLateAnswers guards against a request that is cut at the end of a stop while its handler, which has been
+// cancelled, writes the response: on a busy machine that may take longer than abortTime.
+func TestStopWaitsForLateAnswers(t *testing.T) {
+	is := is.New(t)
+	begun := make(chan struct{})
+	d, address, logs := newServer(t, func(w http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+		time.Sleep(abortTime + overtime/2)
+		w.WriteHeader(http.StatusBadGateway)
+	})
+	c, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, request)
+	is.NoErr(err)
+	<-begun
+	end := time.Now().Add(RefuseTime)
+	go Stop(time.Now(), end, d)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	is.Equal(response.StatusCode, http.StatusBadGateway)
+	is.Equal(logs.FilterMessage("connection ends with an unanswered request").Len(), 0)
+}
+
+// TestStopLeavesSilentHandlers guards against a stop that waits without end for a handler that ignores its cancellation.
+func TestStopLeavesSilentHandlers(t *testing.T) {
+	is := is.New(t)
+	begun, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	d, address, _ := newServer(t, func(http.ResponseWriter, *http.Request) {
+		close(begun)
+		<-release
+	})
+	c, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, request)
+	is.NoErr(err)
+	<-begun
+	end := time.Now().Add(RefuseTime)
+	Stop(time.Now(), end, d)
+	is.True(time.Since(end) >= overtime)
+	is.True(time.Since(end) < overtime+time.Second)
+}
+
 // TestUnansweredRequestIsLogged checks that a connection that ends with a request in progress is logged with the request.
 func TestUnansweredRequestIsLogged(t *testing.T) {
 	is := is.New(t)
