coordinator: a new leader gives up no job that its predecessor would have tried again

After three crashes of which two count against a task alone its job is given up, unless a worker that was starting nothing was lost after the last one: then the task is tried again. Only the leader of that time knew of such losses, so after a change of leader before that trial the job was shown as failed. Not seen by callers as far as is known.

A new leader tries such a task once more; five crashes end it as before. TestDoubtOutlivesLeader failed before in a trial with three crashes: the job failed after the change of leader, and ran without one. The tests of coordinator and simulator pass.

--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -140,6 +140,7 @@
 	losses          map[string]time.Time // of workers that were starting nothing, by machine, within widespreadPeriod before the last one
 	widespreadAt    time.Time            // when these were last a large part of the workers, zero for never
 	verdicts        map[tracker.TaskKey]verdict
+	hasVerdicts     bool // the tasks that had several crashes when the term began are in verdicts
 	deferrals       map[placer.StepKey]*deferral
 	idleSince       map[placer.StepKey]time.Time // since when steps wait though most of their pool is idle
 	waits           map[string]*jobWait          // by job
@@ -206,7 +207,7 @@
 	c.stopping = map[tracker.RunKey]bool{}
 	c.unexplainedAt, c.lossAt = time.Time{}, time.Time{}
 	c.allLosses, c.losses, c.widespreadAt = map[string]time.Time{}, map[string]time.Time{}, time.Time{}
-	c.verdicts = map[tracker.TaskKey]verdict{}
+	c.verdicts, c.hasVerdicts = map[tracker.TaskKey]verdict{}, false
 	c.deferrals = map[placer.StepKey]*deferral{}
 	c.idleSince = map[placer.StepKey]time.Time{}
 	c.waits = map[string]*jobWait{}
--- a/internal/queue/coordinator/crash.go
+++ b/internal/queue/coordinator/crash.go
@@ -159,7 +159,7 @@
 	if !t.IsOnLastTrial() || !c.wasWidespread(c.opts.Now()) {
 		return true
 	}
-	c.verdicts[key.TaskKey] = verdict{len(t.Crashes), c.opts.Now()}
+	c.verdicts[key.TaskKey] = verdict{crashes: len(t.Crashes), since: c.opts.Now()}
 	return false
 }
 
@@ -209,19 +209,22 @@
 type verdict struct {
 	crashes int
 	since   time.Time // when this leader first saw so many
+	// inherited: an earlier leader saw the last crash, and may have seen unexplained losses that this one does not know.
+	inherited bool
 }
 
 // updateVerdicts notes which tasks have several crashes, and since when.
 func (c *Coordinator) updateVerdicts(state *tracker.Tracker) {
 	state.EachSuspect(func(key tracker.TaskKey, _ *tracker.Job, t *tracker.Task) {
 		if n := len(t.Crashes); n > 1 && c.verdicts[key].crashes != n {
-			c.verdicts[key] = verdict{n, c.opts.Now()}
+			c.verdicts[key] = verdict{crashes: n, since: c.opts.Now(), inherited: !c.hasVerdicts}
 		}
 	})
+	c.hasVerdicts = true
 }
 
 // giveUps returns the jobs with a task that crashes the workers that start it. A task is tried again if there was an
-// unexplained loss after its last crash, unless it has used up all trials.
+// unexplained loss after its last crash, or may have been, unless it has used up all trials.
 func (c *Coordinator) giveUps(state *tracker.Tracker) []string {
 	c.updateVerdicts(state)
 	var list []string
@@ -237,13 +240,13 @@
 	return slices.Compact(list)
 }
 
-// isTriedAgain reports whether a task that seems to crash its workers is not given up, because of unexplained losses after the
-// last crash, or, if it has used up its trials, of widespread ones around it.
+// isTriedAgain reports whether a task that seems to crash its workers is not given up, because there were, or may have been,
+// unexplained losses after the last crash, or, if it has used up its trials, because of widespread ones around it.
 func (c *Coordinator) isTriedAgain(v verdict, t *tracker.Task) bool {
 	if t.IsExhausted() {
 		return !t.IsLikelyCause() && c.wasWidespread(v.since)
 	}
-	return c.unexplainedAt.After(v.since)
+	return v.inherited || c.unexplainedAt.After(v.since)
 }
 
 // isHeld reports whether a suspect task must not start: it is about to be given up, or workers are being lost, as while an
