coordinator: holds last at most 30 s

The time of a hold was multiplied by three with each crash. Crashes amid widespread losses do not end a task, so it could grow without end; found by reading, no run shows it.

--- a/internal/queue/coordinator/crash.go
+++ b/internal/queue/coordinator/crash.go
@@ -34,9 +34,10 @@
 	// alone explains and further losses of a few workers.
 	quietPeriod = 1500 * time.Millisecond
 	// minHoldTime is how long it waits for that after its second crash, and holdTimeFactor times as long after each further
-	// one, so that losses that go on do not hold it for ever.
+	// one, up to maxHoldTime, so that losses that go on do not hold it for ever.
 	minHoldTime    = 2 * time.Second
 	holdTimeFactor = 3
+	maxHoldTime    = 30 * time.Second
 	// While one in widespreadDivisor of the workers, and more than one, has been lost without an explanation within
 	// widespreadPeriod, no crash is the one after which a task must not be tried again.
 	widespreadPeriod  = 5 * time.Second
@@ -266,7 +267,7 @@
 func holdTime(crashes int) time.Duration {
 	limit := minHoldTime
 	for range crashes - 2 {
-		limit *= holdTimeFactor
+		limit = min(limit*holdTimeFactor, maxHoldTime)
 	}
 	return limit
 }
