placer: trials that may decide over a job start alone

A task with three crashes or more is tried on a worker on which nothing else is starting, and nothing starts beside it, until it or the other unit has waited for 2.25 s in a mostly idle pool. TestDecidingTrialsStartAlone failed before.

--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -47,6 +47,11 @@
 // isTrial reports whether the run is the first one of a suspect task since it may have crashed a worker.
 func (a *ActiveRun) isTrial() bool { return a.Starting && a.Step.Tasks[a.Key.Task].IsSuspect() }
 
+// isDecidingTrial reports whether the run is a trial after which its job may be given up.
+func (a *ActiveRun) isDecidingTrial() bool {
+	return a.isTrial() && len(a.Step.Tasks[a.Key.Task].Crashes) >= decidingCrashes
+}
+
 // Input holds the data for one pass.
 type Input struct {
 	Workers []*Worker
@@ -107,6 +112,7 @@
 	anyRack        bool // it no longer waits for a single rack
 	anyReserved    bool // it no longer waits for workers that are not reserved
 	incautious     bool // it no longer waits for workers that nothing speaks against
+	overLimit      bool // it no longer waits for trials that decide over a job, its own or those of others
 	estimate       time.Duration
 	objective      time.Duration
 	age            time.Duration
@@ -147,6 +153,7 @@
 	projected Vector
 	assigned  bool  // a task was started on it in this pass
 	closed    bool  // a trial is under way or about to start on it; nothing else starts on it without need
+	sealed    bool  // the same, and what started on it would share the blame that the trial is to settle
 	starting  bool  // a run is starting on it
 	loss      int64 // cost of the work that its crash would lose, negative until it is computed
 	// reservedIn is the estimated time until a waiting gang starts here. Later units may use the worker only
@@ -187,6 +194,7 @@
 		p.workers = append(p.workers, c)
 		if w.hasTrial() {
 			p.close(c)
+			c.sealed = slices.ContainsFunc(w.Runs, (*ActiveRun).isDecidingTrial)
 		}
 		if w.Usable {
 			p.doubtful[w.Pool] = p.doubtful[w.Pool] || w.Quarantined || w.Probed
@@ -324,6 +332,7 @@
 // place starts a gang, or as many single tasks as fit. A unit that does not fit may reserve capacity.
 func (p *pass) place(u *unit) {
 	p.block(u.key(), NoCapacity)
+	u.overLimit = p.isIdle(u) && p.input.Waited(u.key()).Idle >= maxDecidingWait
 	if u.crashes > 0 {
 		p.placeTrial(u)
 		return
@@ -337,7 +346,7 @@
 
 // mayUse reports whether the unit may use the worker in this pass, regardless of free capacity.
 func (u *unit) mayUse(c *candidate) bool {
-	if c.closed && !u.incautious || u.startsAlone() && (c.assigned || c.starting) {
+	if c.sealed && !u.overLimit || c.closed && (!u.incautious || u.isDeciding()) || u.startsAlone() && (c.assigned || c.starting) {
 		return false
 	}
 	return u.canRunOn(c.Worker)
--- a/internal/queue/placer/trial.go
+++ b/internal/queue/placer/trial.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
 )
@@ -15,6 +16,17 @@
 	maxTrials       = 32 // that start in one pass in a pool
 )
 
+const (
+	// decidingCrashes is the number of crashes from which a further one may decide that a job is given up. A task with so
+	// many is tried alone, so that an innocent one is not given up for what starts beside it.
+	decidingCrashes = 3
+	// maxDecidingWait is how long units wait for that in a pool that is mostly idle.
+	maxDecidingWait = 2250 * time.Millisecond
+)
+
+// isDeciding reports whether the job may be given up after the trial of the unit, which therefore starts alone.
+func (u *unit) isDeciding() bool { return u.crashes >= decidingCrashes && !u.overLimit }
+
 // hasTrial reports whether a suspect task is starting on the worker. Nothing else may start there meanwhile, so that a
 // crash of the worker has one explanation and costs little.
 func (w *Worker) hasTrial() bool { return slices.ContainsFunc(w.Runs, (*ActiveRun).isTrial) }
@@ -100,7 +112,9 @@
 }
 
 // startsAlone reports whether a gang waits for workers on which nothing else is starting. Single tasks do so always.
-func (u *unit) startsAlone() bool { return u.crashes > 1 && u.step.Spec.GetGang() && !u.incautious }
+func (u *unit) startsAlone() bool {
+	return u.crashes > 1 && u.step.Spec.GetGang() && (!u.incautious || u.isDeciding())
+}
 
 // isOneAtATime reports whether no other trial of its job may be under way. A task that no crash speaks against alone is
 // likely to be innocent.
@@ -148,8 +162,9 @@
 	} else if c := p.selectTrialWorker(u); c == nil {
 		p.placeWaitingTrial(u)
 	} else {
-		if overdue || !c.assigned && !c.starting {
+		if overdue && !u.isDeciding() || !c.assigned && !c.starting {
 			p.start(u, u.tasks[0], c)
+			c.sealed = u.isDeciding()
 		} else {
 			p.block(u.key(), StartsPending)
 		}
@@ -167,6 +182,7 @@
 	for _, c := range p.pools[u.pool] {
 		if slices.ContainsFunc(p.plan.Starts[before:], c.hosts) {
 			p.close(c)
+			c.sealed = u.isDeciding()
 		}
 	}
 }
@@ -208,10 +224,11 @@
 // little about the task.
 func (p *pass) selectTrialWorker(u *unit) *candidate {
 	counts := p.runsPerWorker(u)
+	atOnce := u.isDeciding() && p.isOverdue(u) // it does not wait for starts on the worker
 	var best *candidate
 	var bestLoss int64
 	for _, c := range p.pools[u.pool] {
-		if !u.canStartOn(c, counts) || c.available(u).Fits(u.need, 1) == 0 {
+		if !u.canStartOn(c, counts) || c.available(u).Fits(u.need, 1) == 0 || atOnce && (c.assigned || c.starting) {
 			continue
 		}
 		loss := p.lossOf(c)
--- a/internal/queue/placer/trial_test.go
+++ b/internal/queue/placer/trial_test.go
@@ -341,3 +341,34 @@
 		})
 	}
 }
+
+// TestDecidingTrialsStartAlone guards against innocent tasks that are given up for crashes of others: after three crashes a
+// task starts on a worker of its own, also if it no longer waits for other trials, and nothing starts beside it.
+func TestDecidingTrialsStartAlone(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gang %v", gang), func(t *testing.T) {
+			is := is.New(t)
+			tr := tracker.New()
+			for i := range 12 {
+				id := fmt.Sprintf("suspect%d", i)
+				submit(tr, id, 1, &messages.Step{Count: 2, Processors: 1000, Gang: gang, Spread: 1})
+				crash(tr, id, 0, 3, false)
+				crash(tr, id, 1, 3, false)
+			}
+			submit(tr, "later", 2, &messages.Step{Count: 40, Processors: 1000})
+			in := input(fleet(8), tr)
+			in.Waited = func(StepKey) Wait { return Wait{Deferred: maxBusyWait, Idle: maxDecidingWait - 1} }
+			jobs := map[string]map[string]bool{}
+			for _, r := range NewPlan(in).Starts {
+				if jobs[r.GetWorker()] == nil {
+					jobs[r.GetWorker()] = map[string]bool{}
+				}
+				jobs[r.GetWorker()][r.GetJob()] = true
+			}
+			is.True(len(jobs) >= 6)
+			for _, started := range jobs {
+				is.Equal(len(started), 1)
+			}
+		})
+	}
+}
