coordinator: tasks that crash their workers do not extend each other's holds

Jobs whose tasks crash their workers stood still beside idle workers: each crash that may have several explanations extended the holds of all, also where one of the tasks explains an earlier crash alone and so probably this one. Such a crash extends no hold now.

--- a/internal/queue/coordinator/crash.go
+++ b/internal/queue/coordinator/crash.go
@@ -126,7 +126,7 @@
 	}
 	calm := c.unexplainedAt.IsZero() || c.opts.Now().Sub(c.unexplainedAt) >= unexplainedPeriod
 	one := crashed && calm && age >= minWorkerAge && isOneUnit(state, starting)
-	if !one || slices.ContainsFunc(starting, func(key tracker.RunKey) bool { return !c.committedStarts[key] }) {
+	if !c.isExplained(state, starting, one) {
 		c.extendHolds(id, w)
 	}
 	var list []*messages.Crash
@@ -193,6 +193,19 @@
 	return true
 }
 
+// isExplained reports whether the loss of a worker on which runs were starting needs no further explanation: it speaks against
+// a single unit, or one of the tasks alone explains an earlier crash, and so probably this one. Other tasks need not wait for
+// the end of such losses.
+func (c *Coordinator) isExplained(state *tracker.Tracker, starting []tracker.RunKey, one bool) bool {
+	for _, key := range starting {
+		if state.Job(key.Job).Step(key.Occurrence, key.Step).Tasks[key.Task].AloneCrashes() > 0 {
+			return true
+		}
+		one = one && c.committedStarts[key]
+	}
+	return one
+}
+
 // mayBeStarting reports whether a run on a lost worker may have been starting when the worker was last alive.
 // youngest is the time of the last start on the worker. A worker gets starts only while it is in contact, so it has
 // survived the starts that are much older.
