--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -125,6 +125,7 @@
 	Checkpointing bool   `json:"checkpointing,omitempty"`
 	Gang          bool   `json:"gang,omitempty"`
 	Requirements  string `json:"requirements,omitempty"`
+	Lasting       bool   `json:"long_running,omitempty"`
 }
 
 // job returns the body of a submission.
