--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -25,7 +25,6 @@
 	stopTime     = 400 * time.Millisecond
 	gangWait     = 3 * time.Second
 	reclaim      = 5900 * time.Millisecond
-	visible      = 3 * time.Second
 )
 
 // record is the file of what was sent, answered and run.
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -21,7 +21,7 @@
 const maxRunTime = 115 * time.Second // after it the case has not run
 
 var cases = map[string]func(c *cluster, trouble bool) (broken string, err error){
-	"flap": flap, "lasting": lasting, "urgent": urgentBeyond, "apart": apart, "waiting": waiting,
+	"lasting": lasting, "urgent": urgentBeyond, "apart": apart,
 }
 
 func main() { os.Exit(play()) }
