drainer: a connection is not closed with a request that has just arrived

Cause: the reader looked for unread bytes and closed the connection later. A request that arrived in between was acknowledged by the kernel and reset unread.

Change: before the last look the reader attaches a socket filter that drops segments with data, unacknowledged. What has arrived by then is served; what comes later was never accepted, and the client's kernel gets a reset for it. Where the filter can't be attached, the former look remains.

--- a/internal/entry/drainer/bound_test.go
+++ b/internal/entry/drainer/bound_test.go
@@ -192,6 +192,43 @@
 	is.Equal(logs.FilterMessage("connection ends with an unanswered request").Len(), 0)
 }
 
+// TestIdleTimeoutLosesNoRequest guards against connections that are closed for their idle time with a request that has just
+// arrived: the reader's deadline passes while the request is on its way.
+func TestIdleTimeoutLosesNoRequest(t *testing.T) {
+	is := is.New(t)
+	const idleTime = 20 * time.Millisecond
+	core, logs := observer.New(zapcore.InfoLevel)
+	var served, answered atomic.Int64
+	l, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	is.NoErr(err)
+	d := New(l, Options{
+		Handler:           http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }),
+		ReadHeaderTimeout: time.Second, IdleTimeout: idleTime, Fail: func(err error) { t.Error(err) }, Log: zap.New(core),
+	})
+	t.Cleanup(d.Kill)
+	var wait sync.WaitGroup
+	end := time.Now().Add(2 * time.Second)
+	for range 20 {
+		wait.Go(func() {
+			for time.Now().Before(end) {
+				c := dial(t, l.Addr().String())
+				for {
+					if _, _, err := c.send(request); err != nil {
+						break
+					}
+					answered.Add(1)
+					time.Sleep(idleTime - time.Millisecond + rand.N(2*time.Millisecond))
+				}
+				_ = c.Close()
+			}
+		})
+	}
+	wait.Wait()
+	t.Logf("%d served, %d answered", served.Load(), answered.Load())
+	is.Equal(served.Load(), answered.Load())
+	is.Equal(logs.FilterMessage("connection ends with an unanswered request").Len(), 0)
+}
+
 // TestMaxConnectionsLeavesDescriptors checks that descriptors are left for other daemons and files.
 func TestMaxConnectionsLeavesDescriptors(t *testing.T) {
 	is := is.New(t)
--- a/internal/entry/drainer/conn.go
+++ b/internal/entry/drainer/conn.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// Read implements net.Conn. A connection that retires ends with the error of its deadline, unless a request has arrived.
+// Read implements net.Conn. A connection without a request ends with the error of its deadline, unless one has arrived.
 func (c *conn) Read(p []byte) (int, error) {
 	if n := c.takePending(p); n > 0 {
 		return n, nil
@@ -180,17 +180,35 @@
 	return c.drainer.isDraining() && (stage(c.drainer.stage.Load()) >= aborting || !c.hasSurplus())
 }
 
-// revive reports whether a connection that retires has bytes to read. It then carries a request and stays.
+// revive reports whether a connection without a request, whose read has timed out, has bytes to read after all. It then
+// carries a request and stays. Otherwise it takes no further bytes: a request that arrives between this look and the close
+// would have been acknowledged to the client's kernel and reset unread.
 func (c *conn) revive() bool {
+	if !c.isEnding() {
+		return false
+	}
+	if unread(c.TCPConn) == 0 {
+		if err := refuseData(c.TCPConn); err == nil {
+			time.Sleep(deliveryTime)
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.retiring || unread(c.TCPConn) == 0 {
+	if c.closed || unread(c.TCPConn) == 0 {
 		return false
 	}
+	acceptData(c.TCPConn)
 	c.unretire()
 	return true
 }
 
+// isEnding reports whether the connection ends for a lack of requests.
+func (c *conn) isEnding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retiring || !c.busy && !c.streams
+}
+
 // unretire gives the request that has arrived time to be read. The caller must hold the lock.
 func (c *conn) unretire() {
 	c.retiring = false
--- a/internal/entry/drainer/socket.go
+++ b/internal/entry/drainer/socket.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/netip"
 	"os"
+	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -23,21 +25,57 @@
 }
 
 const (
-	tcpFlagsOffset = 13 // bytes from the start of the TCP header
-	tcpFlagSYN     = 2
-	passAll        = 0xffffffff // bytes of a packet
+	tcpHeaderLengthOffset = 12 // bytes from the start of the TCP header; the length is in the upper half of the byte
+	tcpHeaderLengthShift  = 4
+	tcpHeaderWordShift    = 2  // from words of four bytes to bytes
+	tcpFlagsOffset        = 13 // bytes from the start of the TCP header
+	tcpFlagSYN            = 2
+	passAll               = 0xffffffff // bytes of a packet
 )
 
+// deliveryTime is the time for a segment that passed before a filter was attached to reach the socket's queue.
+const deliveryTime = time.Millisecond
+
 // refuseConnects makes the kernel drop new requests to connect to a listener. Handshakes in progress complete. Clients send
 // their requests again, and reach the next process or are refused.
 func refuseConnects(l *net.TCPListener) error {
-	program := []unix.SockFilter{
+	return attachFilter(l, []unix.SockFilter{
 		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: tcpFlagsOffset},
 		{Code: unix.BPF_JMP | unix.BPF_JSET | unix.BPF_K, K: tcpFlagSYN, Jf: 1},
 		{Code: unix.BPF_RET | unix.BPF_K},
 		{Code: unix.BPF_RET | unix.BPF_K, K: passAll},
+	})
+}
+
+// refuseData makes the kernel drop all segments with data, unacknowledged. The client's kernel sends them again, and gets a
+// reset once the connection is closed. Segments that close the connection pass.
+func refuseData(c *net.TCPConn) error {
+	return attachFilter(c, []unix.SockFilter{
+		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: tcpHeaderLengthOffset},
+		{Code: unix.BPF_ALU | unix.BPF_RSH | unix.BPF_K, K: tcpHeaderLengthShift},
+		{Code: unix.BPF_ALU | unix.BPF_LSH | unix.BPF_K, K: tcpHeaderWordShift},
+		{Code: unix.BPF_MISC | unix.BPF_TAX},
+		{Code: unix.BPF_LD | unix.BPF_W | unix.BPF_LEN},
+		{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_X, Jf: 1},
+		{Code: unix.BPF_RET | unix.BPF_K, K: passAll},
+		{Code: unix.BPF_RET | unix.BPF_K},
+	})
+}
+
+// acceptData ends refuseData. What was dropped arrives with the client's next retransmission.
+func acceptData(c *net.TCPConn) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
 	}
-	raw, err := l.SyscallConn()
+	_ = raw.Control(func(fd uintptr) { // fails only on a closed connection
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0) // fails only if there is none
+	})
+}
+
+// attachFilter attaches a filter for the segments that a socket receives.
+func attachFilter(s syscall.Conn, program []unix.SockFilter) error {
+	raw, err := s.SyscallConn()
 	if err != nil {
 		return err
 	}
