--- a/internal/entry/forwarder/queues.go
+++ b/internal/entry/forwarder/queues.go
@@ -70,6 +70,21 @@
 	})
 }
 
+// Evacuate starts or ends the evacuation of a data centre on the leader.
+func (f *Forwarder) Evacuate(ctx context.Context, o *messages.EvacuationOrder) (*messages.Verdict, error) {
+	return call(ctx, f, request{methodEvacuate, o, callTimeout}, func(ctx context.Context, a netip.AddrPort) (*messages.Verdict, error) {
+		return f.queues(a).Evacuate(ctx, o)
+	})
+}
+
+// Evacuations lists the evacuated data centres from the leader.
+func (f *Forwarder) Evacuations(ctx context.Context) (*messages.EvacuationList, error) {
+	l := &messages.Lookup{}
+	return call(ctx, f, request{methodEvacuations, l, callTimeout}, func(ctx context.Context, a netip.AddrPort) (*messages.EvacuationList, error) {
+		return f.queues(a).Evacuations(ctx, l)
+	})
+}
+
 // maxReportAttempts bounds the daemons to which a report is sent in turn.
 const maxReportAttempts = 3
 
--- a/internal/entry/forwarder/unanswered.go
+++ b/internal/entry/forwarder/unanswered.go
@@ -18,14 +18,16 @@
 
 // Methods of the services whose calls are forwarded for a caller or an operator.
 const (
-	methodSubmit  = "Submit"
-	methodCancel  = "Cancel"
-	methodLook    = "Look"
-	methodInstall = "Install"
-	methodFetch   = "Fetch"
-	methodPropose = "Propose"
-	methodAwait   = "Await"
-	methodQuery   = "Query"
+	methodSubmit      = "Submit"
+	methodCancel      = "Cancel"
+	methodLook        = "Look"
+	methodInstall     = "Install"
+	methodFetch       = "Fetch"
+	methodEvacuate    = "Evacuate"
+	methodEvacuations = "Evacuations"
+	methodPropose     = "Propose"
+	methodAwait       = "Await"
+	methodQuery       = "Query"
 )
 
 // maxRepeatLines bounds the lines about repetitions of one call.
@@ -40,7 +42,7 @@
 func newMetrics(scope tally.Scope) map[string]callMetrics {
 	m := map[string]callMetrics{}
 	for _, method := range []string{
-		methodSubmit, methodCancel, methodLook, methodInstall, methodFetch, methodPropose, methodAwait, methodQuery,
+		methodSubmit, methodCancel, methodLook, methodInstall, methodFetch, methodEvacuate, methodEvacuations, methodPropose, methodAwait, methodQuery,
 	} {
 		tagged := scope.Tagged(map[string]string{"call": method})
 		m[method] = callMetrics{repeated: tagged.Counter("repeated"), givenUp: tagged.Counter("given_up")}
@@ -108,6 +110,8 @@
 		return m.GetPath()
 	case *messages.Catalog:
 		return strconv.FormatUint(m.GetVersion(), 10)
+	case *messages.EvacuationOrder:
+		return m.GetPlace()
 	case *messages.Wait:
 		return m.GetOrganisation() + "/" + m.GetKey()
 	case *messages.Question:
@@ -202,7 +206,7 @@
 // messages of the consensus protocol.
 func isForwarded(method string) bool {
 	switch method {
-	case methodSubmit, methodCancel, methodLook, methodInstall, methodFetch, methodPropose, methodAwait, methodQuery:
+	case methodSubmit, methodCancel, methodLook, methodInstall, methodFetch, methodEvacuate, methodEvacuations, methodPropose, methodAwait, methodQuery:
 		return true
 	}
 	return false
