--- a/internal/queue/tracker/snapshot.go
+++ b/internal/queue/tracker/snapshot.go
@@ -13,7 +13,7 @@
 
 // Save encodes the state as a snapshot.
 func (t *Tracker) Save() ([]byte, error) {
-	s := &messages.QueueState{Catalog: t.catalog, Sequence: t.sequence}
+	s := &messages.QueueState{Catalog: t.catalog, Sequence: t.sequence, Evacuations: t.Evacuations()}
 	for _, j := range slices.SortedFunc(maps.Values(t.jobs), func(x, y *Job) int { return cmp.Compare(x.Sequence, y.Sequence) }) {
 		s.Jobs = append(s.Jobs, j.save())
 	}
@@ -62,6 +62,9 @@
 	if s.GetCatalog() != nil {
 		t.install(s.GetCatalog())
 	}
+	for _, e := range s.GetEvacuations() {
+		t.evacuations[e.GetPlace()] = e
+	}
 	for _, incarnation := range s.GetLives() {
 		t.incarnations[incarnation.GetWorker()] = Incarnation{Started: incarnation.GetBorn(), Sequence: incarnation.GetSequence()}
 	}
--- a/internal/queue/tracker/tracker.go
+++ b/internal/queue/tracker/tracker.go
@@ -19,8 +19,9 @@
 	open         []*Job // not ended or with active runs, in the order of acceptance
 	runs         map[string]map[RunKey]*messages.Run
 	incarnations map[string]Incarnation
-	suspects     map[TaskKey]bool // tasks with crashes
-	sequence     uint64           // of the last accepted job
+	suspects     map[TaskKey]bool                // tasks with crashes
+	evacuations  map[string]*messages.Evacuation // by data centre
+	sequence     uint64                          // of the last accepted job
 }
 
 // Incarnation is the committed state of the current incarnation of a worker.
@@ -82,7 +83,7 @@
 func New() *Tracker {
 	return &Tracker{
 		jobs: map[string]*Job{}, runs: map[string]map[RunKey]*messages.Run{}, incarnations: map[string]Incarnation{},
-		suspects: map[TaskKey]bool{}, index: newIndex(nil),
+		suspects: map[TaskKey]bool{}, evacuations: map[string]*messages.Evacuation{}, index: newIndex(nil),
 	}
 }
 
@@ -138,6 +139,9 @@
 	if c.GetCatalog() != nil {
 		t.install(c.GetCatalog())
 	}
+	for _, o := range c.GetEvacuations() {
+		t.evacuate(o, c.GetTime())
+	}
 	for _, w := range c.GetSubmits() {
 		t.submit(w)
 	}
