coordinator, forwarder: an accepted job is not refused when an entry repeats its submission

A submission was answered 401 and ran: the leader that committed it was lost before its answer, the caller's key was withdrawn, and the next leader checked the key of the repeated attempt before it looked for the job. The same could happen after a queue was removed.

Entries now mark attempts that follow one with an open outcome. A marked attempt for a job that was accepted with the same content is answered as accepted; one whose earlier attempt is still being committed gets no verdict yet. Other calls are refused by the catalog in force, as before.

--- a/internal/entry/forwarder/unanswered_test.go
+++ b/internal/entry/forwarder/unanswered_test.go
@@ -256,3 +256,32 @@
 	is.Equal(fields["ended"], nil)
 	is.True(fields["error"] != nil)
 }
+
+// submitStub does not answer the first attempt of a submission in time.
+type submitStub struct {
+	messages.Queues
+	repeated []bool // of each attempt
+}
+
+func (k *submitStub) Submit(ctx context.Context, s *messages.Submission) (*messages.Verdict, error) {
+	k.repeated = append(k.repeated, s.GetRepeated())
+	if len(k.repeated) == 1 {
+		<-ctx.Done()
+	}
+	return &messages.Verdict{Status: "ok"}, nil
+}
+
+// TestRepeatedSubmissionIsMarked guards against a leader that refuses a repeated submission by a catalog that is later than
+// its acceptance, as it can't tell it from another call.
+func TestRepeatedSubmissionIsMarked(t *testing.T) {
+	is := is.New(t)
+	stub := &submitStub{}
+	server := httptest.NewServer(messages.NewQueuesServer(stub))
+	t.Cleanup(server.Close)
+	f := New("http", http.DefaultClient, fixedDirectory{netip.MustParseAddrPort(server.Listener.Addr().String())}, tally.NoopScope, zap.NewNop())
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := f.Submit(ctx, &messages.Submission{Path: "/q/a"})
+	is.NoErr(err)
+	is.Equal(stub.repeated, []bool{false, true})
+}
--- a/internal/queue/coordinator/call.go
+++ b/internal/queue/coordinator/call.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"path"
+	"slices"
 	"strings"
 	"time"
 
@@ -51,10 +54,17 @@
 	var verdict *messages.Verdict
 	var work *messages.Work
 	var term, version uint64
+	pending := false
 	err := c.read(ctx, func(state *tracker.Tracker) {
 		term, version = c.term, state.Catalog().GetVersion()
 		verdict, work = c.admit(state, s)
+		if verdict.GetStatus() != StatusOK {
+			verdict, pending = c.resolveRepeated(state, s, verdict)
+		}
 	})
+	if err == nil && pending {
+		err = errPending
+	}
 	if err != nil {
 		return nil, c.opts.RedirectError(ctx, err)
 	}
@@ -73,6 +83,33 @@
 	return verdict, nil
 }
 
+// errPending is the reason for which a repeated submission gets no verdict yet.
+var errPending = errors.New("an earlier attempt of the submission is not committed yet")
+
+// resolveRepeated corrects the refusal of a call of which an earlier attempt was accepted: the catalog may have changed
+// since. pending is true while the outcome of the earlier attempt is open. Another call for the same job is refused by the
+// catalog in force.
+func (c *Coordinator) resolveRepeated(state *tracker.Tracker, s *messages.Submission, refusal *messages.Verdict) (v *messages.Verdict, pending bool) {
+	if !s.GetRepeated() {
+		return refusal, false
+	}
+	id := path.Base(s.GetPath()) // its queue may be gone, and with it the prefix
+	if _, rest, ok := state.Queue(s.GetHost(), s.GetPath()); ok {
+		id = rest
+	}
+	if j := state.Job(id); j != nil && isSameWork(j.Work, s.GetWork()) {
+		return &messages.Verdict{Status: StatusOK, Reason: "known already"}, false
+	}
+	return refusal, state.Job(id) == nil && c.proposed[id]
+}
+
+// isSameWork reports whether an accepted job is the one that a caller submits.
+func isSameWork(accepted, submitted *messages.Work) bool {
+	return accepted.GetBody() == submitted.GetBody() && accepted.GetFirst() == submitted.GetFirst() && accepted.GetInterval() == submitted.GetInterval() &&
+		accepted.GetOccurrences() == submitted.GetOccurrences() &&
+		slices.EqualFunc(accepted.GetSteps(), submitted.GetSteps(), func(a, b *messages.Step) bool { return proto.Equal(a, b) })
+}
+
 func (c *Coordinator) logSubmit(s *messages.Submission, w *messages.Work, version uint64, v *messages.Verdict, receipt applier.Receipt) {
 	count(c.metrics.submits, v.GetStatus())
 	c.opts.Log.Info("job submitted", zap.String("path", s.GetPath()), zap.String("request", w.GetId()), zap.String("queue", w.GetQueue()),
