placer: workers of evacuated data centres start nothing, and cold ones are used last

Cause: an operator who empties a data centre needs that nothing more is started there, while its workers still report and keep their runs. Change: such workers are in no pool or rack of a pass, so gangs, tasks, evictions, reservations, forecasts of gangs, trials and the judgement of how busy a pool is leave them out; their runs still count as running. Workers that have come back and are still slow go behind others among those that fit.

--- a/internal/queue/placer/gang.go
+++ b/internal/queue/placer/gang.go
@@ -158,6 +158,9 @@
 		if u.isDataRemote(allocations) {
 			remaining += remotePenalty
 		}
+		if slices.ContainsFunc(allocations, func(a allocation) bool { return a.candidate.Cold }) {
+			remaining += coldPenalty
+		}
 		if bestRemaining < 0 || remaining < bestRemaining {
 			best, bestRemaining = allocations, remaining
 		}
@@ -168,6 +171,10 @@
 // remotePenalty ranks domains without the unit's data behind all domains that hold it.
 const remotePenalty = int64(1) << 40
 
+// coldPenalty ranks domains in which the unit would use cold workers behind all others, data aside. It exceeds the free
+// capacity of any domain.
+const coldPenalty = remotePenalty / 4
+
 func (u *unit) isDataRemote(allocations []allocation) bool {
 	rack := u.step.Spec.GetRack()
 	return rack != "" && slices.ContainsFunc(allocations, func(a allocation) bool { return a.candidate.Rack != rack })
@@ -189,6 +196,7 @@
 		return cmp.Or(
 			compareBool(a.candidate.Suspect, b.candidate.Suspect), compareBool(a.candidate.closed, b.candidate.closed),
 			compareBool(rack != "" && a.candidate.Rack != rack, rack != "" && b.candidate.Rack != rack),
+			compareBool(a.candidate.Cold, b.candidate.Cold),
 			cmp.Compare(free(a.candidate).Weight(), free(b.candidate).Weight()),
 		)
 	})
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -20,7 +20,7 @@
 	Labels   []string
 	Capacity Vector
 	Free     Vector    // capacity minus all runs that have not ended
-	Usable   bool      // new tasks may start on it
+	Usable   bool      // new tasks may start on it, unless its data centre is evacuated
 	Silent   bool      // it is out of contact, so its runs may have ended
 	Late     bool      // no new tasks may start on it only because its last report came late
 	Suspect  bool      // used only if no other worker fits, and not for a last attempt
@@ -30,8 +30,13 @@
 	Runs     []*ActiveRun
 	// Quarantined: too many runs have failed on it. It is used only by units that have waited long enough for others.
 	Quarantined bool
+	Evacuated   bool // its data centre is evacuated, so nothing starts on it
+	Cold        bool // it is still slow after its start
 }
 
+// accepts reports whether new tasks may start on the worker.
+func (w *Worker) accepts() bool { return w.Usable && !w.Evacuated }
+
 // ActiveRun is a run that has not ended.
 type ActiveRun struct {
 	Key       tracker.RunKey
@@ -196,7 +201,7 @@
 			p.close(c)
 			c.sealed = slices.ContainsFunc(w.Runs, (*ActiveRun).isDecidingTrial)
 		}
-		if w.Usable {
+		if w.accepts() {
 			p.doubtful[w.Pool] = p.doubtful[w.Pool] || w.Quarantined || w.Probed
 			p.pools[w.Pool] = append(p.pools[w.Pool], c)
 			p.racks[w.Pool+"\x00"+w.Rack] = append(p.racks[w.Pool+"\x00"+w.Rack], c)
--- a/internal/queue/placer/preference.go
+++ b/internal/queue/placer/preference.go
@@ -198,7 +198,7 @@
 	if !known {
 		total, free := int64(0), int64(0)
 		for _, w := range p.input.Workers {
-			if w.Pool == pool && (w.Usable || w.Late) {
+			if w.Pool == pool && (w.Usable || w.Late) && !w.Evacuated {
 				total += w.Capacity.Weight()
 				free += w.Free.Weight()
 			}
--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -116,6 +116,7 @@
 		if best == nil || cmp.Or(
 			compareBool(c.Suspect, best.Suspect), compareBool(c.closed, best.closed),
 			compareBool(rack != "" && c.Rack != rack, rack != "" && best.Rack != rack),
+			compareBool(c.Cold, best.Cold),
 			cmp.Compare(c.free.Accelerators, best.free.Accelerators),
 			cmp.Compare(c.free.Weight(), best.free.Weight()),
 		) < 0 {
--- a/internal/queue/placer/trial.go
+++ b/internal/queue/placer/trial.go
@@ -45,7 +45,7 @@
 				p.tried[a.Job] = true
 			}
 		}
-		if !w.Usable || w.Quarantined {
+		if !w.accepts() || w.Quarantined {
 			continue // a trial that has crashed its worker is over
 		}
 		usable[w.Pool]++
