--- a/internal/job/scheduler/event.go
+++ b/internal/job/scheduler/event.go
@@ -109,8 +109,15 @@
 	Progress    time.Duration `json:"progress,omitempty"`
 }
 
-// entryFormat is the version of the log entry encoding.
-const entryFormat = 1
+// Versions of the log entry encoding. Builds that know only the first one would ignore the evacuations in a queue entry of its
+// own encoding, so an entry with evacuations has the second one, which they refuse.
+const (
+	entryFormat           = 1
+	evacuationEntryFormat = 2
+)
+
+// EntryFormat is the latest version of the log entry encoding that this build applies.
+const EntryFormat = evacuationEntryFormat
 
 type envelope struct {
 	Format int             `json:"format"`
@@ -122,13 +129,24 @@
 // Encode encodes an event and its time as a log entry.
 func Encode(now time.Time, e Event) ([]byte, error) {
 	if q, ok := e.(ChangeQueues); ok {
-		return encodeQueues(now, q)
+		if len(q.Change.GetEvacuations()) == 0 {
+			return encodeQueues(now, q)
+		}
+		data, err := proto.Marshal(q.Change)
+		if err != nil {
+			return nil, fmt.Errorf("encode %T: %w", e, err)
+		}
+		return encodeEnvelope(evacuationEntryFormat, now, e, data)
 	}
-	body, err := json.Marshal(e)
+	return encodeEnvelope(entryFormat, now, e, e)
+}
+
+func encodeEnvelope(format int, now time.Time, e Event, body any) ([]byte, error) {
+	data, err := json.Marshal(body)
 	if err != nil {
 		return nil, fmt.Errorf("encode %T: %w", e, err)
 	}
-	return json.Marshal(envelope{Format: entryFormat, Kind: kindOf(e), Time: now, Body: body})
+	return json.Marshal(envelope{Format: format, Kind: kindOf(e), Time: now, Body: data})
 }
 
 func kindOf(e Event) string {
@@ -162,10 +180,15 @@
 	if err := json.Unmarshal(data, &env); err != nil {
 		return time.Time{}, nil, fmt.Errorf("decode entry: %w", err)
 	}
-	if env.Format != entryFormat {
-		return time.Time{}, nil, fmt.Errorf("decode entry: format %d, want %d", env.Format, entryFormat)
+	decode := decodeBody
+	switch env.Format {
+	case entryFormat:
+	case evacuationEntryFormat:
+		decode = decodeEvacuations
+	default:
+		return time.Time{}, nil, fmt.Errorf("decode entry: format %d, want at most %d", env.Format, EntryFormat)
 	}
-	e, err := decodeBody(env.Kind, env.Body)
+	e, err := decode(env.Kind, env.Body)
 	if err != nil {
 		return time.Time{}, nil, fmt.Errorf("decode entry %q: %w", env.Kind, err)
 	}
@@ -192,6 +215,22 @@
 	return nil, fmt.Errorf("unknown kind")
 }
 
+// decodeEvacuations decodes the body of an entry of evacuationEntryFormat.
+func decodeEvacuations(kind string, body []byte) (Event, error) {
+	if kind != kindOf(ChangeQueues{}) {
+		return nil, fmt.Errorf("unknown kind")
+	}
+	var data []byte
+	if err := json.Unmarshal(body, &data); err != nil {
+		return nil, err
+	}
+	change := &messages.QueueChange{}
+	if err := proto.Unmarshal(data, change); err != nil {
+		return nil, err
+	}
+	return ChangeQueues{Change: change}, nil
+}
+
 // queueEntryTag is the first byte of a ChangeQueues entry. No JSON text starts with it.
 const queueEntryTag = 1
 
--- a/internal/job/scheduler/snapshot.go
+++ b/internal/job/scheduler/snapshot.go
@@ -14,8 +14,12 @@
 	"github.com/bluebellgauge/bluebellgauge/internal/worker/detector"
 )
 
-// snapshotFormat is the version of the snapshot encoding.
-const snapshotFormat = 1
+// Versions of the snapshot encoding. Builds that know only the first one would ignore evacuations, so a snapshot that holds one
+// has the second version, which they refuse.
+const (
+	snapshotFormat           = 1
+	evacuationSnapshotFormat = 2
+)
 
 type snapshot struct {
 	Format          int                  `json:"format"`
@@ -46,6 +50,9 @@
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		snap.Jobs = append(snap.Jobs, s.jobs[id])
 	}
+	if len(s.queues.Evacuations()) > 0 {
+		snap.Format = evacuationSnapshotFormat
+	}
 	queues, err := s.queues.Save()
 	if err != nil {
 		return nil, err
@@ -64,8 +71,8 @@
 	if err := json.Unmarshal(data, &snap); err != nil {
 		return nil, fmt.Errorf("restore scheduler state: %w", err)
 	}
-	if snap.Format != snapshotFormat {
-		return nil, fmt.Errorf("restore scheduler state: format %d, want %d", snap.Format, snapshotFormat)
+	if snap.Format != snapshotFormat && snap.Format != evacuationSnapshotFormat {
+		return nil, fmt.Errorf("restore scheduler state: format %d, want %d or %d", snap.Format, snapshotFormat, evacuationSnapshotFormat)
 	}
 	s := New()
 	if err := s.restoreManifest(snap.ManifestText); err != nil {
