registrar: heartbeats say which format of log entries a daemon applies

Cause: the leader must not commit an entry that a keeper of an earlier build would refuse. Change: heartbeats carry the format, the monitor keeps it for each keeper, and names the first one in contact that is behind. Queue options hold the data centres of the settings. Nothing uses either yet. Measured: builds, and the package's tests pass.

--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -28,6 +28,7 @@
 	"github.com/bluebellgauge/bluebellgauge/internal/entry/forwarder"
 	"github.com/bluebellgauge/bluebellgauge/internal/entry/recoverer"
 	"github.com/bluebellgauge/bluebellgauge/internal/entry/router"
+	"github.com/bluebellgauge/bluebellgauge/internal/job/scheduler"
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/coordinator"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
@@ -76,6 +77,8 @@
 	Cores   float64 // processor time per second that the daemon may use; 0 for all cores
 	// RackFactor is the run time of a compact gang across racks as a multiple of that in a single rack.
 	RackFactor float64
+	// Places are the data centres that the settings name.
+	Places []string
 }
 
 // DefaultQueueOptions returns the queue parameters for production.
@@ -350,7 +353,7 @@
 	r.heartbeats++
 	b := &messages.Beat{
 		Daemon: s.Name, Place: s.Place, Address: s.Peering, Listen: s.Listen, Draining: r.isDraining(),
-		Started: r.started.UnixNano(), Number: r.heartbeats,
+		Started: r.started.UnixNano(), Number: r.heartbeats, Format: scheduler.EntryFormat,
 	}
 	if r.replica != nil {
 		b.Identity = r.replica.identity(r.ctx)
--- a/internal/entry/forwarder/server.go
+++ b/internal/entry/forwarder/server.go
@@ -284,6 +284,14 @@
 	return s.monitorFor(term).Keepers()
 }
 
+// OutdatedKeeper returns the name of a keeper in contact that can't apply the latest log entries of this build, according to the
+// leader of a term, "" if there is none.
+func (s *Server) OutdatedKeeper(term uint64) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.monitorFor(term).Outdated(s.Now(), scheduler.EntryFormat)
+}
+
 // Lost returns the workers whose leases have expired according to the leader of a term.
 func (s *Server) Lost(term uint64, state *scheduler.State) []scheduler.WorkerLost {
 	s.mu.Lock()
