coordinator: orders that evacuate a data centre

Cause: an operator's order to start nothing more in a data centre was answered with 404. Workers belong to the place of their last report. Starts there that were decided before are not ordered, and are taken back at once if no order was sent, else as soon as a report shows that they are not running.

--- a/internal/queue/coordinator/call.go
+++ b/internal/queue/coordinator/call.go
@@ -24,6 +24,8 @@
 	StatusEmpty    = "empty"    // no catalog is installed yet
 	StatusMismatch = "mismatch" // the job cannot run as specified
 	StatusTooLarge = "toolarge" // the job or the catalog does not fit into a log entry
+	StatusNoPlace  = "noplace"  // no data centre has this name
+	StatusOutdated = "outdated" // a keeper of an earlier build could not apply the order
 )
 
 // noCatalogRetryAfter is the retry delay for calls that arrive before the first catalog.
--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -97,6 +97,11 @@
 	MaxMessage int
 	// RackFactor is the run time of a compact gang across racks as a multiple of that in a single rack.
 	RackFactor float64
+	// Places are the data centres that the settings name.
+	Places []string
+	// OutdatedKeeper returns the name of a keeper in contact that can't apply entries with evacuations, "" for none. It is called
+	// inside Read. nil means that there is none.
+	OutdatedKeeper func(term uint64) string
 	// Metrics receives the counts and durations of decisions and commits.
 	Metrics tally.Scope
 	Log     *zap.Logger
@@ -284,6 +289,9 @@
 	c.committed = passCommit{}
 	c.logWithoutEffect(state, change)
 	c.clearExpiring(change.GetEnds())
+	if len(state.Evacuations()) > 0 {
+		c.wakeAffectedWorkers(state, change) // the other members of gangs with a start that was taken back
+	}
 	for _, id := range change.GetFailures() {
 		c.wakeJobWorkers(state.Job(id))
 	}
--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -89,13 +89,14 @@
 	return expiry, replaced, replaced || !inContact && !now.Before(expiry)
 }
 
-// unsentStarts returns the ends of starts whose orders were not sent because the worker stopped reporting.
-// Only this leader could have sent them, so the tasks may be started elsewhere without waiting for a lease.
+// unsentStarts returns the ends of starts whose orders were not sent because the worker stopped reporting, or its data
+// centre was evacuated. Only this leader could have sent them, so the tasks may be started elsewhere without waiting for a lease.
 func (c *Coordinator) unsentStarts(state *tracker.Tracker) []*messages.WorkerEnds {
 	now := c.opts.Now()
 	var list []*messages.WorkerEnds
 	for id, w := range c.workers {
-		if w.expiring || now.Sub(w.lastContact) < c.opts.Timing.contactTimeout(w.interval) {
+		evacuated := state.IsEvacuated(w.place)
+		if w.expiring || !evacuated && now.Sub(w.lastContact) < c.opts.Timing.contactTimeout(w.interval) {
 			continue
 		}
 		ends := &messages.WorkerEnds{Worker: id, Born: w.born}
@@ -104,6 +105,9 @@
 				continue
 			}
 			c.stopping[key] = true // the response to a late report must not contain the start
+			if evacuated {
+				c.logWithheld(w, key)
+			}
 			ends.Ends = append(ends.Ends, &messages.End{
 				Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number, How: tracker.EndRefused,
 			})
@@ -111,7 +115,8 @@
 		if len(ends.Ends) == 0 {
 			continue
 		}
-		c.opts.Log.Info("starts not sent", zap.String("worker", id), zap.Int("starts", len(ends.Ends)), zap.Duration("silent", now.Sub(w.lastContact)))
+		c.opts.Log.Info("starts not sent", zap.String("worker", id), zap.Int("starts", len(ends.Ends)), zap.Bool("evacuated", evacuated),
+			zap.Duration("silent", now.Sub(w.lastContact)))
 		slices.SortFunc(ends.Ends, func(a, b *messages.End) int {
 			return tracker.CompareKeys(tracker.EndKeyOf(a), tracker.EndKeyOf(b))
 		})
@@ -146,6 +151,7 @@
 	c.pruneDeferrals(state)
 	for _, w := range c.workers {
 		maps.DeleteFunc(w.startOrders, func(key tracker.RunKey, _ uint64) bool { return ended(key) })
+		maps.DeleteFunc(w.withheld, func(key tracker.RunKey, _ bool) bool { return ended(key) })
 	}
 }
 
@@ -218,6 +224,9 @@
 	quarantined := map[string]int{} // number of workers by pool
 	total := map[string]int{}
 	for _, w := range c.workers {
+		if state.IsEvacuated(w.place) {
+			continue
+		}
 		total[w.pool]++
 		if w.health.isQuarantined(now) {
 			quarantined[w.pool]++
@@ -271,6 +280,7 @@
 		ID: w.id, Started: w.born, Pool: w.pool, Rack: w.rack, Labels: w.labels, Capacity: w.capacity, Free: w.capacity,
 		Usable: sound && !w.unreachable, Late: sound && w.unreachable, Silent: silent,
 		Suspect: w.health.isSuspect(now), ProvenAt: w.health.provenLately(now), Young: w.age() < minWorkerAge,
+		Evacuated: state.IsEvacuated(w.place), Cold: now.Before(w.coldUntil),
 	}
 	runs := state.RunsOn(w.id)
 	for key, r := range runs {
--- a/internal/queue/coordinator/orders.go
+++ b/internal/queue/coordinator/orders.go
@@ -36,7 +36,10 @@
 		switch {
 		case c.mustStop(j, key):
 			o.Stops = append(o.Stops, run)
-		case !w.listed[key] && !w.oversized[key]:
+		case w.listed[key] || w.oversized[key]:
+		case state.IsEvacuated(w.place):
+			c.logWithheld(w, key)
+		default:
 			o.Starts = append(o.Starts, &messages.StartOrder{Run: run, Body: j.Work.GetBody()})
 		}
 	}
--- a/internal/queue/coordinator/starts.go
+++ b/internal/queue/coordinator/starts.go
@@ -29,7 +29,7 @@
 		switch {
 		case run.GetBorn() != w.born, w.listed[key], ended[key], w.startOrders[key] >= w.sequence, c.progress[key].mayBeAtWork():
 			continue
-		case !c.mustStop(state.Job(key.Job), key) && w.startOrders[key] == 0 && !w.oversized[key]:
+		case !c.mustStop(state.Job(key.Job), key) && w.startOrders[key] == 0 && !w.oversized[key] && !state.IsEvacuated(w.place):
 			continue
 		case !c.committedStarts[key] && !c.isCurrent(w):
 			continue
--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -20,6 +20,8 @@
 	sequence      uint64
 	pool          string
 	rack          string
+	place         string    // its data centre
+	coldUntil     time.Time // when it is no longer slow after its start
 	labels        []string
 	capacity      placer.Vector
 	leaving       bool
@@ -42,6 +44,7 @@
 	// startOrders holds, by run, the sequence number of the report whose response last ordered its start.
 	startOrders map[tracker.RunKey]uint64
 	oversized   map[tracker.RunKey]bool // starts that no longer fit into the reported capacity
+	withheld    map[tracker.RunKey]bool // starts that were logged as withheld since the data centre is evacuated
 	unsent      bool                    // the last response did not have room for all starts
 	// answered is true once a report has shown that a response of this leader arrived. Responses of earlier leaders
 	// are void from then on, and no report that was sent before can pass for a current one.
@@ -354,6 +357,8 @@
 	w.sequence = r.GetSequence()
 	w.pool, w.labels = r.GetPool(), r.GetLabels()
 	w.rack = r.GetRack()
+	w.place = r.GetPlace()
+	w.coldUntil = w.lastContact.Add(time.Duration(r.GetCold()) * time.Millisecond)
 	w.capacity = placer.Vector{Processors: r.GetProcessors(), Memory: r.GetMemory(), Accelerators: r.GetAccelerators()}
 	w.leaving = r.GetLeaving()
 	w.exitAt = w.lastContact.Add(time.Duration(r.GetRemaining()) * time.Millisecond)
