placer: the obstacle of steps that only evacuated workers could hold

Cause: a job whose label, or whose size, only an evacuated data centre has is accepted and waits, which must show in the log. Change: a step that fits on no set of workers without the evacuated ones, but on all together, has the obstacle evacuated in place of no capacity.

--- a/internal/queue/placer/obstacle.go
+++ b/internal/queue/placer/obstacle.go
@@ -18,6 +18,7 @@
 	LikelyGivenUp    Obstacle = "likely given up"   // a task of its step is likely to be given up
 	MembersActive    Obstacle = "members active"    // members of its previous run have not ended
 	Resting          Obstacle = "resting"           // the next start of a lasting task is delayed
+	Evacuated        Obstacle = "evacuated"         // only workers of evacuated data centres have the capacity for it
 	PlanFull         Obstacle = "plan full"         // the pass has started as many tasks as fit into one change
 )
 
@@ -51,7 +52,7 @@
 			for _, key := range keysOf(j, &steps[i]) {
 				if obstacle, ok := p.obstacles[key]; ok && p.isBlocked(key, j, &steps[i], starts[key]) {
 					p.plan.Blocked = append(p.plan.Blocked, Blocked{
-						Key: key, Obstacle: obstacle, Idle: steps[i].Spec.GetLasting() || p.isPoolIdle(p.input.Pool(j)),
+						Key: key, Obstacle: p.nameObstacle(obstacle, j, &steps[i]), Idle: steps[i].Spec.GetLasting() || p.isPoolIdle(p.input.Pool(j)),
 						Stands: !p.running[j],
 					})
 				}
@@ -76,3 +77,36 @@
 func (p *pass) isBlocked(key StepKey, j *tracker.Job, s *tracker.Step, starts int) bool {
 	return starts == 0 || key.Trial == 0 && s.Spec.GetLasting() && starts < len(p.waitingTasks(j, s))
 }
+
+// nameObstacle returns Evacuated in place of NoCapacity if the step fits on no set of workers, even idle ones, without those of
+// evacuated data centres.
+func (p *pass) nameObstacle(obstacle Obstacle, j *tracker.Job, s *tracker.Step) Obstacle {
+	if obstacle != NoCapacity || !p.evacuated[p.input.Pool(j)] {
+		return obstacle
+	}
+	tasks := 1
+	if s.Spec.GetGang() {
+		tasks = len(s.Tasks)
+	}
+	perWorker := tasks
+	if spread := int(s.Spec.GetSpread()); spread > 0 {
+		perWorker = min(perWorker, spread)
+	}
+	left, all := 0, 0
+	for _, w := range p.input.Workers {
+		if w.Pool != p.input.Pool(j) || !w.Usable && !w.Late && !w.Silent || !hasLabel(w, s) {
+			continue
+		}
+		n := w.Capacity.Fits(Need(s.Spec), perWorker)
+		if all += n; w.Evacuated {
+			continue
+		}
+		if left += n; left >= tasks {
+			return obstacle
+		}
+	}
+	if all < tasks {
+		return obstacle
+	}
+	return Evacuated
+}
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -142,6 +142,7 @@
 	running      map[*tracker.Job]bool // jobs with a run on a worker in contact, or with a start in this pass
 	idle         map[string]bool       // pools of which less than half is in use, once known
 	doubtful     map[string]bool       // pools with workers in quarantine, probation or trials
+	evacuated    map[string]bool       // pools with workers of evacuated data centres
 	obstacles    map[StepKey]Obstacle
 }
 
@@ -181,7 +182,7 @@
 		input: in, racks: map[string][]*candidate{}, pools: map[string][]*candidate{},
 		gangs: map[*tracker.Step][]*ActiveRun{}, workerOf: map[*ActiveRun]*candidate{}, costs: map[*ActiveRun]int64{},
 		trials: map[string]int{}, old: map[string]int{}, tried: map[*tracker.Job]bool{}, running: map[*tracker.Job]bool{}, idle: map[string]bool{},
-		doubtful: map[string]bool{}, obstacles: map[StepKey]Obstacle{},
+		doubtful: map[string]bool{}, evacuated: map[string]bool{}, obstacles: map[StepKey]Obstacle{},
 	}
 	p.planTrials()
 	for _, w := range in.Workers {
@@ -197,6 +198,7 @@
 			}
 		}
 		p.workers = append(p.workers, c)
+		p.evacuated[w.Pool] = p.evacuated[w.Pool] || w.Evacuated
 		if w.hasTrial() {
 			p.close(c)
 			c.sealed = slices.ContainsFunc(w.Runs, (*ActiveRun).isDecidingTrial)
@@ -365,7 +367,12 @@
 	if !u.incautious && u.isDoubtful(w) {
 		return false
 	}
-	label := u.step.Spec.GetLabel()
+	return hasLabel(w, u.step)
+}
+
+// hasLabel reports whether a worker has the label that a step requires, if any.
+func hasLabel(w *Worker, s *tracker.Step) bool {
+	label := s.Spec.GetLabel()
 	return label == "" || slices.Contains(w.Labels, label)
 }
 
