coordinator: lasting tasks leave evacuated data centres one by one

Cause: runs in an evacuated data centre go on to their end, and lasting tasks have none. Change: they are stopped while other workers have room for two of them, of each step as many at a time as may be absent, those counted that are not at work for another reason. Warnings when no worker or fewer accelerators than guaranteed are left, a gauge and a counter.

--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -155,6 +155,7 @@
 	endedAt         map[string]time.Time // when this leader first saw a job as ended
 	estimator       *estimator.Estimator
 	pacer           *pacer.Pacer
+	remainder       remainder
 }
 
 var _ messages.Queues = (*Coordinator)(nil)
@@ -220,6 +221,7 @@
 	c.restarts = map[tracker.TaskKey]restart{}
 	c.seenAt = map[string]time.Time{}
 	c.endedAt = map[string]time.Time{}
+	c.remainder = remainder{}
 	c.estimator = estimator.New()
 	c.pacer = pacer.New(pacer.Options{
 		Min: c.opts.Timing.MinReportInterval, Max: c.opts.Timing.maxReportInterval(), ReportCost: c.opts.Timing.ReportCost,
@@ -266,6 +268,9 @@
 		took = time.Since(start)
 		c.metrics.pass.RecordDuration(took)
 	})
+	if err != nil {
+		c.metrics.evacuatedPlaces.Update(0) // the leader counts them
+	}
 	if err != nil || change == nil {
 		return took // another keeper leads, or there is nothing to commit
 	}
--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -21,6 +21,8 @@
 		c.opts.Log.Info("report interval", zap.Duration("interval", c.pacer.Interval()), zap.Int("workers", len(c.workers)), zap.Duration("wait", c.pacer.Wait()))
 	}
 	c.evacuate(state)
+	c.relocate(state)
+	c.checkRemainder(state)
 	change.Ends = append(c.expiredWorkers(state), c.unsentStarts(state)...)
 	change.Forgets = c.expiredJobs(state)
 	change.Failures = c.giveUps(state)
@@ -274,7 +276,7 @@
 
 // workerView returns the placer's input for a worker.
 func (c *Coordinator) workerView(state *tracker.Tracker, w *worker, now time.Time) *placer.Worker {
-	silent := now.Sub(w.lastContact) >= c.opts.Timing.contactTimeout(w.interval) || !now.Before(w.leaseEnd)
+	silent := c.isSilent(w, now)
 	sound := !w.leaving && state.Pools()[w.pool] != nil && !silent
 	v := &placer.Worker{
 		ID: w.id, Started: w.born, Pool: w.pool, Rack: w.rack, Labels: w.labels, Capacity: w.capacity, Free: w.capacity,
--- a/internal/queue/coordinator/metrics.go
+++ b/internal/queue/coordinator/metrics.go
@@ -15,9 +15,12 @@
 	starts    tally.Counter
 	evicted   tally.Counter // runs preempted by urgent work
 	evacuated tally.Counter // runs moved from leaving workers
-	lost      tally.Counter // worker incarnations that were replaced or whose leases expired
-	crashes   tally.Counter // runs that had just started when their worker was lost
-	givenUp   tally.Counter // jobs with a task that crashes its workers
+	// evacuationMoves counts lasting runs that were stopped on workers of evacuated data centres.
+	evacuationMoves tally.Counter
+	evacuatedPlaces tally.Gauge   // data centres that are evacuated, on the leader
+	lost            tally.Counter // worker incarnations that were replaced or whose leases expired
+	crashes         tally.Counter // runs that had just started when their worker was lost
+	givenUp         tally.Counter // jobs with a task that crashes its workers
 	// unknownEnds counts reported ends of runs that are not in the replicated state, such as those that were lost before.
 	unknownEnds tally.Counter
 	reports     tally.Counter
@@ -36,6 +39,7 @@
 	m := metrics{
 		submits: map[string]tally.Counter{}, ends: map[string]tally.Counter{},
 		starts: scope.Counter("starts"), evicted: scope.Counter("evicted"), evacuated: scope.Counter("evacuated"), lost: scope.Counter("lost_workers"),
+		evacuationMoves: scope.Counter("evacuation_moves"), evacuatedPlaces: scope.Gauge("evacuated_places"),
 		crashes: scope.Counter("crashes"), givenUp: scope.Counter("given_up"), reports: scope.Counter("reports"), unknownEnds: scope.Counter("unknown_ends"),
 		ignored: map[string]tally.Counter{}, ignoredEnds: map[string]tally.Counter{},
 		pass: scope.Histogram("pass_seconds", buckets()), commit: scope.Histogram("commit_seconds", buckets()),
--- a/internal/queue/coordinator/waiting.go
+++ b/internal/queue/coordinator/waiting.go
@@ -61,7 +61,8 @@
 	now := c.opts.Now()
 	blocked := map[string]bool{}
 	for _, b := range plan.Blocked {
-		if !b.Idle || !b.Stands || blocked[b.Key.Job] {
+		// The idle workers may all be evacuated, and then nothing is left by which the pool could be judged idle.
+		if !b.Idle && b.Obstacle != placer.Evacuated || !b.Stands || blocked[b.Key.Job] {
 			continue
 		}
 		blocked[b.Key.Job] = true
