simulator: evacuation and return of data centres

Cause: evacuations must hold beside all other faults. Change: workers belong to data centres by rack, and a fault orders an evacuation and its end, if asked for with the leader lost between commit and acknowledgement. Checked: nothing starts there from 5 s after the acknowledgement, orders are acknowledged within 5 s, returned data centres are used, lasting tasks leave, and no job waits beside idle workers elsewhere.

--- a/internal/queue/simulator/simulator.go
+++ b/internal/queue/simulator/simulator.go
@@ -39,6 +39,7 @@
 type Fleet struct {
 	Workers            int
 	WorkersPerRack     int
+	Places             int   // data centres, to which racks belong in turn, 0 for one
 	Processors         int64 // thousandths, of each worker
 	Memory             int64 // MB
 	Accelerators       int64
@@ -108,6 +109,9 @@
 	Slowdown float64 // factor on run times, for Slow
 	Capacity float64 // factor on the capacity, for Resize
 	Workers  []int   // indices of the workers, in place of Share
+	Place    string  // data centre, for Evacuate
+	// LosesLeader means, for Evacuate, that the leader is lost between the commit of each order and its acknowledgement.
+	LosesLeader bool
 	// AfterCrashes is a number of crashes. If it is not 0, Start counts from the moment at which so many workers
 	// have first crashed under one deadly task.
 	AfterCrashes int
@@ -128,6 +132,8 @@
 	Leave          FaultKind = "leave"   // the worker announces its exit, exits after Duration and restarts later
 	LeaderChange   FaultKind = "depose"  // the leader steps down, a new one is elected at the end of the fault
 	UnknownOutcome FaultKind = "unsure"  // commits return an error and may or may not be applied
+	// Evacuate is an order that evacuates a data centre, and one that ends the evacuation at the end of the fault.
+	Evacuate FaultKind = "evacuate"
 )
 
 // Options are the parameters of a simulation.
@@ -169,6 +175,8 @@
 	disturbedAt       time.Time // last begin or end of a fault
 	electedAt         time.Time // of the last leader
 	lastingWaits      map[tracker.TaskKey]*wait
+	orders            map[string]*order // the last one about each data centre
+	orderList         []*order          // all, in the order in which they were sent
 	result            Result
 }
 
@@ -180,7 +188,7 @@
 		opts: opts, random: rand.New(rand.NewPCG(opts.Seed, opts.Seed^0x5bd1e995)), start: time.Unix(1_700_000_000, 0),
 		state: tracker.New(), jobsByID: map[string]*job{}, gangs: map[gangKey]*gang{}, activeRuns: map[tracker.TaskKey]int{},
 		finishedTasks: map[tracker.TaskKey]bool{}, acknowledgedTasks: map[tracker.TaskKey]bool{},
-		lastingWaits: map[tracker.TaskKey]*wait{},
+		lastingWaits: map[tracker.TaskKey]*wait{}, orders: map[string]*order{},
 	}
 	s.now = s.start
 	s.triggered = make([]bool, len(opts.Faults))
@@ -299,7 +307,7 @@
 	s.after(commitDelay, func() {
 		if !c.resolved {
 			s.resolveCommit(c, !s.outcomeUnknown || s.random.IntN(2) == 0, nil)
-			if s.outcomeUnknown {
+			if s.outcomeUnknown || s.loseLeader(c.change) {
 				c.err = errOutcomeUnknown
 			}
 		}
@@ -484,6 +492,9 @@
 			s.outcomeUnknown = false
 		})
 		return
+	case Evacuate:
+		s.evacuate(f)
+		return
 	case Crash, Partition, Unreachable, Slow, Failing, Stuck, Resize, Leave:
 	}
 	chosen := f.Workers
--- a/internal/queue/simulator/waiting.go
+++ b/internal/queue/simulator/waiting.go
@@ -106,12 +106,12 @@
 }
 
 // freeCapacities returns the free capacity of the workers on which a leader may start tasks, and whether less than half of
-// their capacity is in use. Workers that are out of reach do not count: a leader cannot know whether they are up.
+// their capacity is in use. Those of evacuated data centres are none of them. Workers that are out of reach do not count: a leader cannot know whether they are up.
 func (s *Simulator) freeCapacities() (free map[*worker]placer.Vector, idle bool) {
 	free = make(map[*worker]placer.Vector, len(s.workers))
 	total, used := int64(0), int64(0)
 	for _, w := range s.workers {
-		if w.disconnected() || !w.exitAt.IsZero() {
+		if w.disconnected() || !w.exitAt.IsZero() || s.state.IsEvacuated(w.place) {
 			continue
 		}
 		v := w.capacity
--- a/internal/queue/simulator/worker.go
+++ b/internal/queue/simulator/worker.go
@@ -18,6 +18,7 @@
 	sim      *Simulator
 	index    int
 	id, rack string
+	place    string // its data centre
 	speed    float64
 
 	up            bool
@@ -73,6 +74,7 @@
 			speed: f.Speeds[s.random.IntN(len(f.Speeds))], slowdown: 1,
 			fullCapacity: placer.Vector{Processors: f.Processors, Memory: f.Memory, Accelerators: f.Accelerators},
 		}
+		w.place = f.placeOf(i / max(f.WorkersPerRack, 1))
 		w.capacity = w.fullCapacity
 		s.workers = append(s.workers, w)
 		s.after(time.Duration(s.random.IntN(300))*time.Millisecond, w.restart)
@@ -130,7 +132,7 @@
 	w.endPending = false
 	w.reportGrowth()
 	report := &messages.FleetReport{
-		Worker: w.id, Born: w.started, Sequence: w.sequence, Pool: poolName, Rack: w.rack, Labels: w.labels(),
+		Worker: w.id, Born: w.started, Sequence: w.sequence, Pool: poolName, Place: w.place, Rack: w.rack, Labels: w.labels(),
 		Processors: w.capacity.Processors, Memory: w.capacity.Memory, Accelerators: w.capacity.Accelerators,
 		Clock: (w.sim.now.UnixMilli() - w.started) * clockPercent / 100,
 	}
@@ -262,6 +264,7 @@
 		r.failAt = r.done + time.Duration(s.random.Float64()*float64(r.total-r.done))
 	}
 	s.checkStart(w, r)
+	s.checkPlace(w, r)
 	w.runs[key] = r
 	w.checkCapacity()
 	w.recordGrowthUsed()
