--- a/internal/worker/registrar/monitor.go
+++ b/internal/worker/registrar/monitor.go
@@ -102,7 +102,7 @@
 	d.heartbeat = b
 	d.lastContact = now
 	if b.GetIdentity() != "" {
-		d.keeper = KeeperStatus{Name: b.GetDaemon(), Place: b.GetPlace(), Address: b.GetAddress(), Identity: b.GetIdentity(), Format: b.GetFormat(), Last: now}
+		d.keeper = KeeperStatus{Name: b.GetDaemon(), Place: b.GetPlace(), Address: b.GetAddress(), Identity: b.GetIdentity(), Last: now}
 	}
 	if b.GetFull() {
 		for _, homes := range m.workers {
@@ -285,7 +285,6 @@
 	Place    string
 	Address  string
 	Identity string
-	Format   uint32    // of the latest log entries that it can apply
 	Last     time.Time // of that heartbeat
 }
 
@@ -305,9 +304,10 @@
 // Outdated returns the name of a keeper in contact that can't apply log entries of a format, the first one by name, "" if there
 // is none.
 func (m *Monitor) Outdated(now time.Time, format uint32) string {
-	for _, k := range m.Keepers() {
-		if k.Format < format && now.Sub(k.Last) <= daemonTimeout {
-			return k.Name
+	for _, name := range slices.Sorted(maps.Keys(m.daemons)) {
+		d := m.daemons[name]
+		if d.keeper.Identity != "" && d.heartbeat.GetFormat() < format && now.Sub(d.lastContact) <= daemonTimeout {
+			return name
 		}
 	}
 	return ""
--- a/internal/worker/registrar/roster_test.go
+++ b/internal/worker/registrar/roster_test.go
@@ -74,3 +74,22 @@
 	m.Heartbeat(start, &messages.Beat{Daemon: "vm2", Address: "10.0.0.2:7000"})
 	is.Equal(len(m.Keepers()), 1) // vm2 has no folder
 }
+
+// TestOutdatedKeeperIsNamed guards against an entry that a keeper of an earlier build can't apply: the leader asks for such
+// keepers. Daemons without a folder apply none, and a keeper that has been replaced or is gone holds nothing up.
+func TestOutdatedKeeperIsNamed(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1_000_000, 0)
+	m := NewMonitor(DefaultTiming(), start, zap.NewNop())
+	m.Heartbeat(start, &messages.Beat{Daemon: "entry"})
+	m.Heartbeat(start, &messages.Beat{Daemon: "new", Identity: "a", Format: 2})
+	is.Equal(m.Outdated(start, 2), "")
+	m.Heartbeat(start, &messages.Beat{Daemon: "old", Identity: "b"})
+	is.Equal(m.Outdated(start, 2), "old")
+	full := start.Add(4 * time.Second)
+	m.Heartbeat(full, &messages.Beat{Daemon: "old"}) // its disk is full, and it applies entries again soon
+	is.Equal(m.Outdated(full.Add(daemonTimeout), 2), "old")
+	is.Equal(m.Outdated(full.Add(daemonTimeout+time.Millisecond), 2), "")
+	m.Heartbeat(full, &messages.Beat{Daemon: "old", Identity: "b", Format: 2})
+	is.Equal(m.Outdated(full, 2), "")
+}
