--- a/internal/queue/coordinator/deferral_test.go
+++ b/internal/queue/coordinator/deferral_test.go
@@ -34,6 +34,7 @@
 	stopTime time.Duration    // from the first stop order to the end of a run
 	stopAt   map[tracker.RunKey]time.Time
 	stopped  map[tracker.RunKey]bool
+	place    map[string]string // data centre, by rack
 }
 
 // newRackFleet returns a fleet with four workers in each rack. The label marks the first two of a rack. runs returns how
@@ -68,7 +69,7 @@
 	f.sequence++
 	for _, id := range f.workers {
 		orders := f.report(t, f.sequence, func(r *messages.FleetReport) {
-			r.Worker, r.Rack = id, rackOf(id)
+			r.Worker, r.Rack, r.Place = id, rackOf(id), f.place[rackOf(id)]
 			if born, ok := f.born[id]; ok {
 				r.Born = born
 			}
--- a/internal/queue/placer/obstacle_test.go
+++ b/internal/queue/placer/obstacle_test.go
@@ -51,3 +51,48 @@
 		})
 	}
 }
+
+// TestEvacuatedObstacle guards against a job that waits for an evacuated data centre while the log says that it waits for capacity,
+// and the reverse.
+func TestEvacuatedObstacle(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		step     *messages.Step
+		change   func(workers []*Worker)
+		obstacle Obstacle
+	}{
+		{"label", &messages.Step{Count: 1, Processors: 1, Label: "rare"}, func(workers []*Worker) { workers[0].Labels = []string{"rare"} }, Evacuated},
+		{"label of others, too", &messages.Step{Count: 1, Processors: 1, Label: "rare"}, func(workers []*Worker) {
+			workers[0].Labels, workers[7].Labels = []string{"rare"}, []string{"rare"}
+			workers[7].Free = Vector{}
+		}, NoCapacity},
+		{"gang", &messages.Step{Count: 6, Accelerators: 8, Gang: true}, func([]*Worker) {}, Evacuated},
+		{"gang that fits on others once they are free", &messages.Step{Count: 4, Accelerators: 8, Gang: true}, func(workers []*Worker) {
+			workers[7].Free = Vector{}
+		}, NoCapacity},
+		{"gang that fits nowhere", &messages.Step{Count: 9, Accelerators: 8, Gang: true}, func([]*Worker) {}, NoCapacity},
+		{"spread", &messages.Step{Count: 5, Processors: 1, Gang: true, Spread: 1}, func([]*Worker) {}, Evacuated},
+		{"all evacuated", &messages.Step{Count: 1, Processors: 1}, func(workers []*Worker) {
+			for _, w := range workers {
+				w.Evacuated = true
+			}
+		}, Evacuated},
+		{"others are silent", &messages.Step{Count: 1, Processors: 1}, func(workers []*Worker) {
+			for _, w := range workers[4:] {
+				w.Usable, w.Silent = false, true
+			}
+		}, NoCapacity},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			tr := tracker.New()
+			submit(tr, "a", 1, c.step)
+			workers := evacuatedFleet()
+			c.change(workers)
+			plan := NewPlan(input(workers, tr))
+			is.Equal(len(plan.Starts), 0)
+			is.Equal(len(plan.Blocked), 1)
+			is.Equal(plan.Blocked[0].Obstacle, c.obstacle)
+		})
+	}
+}
