--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -97,6 +97,11 @@
 	MaxMessage int
 	// RackFactor is the run time of a compact gang across racks as a multiple of that in a single rack.
 	RackFactor float64
+	// Places are the data centres that the settings name.
+	Places []string
+	// OutdatedKeeper returns the name of a keeper in contact that can't apply entries with evacuations, "" for none. It is called
+	// inside Read. nil means that there is none.
+	OutdatedKeeper func(term uint64) string
 	// Metrics receives the counts and durations of decisions and commits.
 	Metrics tally.Scope
 	Log     *zap.Logger
@@ -150,6 +155,7 @@
 	endedAt         map[string]time.Time // when this leader first saw a job as ended
 	estimator       *estimator.Estimator
 	pacer           *pacer.Pacer
+	remainder       remainder
 }
 
 var _ messages.Queues = (*Coordinator)(nil)
@@ -215,6 +221,7 @@
 	c.restarts = map[tracker.TaskKey]restart{}
 	c.seenAt = map[string]time.Time{}
 	c.endedAt = map[string]time.Time{}
+	c.remainder = remainder{}
 	c.estimator = estimator.New()
 	c.pacer = pacer.New(pacer.Options{
 		Min: c.opts.Timing.MinReportInterval, Max: c.opts.Timing.maxReportInterval(), ReportCost: c.opts.Timing.ReportCost,
@@ -261,6 +268,9 @@
 		took = time.Since(start)
 		c.metrics.pass.RecordDuration(took)
 	})
+	if err != nil {
+		c.metrics.evacuatedPlaces.Update(0) // the leader counts them
+	}
 	if err != nil || change == nil {
 		return took // another keeper leads, or there is nothing to commit
 	}
@@ -284,6 +294,9 @@
 	c.committed = passCommit{}
 	c.logWithoutEffect(state, change)
 	c.clearExpiring(change.GetEnds())
+	if len(state.Evacuations()) > 0 {
+		c.wakeAffectedWorkers(state, change) // the other members of gangs with a start that was taken back
+	}
 	for _, id := range change.GetFailures() {
 		c.wakeJobWorkers(state.Job(id))
 	}
