coordinator: a plan fits into a log entry, and a gang with large checkpoints starts

After one crash of a worker nothing started any more: the starts of a gang carry its checkpoint once for each member, and a plan beyond the 7 MiB of a log entry was never committed, nor was any later one.

A plan now takes at most half of an entry, in whole gangs; the rest starts in the next pass. Starts of a gang that do not fit alone inherit the checkpoint from the state of each keeper. Entries with such starts have the format that earlier builds refuse, and are not made while a keeper in contact is of one.

--- a/internal/job/scheduler/codec_test.go
+++ b/internal/job/scheduler/codec_test.go
@@ -95,3 +95,20 @@
 	_, err = Restore([]byte(`{"format": 3}`))
 	is.Equal(err.Error(), "restore scheduler state: format 3, want 1 or 2")
 }
+
+// TestInheritedCheckpointsAreRefusedByEarlierBuilds guards against a keeper of an earlier build that starts such a run without
+// its checkpoint.
+func TestInheritedCheckpointsAreRefusedByEarlierBuilds(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000, 0).UTC()
+	change := &messages.QueueChange{Starts: []*messages.Run{{Job: "j", Number: 2, Inherits: true}}}
+	data, err := Encode(now, ChangeQueues{Change: change})
+	is.NoErr(err)
+	var env envelope
+	is.NoErr(json.Unmarshal(data, &env))
+	is.Equal(env.Format, extendedEntryFormat)
+	at, e, err := Decode(data)
+	is.NoErr(err)
+	is.Equal(at, now)
+	is.True(proto.Equal(e.(ChangeQueues).Change, change))
+}
--- a/internal/job/scheduler/event.go
+++ b/internal/job/scheduler/event.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -110,14 +111,20 @@
 }
 
 // Versions of the log entry encoding. Builds that know only the first one would ignore the evacuations in a queue entry of its
-// own encoding, so an entry with evacuations has the second one, which they refuse.
+// own encoding, and start runs that inherit their checkpoints without them, so an entry with either has the second one, which
+// they refuse.
 const (
-	entryFormat           = 1
-	evacuationEntryFormat = 2
+	entryFormat         = 1
+	extendedEntryFormat = 2
 )
 
 // EntryFormat is the latest version of the log entry encoding that this build applies.
-const EntryFormat = evacuationEntryFormat
+const EntryFormat = extendedEntryFormat
+
+// isExtended reports whether builds that know only entryFormat would misread a change.
+func isExtended(c *messages.QueueChange) bool {
+	return len(c.GetEvacuations()) > 0 || slices.ContainsFunc(c.GetStarts(), (*messages.Run).GetInherits)
+}
 
 type envelope struct {
 	Format int             `json:"format"`
@@ -129,14 +136,14 @@
 // Encode encodes an event and its time as a log entry.
 func Encode(now time.Time, e Event) ([]byte, error) {
 	if q, ok := e.(ChangeQueues); ok {
-		if len(q.Change.GetEvacuations()) == 0 {
+		if !isExtended(q.Change) {
 			return encodeQueues(now, q)
 		}
 		data, err := proto.Marshal(q.Change)
 		if err != nil {
 			return nil, fmt.Errorf("encode %T: %w", e, err)
 		}
-		return encodeEnvelope(evacuationEntryFormat, now, e, data)
+		return encodeEnvelope(extendedEntryFormat, now, e, data)
 	}
 	return encodeEnvelope(entryFormat, now, e, e)
 }
@@ -183,8 +190,8 @@
 	decode := decodeBody
 	switch env.Format {
 	case entryFormat:
-	case evacuationEntryFormat:
-		decode = decodeEvacuations
+	case extendedEntryFormat:
+		decode = decodeExtended
 	default:
 		return time.Time{}, nil, fmt.Errorf("decode entry: format %d, want at most %d", env.Format, EntryFormat)
 	}
@@ -215,8 +222,8 @@
 	return nil, fmt.Errorf("unknown kind")
 }
 
-// decodeEvacuations decodes the body of an entry of evacuationEntryFormat.
-func decodeEvacuations(kind string, body []byte) (Event, error) {
+// decodeExtended decodes the body of an entry of extendedEntryFormat.
+func decodeExtended(kind string, body []byte) (Event, error) {
 	if kind != kindOf(ChangeQueues{}) {
 		return nil, fmt.Errorf("unknown kind")
 	}
--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -192,15 +192,16 @@
 		c.opts.Log.Info("run is stopped for urgent work", zap.String("request", a.Key.Job), zap.Int32("occurrence", a.Key.Occurrence), zap.Int32("step", a.Key.Step),
 			zap.Int32("task", a.Key.Task), zap.Uint32("run", a.Key.Number), zap.Duration("unsaved", a.Unsaved), zap.Duration("remaining", a.Remaining))
 	}
-	for _, r := range plan.Starts {
+	starts := c.limitStarts(state, plan.Starts)
+	for _, r := range starts {
 		w := c.workers[r.GetWorker()]
 		c.opts.Log.Info("run starts", zap.String("request", r.GetJob()), zap.Int32("occurrence", r.GetOccurrence()), zap.Int32("step", r.GetStep()), zap.Int32("task", r.GetTask()),
 			zap.Uint32("run", r.GetNumber()), zap.String("worker", r.GetWorker()), zap.Uint64("report", w.sequence),
 			zap.Duration("age", c.opts.Now().Sub(w.lastContact)))
 	}
-	c.metrics.starts.Inc(int64(len(plan.Starts)))
+	c.metrics.starts.Inc(int64(len(starts)))
 	c.metrics.evicted.Inc(int64(len(plan.Stops)))
-	return plan.Starts
+	return starts
 }
 
 // placerInput returns the input of the placer: open jobs, workers and estimates.
--- a/internal/queue/tracker/tracker.go
+++ b/internal/queue/tracker/tracker.go
@@ -8,6 +8,8 @@
 	"maps"
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
 
@@ -204,6 +206,10 @@
 	if j == nil || !j.startRun(r) {
 		return
 	}
+	if r.GetInherits() {
+		r = proto.CloneOf(r) // the entry may be in use elsewhere
+		_, r.Saved = j.Step(r.GetOccurrence(), r.GetStep()).NextRun(r.GetTask())
+	}
 	runs := t.runs[r.GetWorker()]
 	if runs == nil {
 		runs = map[RunKey]*messages.Run{}
