placer: all units of a step count for its limit on each worker

Two tasks of a step with a limit of one started on one worker in one pass: a task that may have crashed a worker is a unit of its own, and each unit counted only the runs from before the pass. Starts are now counted by step and worker over the pass.

TestTrialCountsForSpread fails before (w00 twice).

--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -135,14 +135,15 @@
 	costs        map[*ActiveRun]int64 // of evicting a run together with its gang
 	infeasible   []*unit              // units that no eviction could fit
 	reservations int
-	reserved     bool                  // capacity is reserved for units that wait for stops
-	trials       map[string]int        // trials that may still start, by pool
-	old          map[string]int        // usable workers that have not started lately, by pool
-	tried        map[*tracker.Job]bool // jobs with a trial
-	running      map[*tracker.Job]bool // jobs with a run on a worker in contact, or with a start in this pass
-	idle         map[string]bool       // pools of which less than half is in use, once known
-	doubtful     map[string]bool       // pools with workers in quarantine, probation or trials
-	evacuated    map[string]bool       // pools with workers of evacuated data centres
+	reserved     bool                             // capacity is reserved for units that wait for stops
+	trials       map[string]int                   // trials that may still start, by pool
+	old          map[string]int                   // usable workers that have not started lately, by pool
+	tried        map[*tracker.Job]bool            // jobs with a trial
+	running      map[*tracker.Job]bool            // jobs with a run on a worker in contact, or with a start in this pass
+	startsOf     map[*tracker.Step]map[string]int // starts in this pass by worker, of steps with a limit for each worker
+	idle         map[string]bool                  // pools of which less than half is in use, once known
+	doubtful     map[string]bool                  // pools with workers in quarantine, probation or trials
+	evacuated    map[string]bool                  // pools with workers of evacuated data centres
 	obstacles    map[StepKey]Obstacle
 }
 
@@ -182,6 +183,7 @@
 		input: in, racks: map[string][]*candidate{}, pools: map[string][]*candidate{},
 		gangs: map[*tracker.Step][]*ActiveRun{}, workerOf: map[*ActiveRun]*candidate{}, costs: map[*ActiveRun]int64{},
 		trials: map[string]int{}, old: map[string]int{}, tried: map[*tracker.Job]bool{}, running: map[*tracker.Job]bool{}, idle: map[string]bool{},
+		startsOf: map[*tracker.Step]map[string]int{},
 		doubtful: map[string]bool{}, evacuated: map[string]bool{}, obstacles: map[StepKey]Obstacle{},
 	}
 	p.planTrials()
@@ -386,6 +388,12 @@
 	number, checkpoint := u.step.NextRun(task)
 	c.assigned = true
 	p.running[u.job] = true
+	if u.step.Spec.GetSpread() > 0 {
+		if p.startsOf[u.step] == nil {
+			p.startsOf[u.step] = map[string]int{}
+		}
+		p.startsOf[u.step][c.ID]++
+	}
 	c.free = c.free.Sub(u.need)
 	c.projected = c.projected.Sub(u.need)
 	p.plan.Starts = append(p.plan.Starts, &messages.Run{
--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 )
 
 // placeTasks starts as many tasks of a unit that is no gang as fit.
@@ -83,11 +84,15 @@
 	return &single, candidates
 }
 
-// runsPerWorker counts the runs of the unit's step on each worker. It counts only if the step limits them.
+// runsPerWorker counts the runs of the unit's step on each worker, and the starts of other units of the step in this pass. It
+// counts only if the step limits them.
 func (p *pass) runsPerWorker(u *unit) map[string]int {
-	counts := map[string]int{}
 	if u.step.Spec.GetSpread() == 0 {
-		return counts
+		return map[string]int{}
+	}
+	counts := maps.Clone(p.startsOf[u.step])
+	if counts == nil {
+		counts = map[string]int{}
 	}
 	for _, c := range p.pools[u.pool] {
 		for _, a := range c.Runs {
--- a/internal/queue/placer/trial_test.go
+++ b/internal/queue/placer/trial_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -372,3 +373,22 @@
 		})
 	}
 }
+
+// TestTrialCountsForSpread guards against two tasks of a step on one worker beyond the step's limit: a task that may have
+// crashed a worker is placed apart from the rest of its step, in the same pass.
+func TestTrialCountsForSpread(t *testing.T) {
+	for _, suspects := range []int32{1, 2, 3} {
+		is := is.New(t)
+		tr := tracker.New()
+		submit(tr, "apart", 1, &messages.Step{Count: 3, Processors: 1000, Spread: 1})
+		for task := range suspects {
+			crash(tr, "apart", task, 1, false)
+		}
+		in := input(fleet(2), tr)
+		in.Waited = func(StepKey) Wait { return Wait{Idle: 2 * maxIdleWait} }
+		list := workersOf(NewPlan(in), "apart")
+		slices.Sort(list)
+		is.True(len(list) > 0)
+		is.Equal(slices.Compact(slices.Clone(list)), list) // no worker twice
+	}
+}
