coordinator: a job waits until a worker reports a run of it

Jobs whose start orders never arrived were not counted as waiting, as a decided start already took them out of the count of their queue. They now leave it when a worker lists a run or reports its end, or when the state shows progress.

--- a/internal/queue/coordinator/call.go
+++ b/internal/queue/coordinator/call.go
@@ -230,7 +230,7 @@
 		case refusal != nil:
 			verdict = refusal
 		case strings.Trim(id, "/") == "":
-			verdict = &messages.Verdict{Status: StatusOK, Waiting: int64(state.PendingJobs(q.GetName()))}
+			verdict = &messages.Verdict{Status: StatusOK, Waiting: int64(c.waitingJobs(state, q.GetName()))}
 		default:
 			_, verdict = lookupJob(state, l)
 		}
--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -153,6 +153,7 @@
 	restarts        map[tracker.TaskKey]restart
 	seenAt          map[string]time.Time // when this leader first saw a job
 	endedAt         map[string]time.Time // when this leader first saw a job as ended
+	begun           map[string]bool      // jobs of which a worker has reported a run to this leader
 	estimator       *estimator.Estimator
 	pacer           *pacer.Pacer
 	remainder       remainder
@@ -221,6 +222,7 @@
 	c.restarts = map[tracker.TaskKey]restart{}
 	c.seenAt = map[string]time.Time{}
 	c.endedAt = map[string]time.Time{}
+	c.begun = map[string]bool{}
 	c.remainder = remainder{}
 	c.estimator = estimator.New()
 	c.pacer = pacer.New(pacer.Options{
--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -139,6 +139,7 @@
 		return (w.replaced || now.Sub(w.lastContact) > workerRetention) && len(state.RunsOn(id)) == 0
 	})
 	maps.DeleteFunc(c.proposed, func(id string, _ bool) bool { return state.Job(id) != nil })
+	maps.DeleteFunc(c.begun, func(id string, _ bool) bool { return state.Job(id) == nil || state.Job(id).Ended() })
 	maps.DeleteFunc(c.addresses, func(_, id string) bool { return c.workers[id] == nil })
 	ended := func(key tracker.RunKey) bool { return !state.IsActive(key) }
 	maps.DeleteFunc(c.progress, func(key tracker.RunKey, _ *runProgress) bool { return ended(key) })
--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -273,6 +273,7 @@
 	}
 	c.updateWorker(w, r, now)
 	c.updateProgress(w, r)
+	c.recordBegun(state, r)
 	c.countMissed(state, w)
 	return c.newEnds(state, w, r), false
 }
--- a/internal/queue/tracker/job.go
+++ b/internal/queue/tracker/job.go
@@ -1,6 +1,8 @@
 package tracker
 
 import (
+	"slices"
+
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
 
@@ -123,6 +125,19 @@
 	return false
 }
 
+// HasRun reports whether the state shows that a run of the job has begun. A committed start may never have reached its worker.
+func (j *Job) HasRun() bool {
+	for i := range j.steps {
+		s := &j.steps[i]
+		if s.Done || s.failures > 0 || s.checkpoint != "" || slices.ContainsFunc(s.Tasks, Task.hasRun) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t Task) hasRun() bool { return t.Done || t.failures > 0 || t.checkpoint != "" }
+
 // Active returns the number of runs that have not ended.
 func (j *Job) Active() int { return j.active }
 
--- a/internal/queue/tracker/tracker.go
+++ b/internal/queue/tracker/tracker.go
@@ -360,14 +360,3 @@
 
 // QueueByName returns a queue of the catalog by its name, or nil.
 func (t *Tracker) QueueByName(name string) *messages.Queue { return t.index.queuesByName[name] }
-
-// PendingJobs returns the number of accepted jobs of a queue of which no task has started.
-func (t *Tracker) PendingJobs(queue string) int {
-	n := 0
-	for _, j := range t.open {
-		if j.Work.GetQueue() == queue && j.Phase == Pending {
-			n++
-		}
-	}
-	return n
-}
