--- a/internal/queue/coordinator/relocation_test.go
+++ b/internal/queue/coordinator/relocation_test.go
@@ -118,24 +118,29 @@
 	}
 }
 
-// TestNewLeaderMovesNothingUnheard guards against a new leader that takes tasks for away, or at work, before their workers have
-// reported to it.
+// TestNewLeaderMovesNothingUnheard guards against a new leader that takes tasks for at work whose workers have not reported to it, or
+// have not listed them.
 func TestNewLeaderMovesNothingUnheard(t *testing.T) {
 	is := is.New(t)
 	f := newEvacuatedService(t, 2, &messages.Step{Count: 4, Processors: 8000, Estimate: 1000, Lasting: true})
 	f.order(t, "north", false)
 	f.leaderTerm++
-	f.sequence++
-	for _, id := range f.workers {
-		if id != "r0-w3" {
+	for _, heard := range []bool{false, true} {
+		f.sequence++
+		for _, id := range f.workers {
+			if id == "r0-w3" && !heard {
+				continue
+			}
 			f.report(t, f.sequence, func(r *messages.FleetReport) {
 				r.Worker, r.Rack, r.Place = id, rackOf(id), f.place[rackOf(id)]
-				f.addRuns(r)
+				if id != "r0-w3" {
+					f.addRuns(r)
+				}
 			})
 		}
+		f.Pass(context.Background())
+		is.Equal(len(f.stopping), 0)
 	}
-	f.Pass(context.Background())
-	is.Equal(len(f.stopping), 0)
 	f.step(t)
 	is.Equal(len(f.stopping), 1)
 }
