coordinator: withheld starts in a function of their own, tests of metrics and of woken workers

Cause: ordersFor exceeded the limit of branches, two switches of the simulator lacked the new fault, and nothing showed that the other members of a gang are woken or that the metrics count. Change: isWithheld, the cases, and the checks.

--- a/internal/queue/coordinator/evacuation.go
+++ b/internal/queue/coordinator/evacuation.go
@@ -135,6 +135,15 @@
 	return list, nil
 }
 
+// isWithheld reports whether a start that the worker does not list must not be ordered.
+func (c *Coordinator) isWithheld(state *tracker.Tracker, w *worker, key tracker.RunKey) bool {
+	if !state.IsEvacuated(w.place) {
+		return w.oversized[key]
+	}
+	c.logWithheld(w, key)
+	return true
+}
+
 // logWithheld logs once that a start which was decided before an evacuation is not ordered.
 func (c *Coordinator) logWithheld(w *worker, key tracker.RunKey) {
 	if w.withheld[key] {
--- a/internal/queue/coordinator/evacuation_test.go
+++ b/internal/queue/coordinator/evacuation_test.go
@@ -212,7 +212,20 @@
 	}
 	is.True(places["north"] > 0 && places["south"] > 0)
 	is.Equal(f.order(t, "north", false), StatusOK)
+	woken := func() int { // workers in the south whose long polls end
+		n := 0
+		for id, w := range f.Coordinator.workers {
+			if f.place[rackOf(id)] == "south" {
+				n += len(w.wake)
+			}
+		}
+		return n
+	}
+	for _, w := range f.Coordinator.workers {
+		w.wake = make(chan struct{}, 1)
+	}
 	f.Pass(context.Background()) // the fleet takes each start for begun in its next report
+	is.Equal(woken(), places["south"])
 	begin := f.now
 	for f.now.Sub(begin) < 3*time.Second {
 		f.step(t)
--- a/internal/queue/coordinator/orders.go
+++ b/internal/queue/coordinator/orders.go
@@ -36,10 +36,7 @@
 		switch {
 		case c.mustStop(j, key):
 			o.Stops = append(o.Stops, run)
-		case w.listed[key] || w.oversized[key]:
-		case state.IsEvacuated(w.place):
-			c.logWithheld(w, key)
-		default:
+		case !w.listed[key] && !c.isWithheld(state, w, key):
 			o.Starts = append(o.Starts, &messages.StartOrder{Run: run, Body: j.Work.GetBody()})
 		}
 	}
--- a/internal/queue/coordinator/relocation_test.go
+++ b/internal/queue/coordinator/relocation_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
@@ -60,6 +61,8 @@
 		t.Run(fmt.Sprint(absent), func(t *testing.T) {
 			is := is.New(t)
 			f := newEvacuatedService(t, 2, &messages.Step{Count: 8, Processors: 2000, Estimate: 1000, Lasting: true, Absent: absent})
+			scope := tally.NewTestScope("", nil)
+			f.metrics = newMetrics(scope)
 			f.order(t, "north", false)
 			most := 0
 			begin := f.now
@@ -69,6 +72,11 @@
 				is.True(f.now.Sub(begin) < 30*time.Second)
 			}
 			is.Equal(most, int(max(absent, 1)))
+			is.Equal(scope.Snapshot().Counters()["evacuation_moves+"].Value(), int64(8))
+			is.Equal(scope.Snapshot().Gauges()["evacuated_places+"].Value(), 1.0)
+			f.order(t, "north", true)
+			f.step(t)
+			is.Equal(scope.Snapshot().Gauges()["evacuated_places+"].Value(), 0.0)
 		})
 	}
 }
--- a/internal/queue/simulator/worker.go
+++ b/internal/queue/simulator/worker.go
@@ -421,7 +421,7 @@
 	case Resize:
 		w.capacityFactors = append(w.capacityFactors, f.Capacity)
 		w.resize()
-	case LeaderChange, UnknownOutcome:
+	case LeaderChange, UnknownOutcome, Evacuate:
 	}
 }
 
@@ -489,7 +489,7 @@
 		w.rescheduleEnds()
 	case Resize:
 		w.removeCapacityFactor(f.Capacity)
-	case LeaderChange, UnknownOutcome:
+	case LeaderChange, UnknownOutcome, Evacuate:
 	}
 }
 
