coordinator: a lasting job is not given up for crashes of its workers

A job of a task that lasts was shown as failed after five crashes of workers that flapped for a reason of their own. Such a task has no limit of attempts and must be started again however its runs end.

Lasting tasks are never given up now.

--- a/internal/queue/coordinator/crash.go
+++ b/internal/queue/coordinator/crash.go
@@ -133,6 +133,9 @@
 	for _, key := range starting {
 		alone := one && c.committedStarts[key]
 		counted := alone || c.counts(state, key)
+		if state.Job(key.Job).Step(key.Occurrence, key.Step).Spec.GetLasting() {
+			c.delayRestart(key.TaskKey, 0) // a deadly one crashes a worker at each start, and is never given up
+		}
 		if counted {
 			list = append(list, &messages.Crash{
 				Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number, Alone: alone,
@@ -225,26 +228,29 @@
 	since   time.Time // when this leader first saw so many
 	// inherited: an earlier leader saw the last crash, and may have seen unexplained losses that this one does not know.
 	inherited bool
+	// lasting: the task runs until its job is cancelled, however its runs end. It is never given up.
+	lasting bool
 }
 
 // updateVerdicts notes which tasks have several crashes, and since when.
 func (c *Coordinator) updateVerdicts(state *tracker.Tracker) {
-	state.EachSuspect(func(key tracker.TaskKey, _ *tracker.Job, t *tracker.Task) {
+	state.EachSuspect(func(key tracker.TaskKey, j *tracker.Job, t *tracker.Task) {
 		if n := len(t.Crashes); n > 1 && c.verdicts[key].crashes != n {
-			c.verdicts[key] = verdict{crashes: n, since: c.opts.Now(), inherited: !c.hasVerdicts}
+			lasting := j.Step(key.Occurrence, key.Step).Spec.GetLasting()
+			c.verdicts[key] = verdict{crashes: n, since: c.opts.Now(), inherited: !c.hasVerdicts, lasting: lasting}
 		}
 	})
 	c.hasVerdicts = true
 }
 
-// giveUps returns the jobs with a task that crashes the workers that start it. A task is tried again if there was an
+// giveUps returns the jobs with a task that crashes the workers that start it, unless the task lasts. A task is tried again if there was an
 // unexplained loss after its last crash, or may have been, unless it has used up all trials.
 func (c *Coordinator) giveUps(state *tracker.Tracker) []string {
 	c.updateVerdicts(state)
 	var list []string
 	state.EachSuspect(func(key tracker.TaskKey, j *tracker.Job, t *tracker.Task) {
 		v := c.verdicts[key]
-		if !t.CrashesWorkers() || c.opts.Now().Sub(v.since) < verdictDelay || c.isTriedAgain(v, t) {
+		if v.lasting || !t.CrashesWorkers() || c.opts.Now().Sub(v.since) < verdictDelay || c.isTriedAgain(v, t) {
 			return
 		}
 		c.logGiveUp(key, t)
@@ -270,7 +276,7 @@
 	switch {
 	case len(t.Crashes) < 2:
 		return false
-	case t.CrashesWorkers() && (now.Sub(v.since) < verdictDelay || !c.isTriedAgain(v, t)):
+	case !v.lasting && t.CrashesWorkers() && (now.Sub(v.since) < verdictDelay || !c.isTriedAgain(v, t)):
 		return true
 	}
 	return now.Sub(c.lossAt) < quietPeriod && now.Sub(v.since) < holdTime(len(t.Crashes))
@@ -302,6 +308,7 @@
 	var list []*messages.Crash
 	state.EachSuspect(func(key tracker.TaskKey, _ *tracker.Job, t *tracker.Task) {
 		if t.Active > 0 && c.progress[tracker.RunKey{TaskKey: key, Number: t.Number}].hasSurvived() {
+			delete(c.restarts, key)
 			list = append(list, &messages.Crash{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: t.Number})
 		}
 	})
--- a/internal/queue/coordinator/lasting_trial_test.go
+++ b/internal/queue/coordinator/lasting_trial_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
@@ -38,3 +39,56 @@
 		}
 	}
 }
+
+// TestFlappingWorkersFailNoLastingJob guards against a lasting job that is given up because the only workers that it can use
+// go down and up by turns as it starts, while all others are sound. It must be at work again soon after they stay up.
+func TestFlappingWorkersFailNoLastingJob(t *testing.T) {
+	for _, flaps := range []int{2, 5, 12, 40} {
+		t.Run(fmt.Sprint(flaps), func(t *testing.T) {
+			f := newPoweredFleet(t, 20)
+			flapping := f.workers[:2]
+			for _, w := range flapping {
+				w.labels = []string{"rare"}
+			}
+			f.state.Apply(&messages.QueueChange{Submits: []*messages.Work{{
+				Id: "a", Queue: "q", Pool: "p", Priority: 1, Attempts: 3,
+				Steps: []*messages.Step{{Count: 1, Processors: 5000, Lasting: true, Estimate: 1000, Label: "rare"}},
+			}}})
+			for range 40 {
+				f.step(t)
+			}
+			for range flaps {
+				for n := 0; len(flapping[0].running)+len(flapping[1].running) == 0 && n < 60; n++ {
+					f.step(t)
+				}
+				for _, w := range flapping {
+					f.restart(w)
+				}
+			}
+			if j := f.state.Job("a"); j == nil || j.Ended() {
+				t.Fatal("the job has ended")
+			}
+			f.checkAllAtWork(t, 1)
+		})
+	}
+}
+
+// TestDeadlyLastingTaskRests guards against a lasting task that crashes its worker at each start, for good, and takes one
+// worker after the other without a pause.
+func TestDeadlyLastingTaskRests(t *testing.T) {
+	f := newPoweredFleet(t, 8)
+	f.submitLasting(1)
+	begin, crashes := f.now, 0
+	for f.now.Sub(begin) < time.Minute {
+		for _, w := range f.workers {
+			if len(w.running) > 0 {
+				crashes++
+				f.restart(w)
+			}
+		}
+		f.step(t)
+	}
+	if f.state.Job("a").Ended() || crashes < 5 || crashes > 20 {
+		t.Errorf("after %d crashes in a minute the job is %s", crashes, f.state.Job("a").Phase)
+	}
+}
--- a/internal/queue/coordinator/suspicion_test.go
+++ b/internal/queue/coordinator/suspicion_test.go
@@ -40,6 +40,7 @@
 type standIn struct {
 	id      string
 	address string
+	labels  []string
 	born    time.Time
 	up      bool
 	running []*messages.Run
@@ -73,7 +74,7 @@
 		}
 		f.sequence++
 		o := f.report(t, f.sequence, func(r *messages.FleetReport) {
-			r.Worker, r.Born, r.Address = w.id, w.born.UnixMilli(), w.address
+			r.Worker, r.Born, r.Address, r.Labels = w.id, w.born.UnixMilli(), w.address, w.labels
 			listing(w.running)(r)
 		})
 		for _, s := range o.GetStarts() {
