executor: a delayed copy of a hold order is answered with the end of its task

The stand-in worker refused a copy of a hold order that arrived after its task had ended. A refusal says that nothing has run, so a job that is not idempotent ran a second time.

--- a/internal/worker/executor/machine.go
+++ b/internal/worker/executor/machine.go
@@ -176,7 +176,10 @@
 }
 
 func (m *Machine) hold(now time.Time, o *messages.WorkerOrder) *scheduler.Ack {
-	if t := m.find(o); t != nil && t.state != finished {
+	switch t := m.find(o); {
+	case t != nil && t.state == finished:
+		return t.finalAck // a delayed copy; a refusal would say that nothing has run
+	case t != nil:
 		return t.ack(scheduler.AckHeld, "")
 	}
 	t, refusal := m.addTask(o)
