scheduler: nothing is granted on workers of an evacuated place

Cause: the gangs of the own interface ignored evacuations. Change: the entry that starts an evacuation makes the workers of its place unusable on every keeper, and withdraws what was not started there: reservations, claims, held gangs. Guarantees are bound elsewhere. Workers that are announced later, or leave quarantine, are covered; when the evacuation ends all are usable in the same step. A start that was committed before and is not confirmed in 2 s is stopped, unless the job is not idempotent: a stop could fail it. Operators see the state evacuated and a record of kind place.

--- a/internal/job/scheduler/attempt.go
+++ b/internal/job/scheduler/attempt.go
@@ -338,7 +338,12 @@
 	delete(s.byGrant, id)
 	s.capacityChanged = true
 	for _, ready := range s.fleet.Release(id) {
-		s.beginAttempt(s.byGrant[ready])
+		next := s.byGrant[ready]
+		if place := s.evacuatedPlace(s.fleet.Grant(ready)); place != "" {
+			s.withdrawEvacuated(next, place)
+			continue
+		}
+		s.beginAttempt(next)
 	}
 }
 
@@ -393,12 +398,14 @@
 			s.requeue(j, "a member did not answer in time")
 		case Checkpointing:
 			s.stopAttempt(j, causeEvicted, j.Reason)
-		case Waiting, Reclaiming, Running, Stopping, Complete:
+		case Running:
+			s.stopUnconfirmed(j)
+		case Waiting, Reclaiming, Stopping, Complete:
 			s.setDeadline(j, time.Time{})
 		}
 	}
 	for _, name := range s.health.StartDueProbes(s.now) {
-		if w := s.workers[name]; w != nil && !w.Lost && !w.Leaving {
+		if w := s.workers[name]; w != nil && s.isUsable(w) {
 			s.fleet.SetUsable(name, true)
 			s.capacityChanged = true
 			s.record("worker", name, "", "back in service for a probe")
--- a/internal/job/scheduler/driver_test.go
+++ b/internal/job/scheduler/driver_test.go
@@ -24,6 +24,9 @@
 
 const resendInterval = 250 * time.Millisecond
 
+// evacuationTimeout is the time after an order after which nothing may start in an evacuated place.
+const evacuationTimeout = 5 * time.Second
+
 // driver runs a policy against simulated workers on a virtual clock.
 type driver struct {
 	now             time.Time
@@ -45,7 +48,9 @@
 	running      map[runKey]int   // index into runs of the parts that are running
 	violations   []string         // violated invariants that the driver itself detected
 	leavingSince map[string]time.Time
+	evacuated    map[string]time.Time // since when, by place
 	afterStep    func(scheduler.Event, []scheduler.Order)
+	idempotent   func(job string) bool
 }
 
 // run is one part that a worker ran.
@@ -74,9 +79,9 @@
 		now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), policy: p,
 		random: rand.New(rand.NewPCG(seed, 1)), timing: registrar.DefaultTiming(),
 		workers: map[string]*fakeWorker{}, answers: map[string]scheduler.JobView{}, runs: map[string][]run{},
-		running: map[runKey]int{}, leavingSince: map[string]time.Time{},
+		running: map[runKey]int{}, leavingSince: map[string]time.Time{}, evacuated: map[string]time.Time{},
 		delay:     func() time.Duration { return time.Millisecond },
-		afterStep: func(scheduler.Event, []scheduler.Order) {},
+		afterStep: func(scheduler.Event, []scheduler.Order) {}, idempotent: func(string) bool { return true },
 	}
 }
 
@@ -253,6 +258,17 @@
 	w.machine.Renew(w.machine.Running(), d.now.Add(d.timing.Lease))
 }
 
+// evacuate starts or ends the evacuation of a place.
+func (d *driver) evacuate(place string, over bool) {
+	if over {
+		delete(d.evacuated, place)
+	} else if _, ok := d.evacuated[place]; !ok {
+		d.evacuated[place] = d.now
+	}
+	order := &messages.EvacuationOrder{Place: place, Over: over, By: "operator"}
+	d.step(scheduler.ChangeQueues{Change: &messages.QueueChange{Time: d.now.UnixMilli(), Evacuations: []*messages.EvacuationOrder{order}}})
+}
+
 // addWorker starts or restarts a worker.
 func (d *driver) addWorker(info scheduler.WorkerInfo) {
 	if old := d.workers[info.Name]; old != nil {
@@ -291,6 +307,10 @@
 	if since, ok := d.leavingSince[worker]; ok && now.Sub(since) > 2*time.Second {
 		d.violation("job %s started on %s %s after the worker announced that it is leaving", job, worker, now.Sub(since))
 	}
+	// Only the start of a job that is not idempotent may be ordered until it is confirmed.
+	if since, ok := d.evacuated[d.workers[worker].info.Place]; ok && d.idempotent(job) && now.Sub(since) > evacuationTimeout {
+		d.violation("job %s started on %s %s after the evacuation of its place", job, worker, now.Sub(since))
+	}
 	d.runs[job] = append(d.runs[job], run{worker: worker, attempt: attempt, members: members, start: now})
 	d.running[key] = len(d.runs[job]) - 1
 }
--- a/internal/job/scheduler/invariants_test.go
+++ b/internal/job/scheduler/invariants_test.go
@@ -18,7 +18,9 @@
 	// disturbed is set once a worker was lost, left or failed, or the manifest changed. From then on, jobs that
 	// can't be reclaimed may occupy slots that a guarantee would need.
 	disturbed bool
-	holders   map[attemptKey]map[string]bool // workers that acknowledged a hold, by attempt
+	// evacuatedOwners holds the grants on workers of evacuated places after the last step.
+	evacuatedOwners map[allocator.GrantID]bool
+	holders         map[attemptKey]map[string]bool // workers that acknowledged a hold, by attempt
 }
 
 type attemptKey struct {
@@ -57,6 +59,7 @@
 	}{
 		{"indexes", c.state.CheckIndexes},
 		{"guarantees fit", c.guaranteesFit},
+		{"nothing granted in evacuated places", c.nothingGrantedInEvacuated},
 		{"no slot overcommit", c.noSlotOvercommit},
 		{"no partial gangs", c.noPartialGangs},
 		{"at most once", c.atMostOnce},
@@ -95,6 +98,57 @@
 	return c.boundCellsExclusive()
 }
 
+// nothingOrderedInEvacuated checks that no decision is to hold or to start anything in an evacuated place. Orders that are sent
+// again, as they were not confirmed, are no new decisions.
+func (c *checker) nothingOrderedInEvacuated(orders []scheduler.Order) error {
+	for _, o := range orders {
+		var part scheduler.Part
+		switch o := o.(type) {
+		case scheduler.Hold:
+			part = o.Part
+		case scheduler.Start:
+			part = o.Part
+		default:
+			continue
+		}
+		if since, ok := c.driver.evacuated[c.driver.workers[part.Worker].info.Place]; ok {
+			return fmt.Errorf("%T of %s for %s %v after the evacuation of its place", o, part.Job, part.Worker, c.driver.now.Sub(since))
+		}
+	}
+	return nil
+}
+
+// nothingGrantedInEvacuated checks that workers of evacuated places are not usable, that no guarantee is bound and no claim
+// made there, and that nothing is granted there that was not running before.
+func (c *checker) nothingGrantedInEvacuated() error {
+	owners := map[allocator.GrantID]bool{}
+	var err error
+	c.state.Fleet().EachSlot(func(_, slot int, cell allocator.SlotInfo) {
+		since, evacuated := c.driver.evacuated[cell.Place]
+		if !evacuated || cell.Worker == "" {
+			return
+		}
+		if cell.Usable || cell.Claim != 0 || cell.BoundTo != "" {
+			err = fmt.Errorf("slot %d of %s in an evacuated place: usable %t, claim %d, bound to %q", slot, cell.Worker, cell.Usable, cell.Claim, cell.BoundTo)
+		}
+		if cell.Owner != 0 {
+			owners[cell.Owner] = true
+			if known := c.evacuatedOwners[cell.Owner]; !known && c.driver.now.After(since) {
+				err = fmt.Errorf("slot %d of %s was granted %v after the evacuation of its place", slot, cell.Worker, c.driver.now.Sub(since))
+			}
+		}
+	})
+	c.evacuatedOwners = owners
+	for _, v := range c.state.Jobs("", false) {
+		for _, name := range v.Workers {
+			if _, evacuated := c.driver.evacuated[c.driver.workers[name].info.Place]; evacuated && v.Phase == scheduler.Holding {
+				err = fmt.Errorf("job %s holds slots of %s, whose place is evacuated", v.ID, name)
+			}
+		}
+	}
+	return err
+}
+
 // boundCellsExclusive checks that a bound cell holds only guaranteed jobs of its own organisation and borrowed
 // jobs.
 func (c *checker) boundCellsExclusive() error {
--- a/internal/job/scheduler/property_test.go
+++ b/internal/job/scheduler/property_test.go
@@ -81,10 +81,11 @@
 		d.duplicateRate = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "double")
 		c := &checker{driver: d, state: s, nonIdempotent: map[string]bool{}, disturbed: true, holders: map[attemptKey]map[string]bool{}}
 		d.afterStep = func(e scheduler.Event, orders []scheduler.Order) {
-			if err := errors.Join(c.gangStartsAfterAllHolds(e, orders), c.check()); err != nil {
+			if err := errors.Join(c.gangStartsAfterAllHolds(e, orders), c.nothingOrderedInEvacuated(orders), c.check()); err != nil {
 				t.Fatalf("after %T: %v", e, err)
 			}
 		}
+		d.idempotent = func(job string) bool { return !c.nonIdempotent[job] }
 		g := &generator{driver: d, checker: c, pair: pair, version: 1}
 		d.step(scheduler.ApplyManifest{Text: manifestText(t, 1)})
 		for _, w := range fleetOf([]string{"p1"}, "s", 2, 2, 4) {
@@ -108,6 +109,8 @@
 			"manifest": g.manifest,
 			"bad":      g.toggleFailures,
 			"restore":  g.restore,
+			"evacuate": g.evacuate,
+			"return":   g.endEvacuation,
 		})
 		g.finish(t)
 	})
@@ -212,6 +215,17 @@
 	w.machine.FailAll = !w.machine.FailAll
 }
 
+// evacuate starts an evacuation, or repeats the order.
+func (g *generator) evacuate(t *rapid.T) {
+	g.checker.disturbed = true
+	g.driver.evacuate(rapid.SampledFrom([]string{"p1", "p2"}).Draw(t, "place"), false)
+}
+
+// endEvacuation ends an evacuation, or one that is not in force.
+func (g *generator) endEvacuation(t *rapid.T) {
+	g.driver.evacuate(rapid.SampledFrom([]string{"p1", "p2"}).Draw(t, "place"), true)
+}
+
 // restore continues with a second state from a snapshot, as a replica that was far behind does.
 func (g *generator) restore(t *rapid.T) {
 	data, err := g.checker.state.Save()
@@ -229,7 +243,7 @@
 	g.pair.restored = s
 }
 
-// finish restarts all workers and checks that every job gets an answer.
+// finish restarts all workers, ends all evacuations and checks that every job gets an answer.
 func (g *generator) finish(t *rapid.T) {
 	for _, w := range g.driver.workers {
 		w.machine.FailAll = false
@@ -241,6 +255,8 @@
 		}
 	}
 	g.driver.lossRate = 0
+	g.driver.evacuate("p1", true)
+	g.driver.evacuate("p2", true)
 	g.driver.runUntil(g.driver.now.Add(4 * time.Hour))
 	for _, id := range g.ids {
 		if v, _ := g.checker.state.JobByID(id); v.Answer == nil {
--- a/internal/job/scheduler/state.go
+++ b/internal/job/scheduler/state.go
@@ -41,6 +41,8 @@
 	WorkerInfo
 	Since time.Time `json:"since"`
 	Lost  bool      `json:"gone,omitempty"` // lost, but still has grants
+	// Closed means that the evacuation of its place made it unusable. Only snapshots of format 2 hold it.
+	Closed bool `json:"closed,omitempty"`
 }
 
 // State is the state of the scheduler.
@@ -114,9 +116,11 @@
 	case Report:
 		s.applyReport(e)
 	case ChangeQueues:
-		// Queues have their own workers and rules, so the fleet needs no new pass.
-		s.queues.Apply(e.Change)
-		return nil
+		places := s.changeQueues(e.Change)
+		if len(places) == 0 {
+			return nil // queues have their own workers and rules, so the fleet needs no new pass
+		}
+		s.applyEvacuations(places)
 	case Tick:
 	default:
 		panic(fmt.Sprintf("unknown event %T", e))
@@ -214,7 +218,7 @@
 // WorkerView is the operator's view of a worker.
 type WorkerView struct {
 	WorkerInfo
-	State string `json:"state"` // ready, leaving, aside (quarantined) or lost
+	State string `json:"state"` // ready, leaving, aside (quarantined), evacuated or lost
 	Jobs  int    `json:"jobs"`
 }
 
@@ -231,6 +235,8 @@
 			v.State = "leaving"
 		case s.health.IsQuarantined(name):
 			v.State = "aside"
+		case s.queues.IsEvacuated(w.Place):
+			v.State = "evacuated"
 		}
 		views = append(views, v)
 	}
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -29,21 +29,24 @@
 	moved := known != nil && (known.Place != info.Place || known.Rack != info.Rack || known.Service != info.Service)
 	if moved && !s.fleet.Remove(info.Name) {
 		s.fleet.SetUsable(info.Name, false)
+		known.Closed = false // the end of an evacuation must not make it usable
 		return errMovedWhileInUse
 	}
 	entry := allocator.Worker{Name: info.Name, Place: info.Place, Rack: info.Rack, Service: info.Service, Slots: info.Slots}
 	if err := s.fleet.Add(entry); err != nil {
 		return err
 	}
-	usable := !info.Leaving && !s.health.IsQuarantined(info.Name)
+	w := &worker{WorkerInfo: info, Since: s.now}
+	usable := s.isUsable(w)
 	s.fleet.SetUsable(info.Name, usable)
+	w.Closed = s.queues.IsEvacuated(w.Place)
 	s.capacityChanged = s.capacityChanged || usable
 	if known == nil || known.Lost || known.Incarnation != info.Incarnation {
 		s.record("worker", info.Name, "", "announced for %s in %s, rack %s, %d slots", info.Service, info.Place, info.Rack, info.Slots)
 	} else if known.Leaving != info.Leaving {
 		s.record("worker", info.Name, "", "leaving: %t", info.Leaving)
 	}
-	s.workers[info.Name] = &worker{WorkerInfo: info, Since: s.now}
+	s.workers[info.Name] = w
 	s.recordAtRisk()
 	return nil
 }
