--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -20,7 +20,7 @@
 	Labels   []string
 	Capacity Vector
 	Free     Vector    // capacity minus all runs that have not ended
-	Usable   bool      // new tasks may start on it
+	Usable   bool      // new tasks may start on it, unless its data centre is evacuated
 	Silent   bool      // it is out of contact, so its runs may have ended
 	Late     bool      // no new tasks may start on it only because its last report came late
 	Suspect  bool      // used only if no other worker fits, and not for a last attempt
@@ -30,8 +30,13 @@
 	Runs     []*ActiveRun
 	// Quarantined: too many runs have failed on it. It is used only by units that have waited long enough for others.
 	Quarantined bool
+	Evacuated   bool // its data centre is evacuated, so nothing starts on it
+	Cold        bool // it is still slow after its start
 }
 
+// accepts reports whether new tasks may start on the worker.
+func (w *Worker) accepts() bool { return w.Usable && !w.Evacuated }
+
 // ActiveRun is a run that has not ended.
 type ActiveRun struct {
 	Key       tracker.RunKey
@@ -137,6 +142,7 @@
 	running      map[*tracker.Job]bool // jobs with a run on a worker in contact, or with a start in this pass
 	idle         map[string]bool       // pools of which less than half is in use, once known
 	doubtful     map[string]bool       // pools with workers in quarantine, probation or trials
+	evacuated    map[string]bool       // pools with workers of evacuated data centres
 	obstacles    map[StepKey]Obstacle
 }
 
@@ -176,7 +182,7 @@
 		input: in, racks: map[string][]*candidate{}, pools: map[string][]*candidate{},
 		gangs: map[*tracker.Step][]*ActiveRun{}, workerOf: map[*ActiveRun]*candidate{}, costs: map[*ActiveRun]int64{},
 		trials: map[string]int{}, old: map[string]int{}, tried: map[*tracker.Job]bool{}, running: map[*tracker.Job]bool{}, idle: map[string]bool{},
-		doubtful: map[string]bool{}, obstacles: map[StepKey]Obstacle{},
+		doubtful: map[string]bool{}, evacuated: map[string]bool{}, obstacles: map[StepKey]Obstacle{},
 	}
 	p.planTrials()
 	for _, w := range in.Workers {
@@ -192,11 +198,12 @@
 			}
 		}
 		p.workers = append(p.workers, c)
+		p.evacuated[w.Pool] = p.evacuated[w.Pool] || w.Evacuated
 		if w.hasTrial() {
 			p.close(c)
 			c.sealed = slices.ContainsFunc(w.Runs, (*ActiveRun).isDecidingTrial)
 		}
-		if w.Usable {
+		if w.accepts() {
 			p.doubtful[w.Pool] = p.doubtful[w.Pool] || w.Quarantined || w.Probed
 			p.pools[w.Pool] = append(p.pools[w.Pool], c)
 			p.racks[w.Pool+"\x00"+w.Rack] = append(p.racks[w.Pool+"\x00"+w.Rack], c)
@@ -360,7 +367,12 @@
 	if !u.incautious && u.isDoubtful(w) {
 		return false
 	}
-	label := u.step.Spec.GetLabel()
+	return hasLabel(w, u.step)
+}
+
+// hasLabel reports whether a worker has the label that a step requires, if any.
+func hasLabel(w *Worker, s *tracker.Step) bool {
+	label := s.Spec.GetLabel()
 	return label == "" || slices.Contains(w.Labels, label)
 }
 
--- a/internal/worker/registrar/monitor.go
+++ b/internal/worker/registrar/monitor.go
@@ -300,3 +300,15 @@
 	slices.SortFunc(list, func(a, b KeeperStatus) int { return strings.Compare(a.Name, b.Name) })
 	return list
 }
+
+// Outdated returns the name of a keeper in contact that can't apply log entries of a format, the first one by name, "" if there
+// is none.
+func (m *Monitor) Outdated(now time.Time, format uint32) string {
+	for _, name := range slices.Sorted(maps.Keys(m.daemons)) {
+		d := m.daemons[name]
+		if d.keeper.Identity != "" && d.heartbeat.GetFormat() < format && now.Sub(d.lastContact) <= daemonTimeout {
+			return name
+		}
+	}
+	return ""
+}
