router: evacuations of places, behind the operators' token

Cause: evacuations could be ordered through the platform's interface only. Change: PUT and DELETE /v1/evacuations/PLACE pass an order on to the leader and answer 200 once it is committed; GET /v1/evacuations lists what is in force. 404 for an unknown place, 503 with Retry-After without a leader or beside a keeper of an earlier build. The operators share a token, so `by` is the fixed word operator.

--- a/internal/entry/router/problem.go
+++ b/internal/entry/router/problem.go
@@ -12,7 +12,7 @@
 const (
 	CodeUnauthorised = "unauthorised" // no token or an unknown one
 	CodeInvalid      = "invalid"      // the request is malformed and had no effect
-	CodeUnknown      = "unknown"      // no such job
+	CodeUnknown      = "unknown"      // no such job or place
 	CodeConflict     = "conflict"     // the key or version exists with different content
 	CodeRate         = "rate"         // the organisation's rate is exceeded; this request was not accepted
 	CodeBusy         = "busy"         // the entry is at its limit or draining; this request was not accepted
--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -44,6 +44,8 @@
 	Propose(ctx context.Context, e scheduler.Event) (scheduler.Reply, error)
 	Await(ctx context.Context, org, key string, wait time.Duration) (view scheduler.JobView, known bool, err error)
 	Query(ctx context.Context, q *messages.Question) (json.RawMessage, error)
+	Evacuate(ctx context.Context, o *messages.EvacuationOrder) (*messages.Verdict, error)
+	Evacuations(ctx context.Context) (*messages.EvacuationList, error)
 }
 
 // Options are the dependencies of a router.
@@ -75,6 +77,7 @@
 	r.mux.Handle("/metrics", opts.MetricsHandler).Methods(http.MethodGet)
 	r.callerRoutes()
 	r.operatorRoutes()
+	r.evacuationRoutes()
 	r.mux.HandleFunc("/v1/workers", r.announce).Methods(http.MethodPost)
 	r.mux.HandleFunc("/v1/workers/{name}/report", r.report).Methods(http.MethodPost)
 	r.mux.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
