runner: places that the own settings, the manifest, workers and daemons name

Cause: the leader refuses an order for an unknown place, and knew only the data centres of the platform's settings and the workers of queues. Change: the own settings give the places of the daemon and of the keepers, and the leader asks for those of the manifest, of workers and of daemons in contact too. As the settings always name some, no name is taken for known in the first seconds of a leader.

--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
 	"github.com/bluebellgauge/bluebellgauge/internal/entry/forwarder"
 	"github.com/bluebellgauge/bluebellgauge/internal/job/scheduler"
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/coordinator"
@@ -101,10 +102,15 @@
 // startCoordinator starts the queue coordinator of a replica and routes local queue calls to it.
 func (r *Runner) startCoordinator(rep *replica) *coordinator.Coordinator {
 	a, s := rep.applier, r.opts.Settings
+	var current *scheduler.State // during Read
 	queues := coordinator.New(coordinator.Options{
 		Timing: r.opts.Queues.Timing, Address: r.opts.Queues.Address,
 		Read: func(ctx context.Context, read func(term uint64, state *tracker.Tracker)) error {
-			return a.Read(ctx, func(term uint64, state *scheduler.State) { read(term, state.Queues()) })
+			return a.Read(ctx, func(term uint64, state *scheduler.State) {
+				current = state
+				defer func() { current = nil }()
+				read(term, state.Queues())
+			})
 		},
 		Commit: func(ctx context.Context, term uint64, change *messages.QueueChange) (applier.Receipt, error) {
 			return a.ProposeIn(ctx, term, scheduler.ChangeQueues{Change: change})
@@ -112,6 +118,9 @@
 		RedirectError: rep.server.RedirectError, Wait: coordinator.Wait, Now: time.Now, Wall: time.Now, Metrics: r.opts.Metrics.SubScope("queues"), Log: r.log,
 		Cores: cmp.Or(r.opts.Queues.Cores, float64(runtime.GOMAXPROCS(0))), RackFactor: r.opts.Queues.RackFactor,
 		MaxMessage: persister.MaxEntryBytes - entryMargin, Places: r.opts.Queues.Places, OutdatedKeeper: rep.server.OutdatedKeeper,
+		KnowsPlace: func(term uint64, place string) bool {
+			return current.HasPlace(place) || rep.server.HasDaemonIn(term, place)
+		},
 	})
 	r.forwarder.SetLocalReplica(forwarder.LocalReplica{
 		Address: s.PeeringAddr(), Queues: queues,
@@ -130,6 +139,15 @@
 	return queues
 }
 
+// settingsPlaces returns the places that the settings of a daemon name.
+func settingsPlaces(s *parser.Settings) []string {
+	places := []string{s.Place}
+	for _, k := range s.Keepers {
+		places = append(places, k.Place)
+	}
+	return places
+}
+
 // electionSeed derives the seed of the randomized election timeouts from the daemon's name, so that it differs
 // between daemons and stays the same across restarts.
 func electionSeed(name string) uint64 {
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -77,7 +77,8 @@
 	Cores   float64 // processor time per second that the daemon may use; 0 for all cores
 	// RackFactor is the run time of a compact gang across racks as a multiple of that in a single rack.
 	RackFactor float64
-	// Places are the data centres that the settings name.
+	// Places are the data centres that the settings name. Without any, a leader takes all names for known until the workers have had
+	// time to report.
 	Places []string
 }
 
@@ -174,6 +175,7 @@
 	r.forwarder = forwarder.New(peers.scheme, peers.client, peers, metrics.SubScope("forwarded"), r.log)
 	if r.opts.Queues.Timing.Lease == 0 {
 		r.opts.Queues = DefaultQueueOptions()
+		r.opts.Queues.Places = settingsPlaces(s)
 	}
 	if s.Data != "" {
 		if err := r.buildReplica(metrics); err != nil {
--- a/internal/entry/forwarder/server.go
+++ b/internal/entry/forwarder/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -292,6 +293,13 @@
 	return s.monitorFor(term).Outdated(s.Now(), scheduler.EntryFormat)
 }
 
+// HasDaemonIn reports whether a daemon of a place is in contact, according to the leader of a term.
+func (s *Server) HasDaemonIn(term uint64, place string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.monitorFor(term).Roster(s.Now()).Daemons, func(d *messages.Daemon) bool { return d.GetPlace() == place })
+}
+
 // Lost returns the workers whose leases have expired according to the leader of a term.
 func (s *Server) Lost(term uint64, state *scheduler.State) []scheduler.WorkerLost {
 	s.mu.Lock()
--- a/internal/job/scheduler/evacuation.go
+++ b/internal/job/scheduler/evacuation.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
 	"github.com/bluebellgauge/bluebellgauge/internal/job/allocator"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
@@ -33,6 +34,19 @@
 	})
 }
 
+// HasPlace reports whether the manifest in force or a worker names a place.
+func (s *State) HasPlace(place string) bool {
+	if s.manifest != nil && slices.ContainsFunc(s.manifest.Places, func(p parser.Place) bool { return p.Name == place }) {
+		return true
+	}
+	for _, w := range s.workers {
+		if w.Place == place {
+			return true
+		}
+	}
+	return false
+}
+
 // applyEvacuations updates the workers of the places whose evacuation has started or ended.
 func (s *State) applyEvacuations(places []string) {
 	started := false
--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -99,6 +99,9 @@
 	RackFactor float64
 	// Places are the data centres that the settings name.
 	Places []string
+	// KnowsPlace reports whether a data centre is known apart from Places and the workers of queues. It is called inside Read. nil means
+	// that none is.
+	KnowsPlace func(term uint64, place string) bool
 	// OutdatedKeeper returns the name of a keeper in contact that can't apply entries with evacuations, "" for none. It is called
 	// inside Read. nil means that there is none.
 	OutdatedKeeper func(term uint64) string
--- a/internal/queue/coordinator/evacuation.go
+++ b/internal/queue/coordinator/evacuation.go
@@ -103,7 +103,7 @@
 			return true
 		}
 	}
-	return false
+	return c.opts.KnowsPlace != nil && c.opts.KnowsPlace(c.term, place)
 }
 
 // orderFields returns the fields of the log lines about an order.
