commander: evacuate, return and evacuations

Cause: operators without curl had no way to order an evacuation. Change: three commands with the exit codes, the table and the JSON of their siblings; the client repeats an order through other entries until it is acknowledged, which is harmless.

--- a/internal/console/client/client.go
+++ b/internal/console/client/client.go
@@ -13,6 +13,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strings"
 	"time"
 
@@ -219,6 +220,23 @@
 	return reply.Version, err
 }
 
+// Evacuate starts the evacuation of a place, or ends it if over is set.
+func (c *Client) Evacuate(ctx context.Context, place string, over bool) (EvacuationReply, error) {
+	var reply EvacuationReply
+	method := http.MethodPut
+	if over {
+		method = http.MethodDelete
+	}
+	err := c.do(ctx, call{method: method, path: "/v1/evacuations/" + url.PathEscape(place), timeout: requestTimeout}, &reply)
+	return reply, err
+}
+
+// EvacuationReply is the reply to an acknowledged order.
+type EvacuationReply struct {
+	Place  string `json:"place"`
+	Status string `json:"status"` // evacuated or returned
+}
+
 // Get reads one of the operator views into out.
 func (c *Client) Get(ctx context.Context, path string, out any) error {
 	return c.do(ctx, call{method: http.MethodGet, path: path, timeout: requestTimeout}, out)
--- a/internal/console/commander/commands.go
+++ b/internal/console/commander/commands.go
@@ -219,6 +219,30 @@
 	})
 }
 
+// evacuateCommand starts or ends the evacuation of a place.
+type evacuateCommand struct {
+	c    *Commander
+	over bool
+	Args struct {
+		Place string `positional-arg-name:"place" required:"true" description:"place of the workers"`
+	} `positional-args:"true"`
+}
+
+// Execute sends the order, which is acknowledged once it is committed. It may be repeated.
+func (e *evacuateCommand) Execute([]string) error {
+	return e.c.withClient(func(ctx context.Context, cl *client.Client) error {
+		reply, err := cl.Evacuate(ctx, e.Args.Place, e.over)
+		if err != nil {
+			return err
+		}
+		if e.c.globals.JSON {
+			return e.c.printJSON(reply)
+		}
+		e.c.println(e.c.out, reply.Place+" is "+reply.Status)
+		return nil
+	})
+}
+
 // historyCommand prints the recorded history of one subject, or of all.
 type historyCommand struct {
 	listCommand
