--- a/internal/queue/coordinator/relocation_test.go
+++ b/internal/queue/coordinator/relocation_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
@@ -60,6 +61,8 @@
 		t.Run(fmt.Sprint(absent), func(t *testing.T) {
 			is := is.New(t)
 			f := newEvacuatedService(t, 2, &messages.Step{Count: 8, Processors: 2000, Estimate: 1000, Lasting: true, Absent: absent})
+			scope := tally.NewTestScope("", nil)
+			f.metrics = newMetrics(scope)
 			f.order(t, "north", false)
 			most := 0
 			begin := f.now
@@ -69,6 +72,11 @@
 				is.True(f.now.Sub(begin) < 30*time.Second)
 			}
 			is.Equal(most, int(max(absent, 1)))
+			is.Equal(scope.Snapshot().Counters()["evacuation_moves+"].Value(), int64(8))
+			is.Equal(scope.Snapshot().Gauges()["evacuated_places+"].Value(), 1.0)
+			f.order(t, "north", true)
+			f.step(t)
+			is.Equal(scope.Snapshot().Gauges()["evacuated_places+"].Value(), 0.0)
 		})
 	}
 }
@@ -118,24 +126,29 @@
 	}
 }
 
-// TestNewLeaderMovesNothingUnheard guards against a new leader that takes tasks for away, or at work, before their workers have
-// reported to it.
+// TestNewLeaderMovesNothingUnheard guards against a new leader that takes tasks for at work whose workers have not reported to it, or
+// have not listed them.
 func TestNewLeaderMovesNothingUnheard(t *testing.T) {
 	is := is.New(t)
 	f := newEvacuatedService(t, 2, &messages.Step{Count: 4, Processors: 8000, Estimate: 1000, Lasting: true})
 	f.order(t, "north", false)
 	f.leaderTerm++
-	f.sequence++
-	for _, id := range f.workers {
-		if id != "r0-w3" {
+	for _, heard := range []bool{false, true} {
+		f.sequence++
+		for _, id := range f.workers {
+			if id == "r0-w3" && !heard {
+				continue
+			}
 			f.report(t, f.sequence, func(r *messages.FleetReport) {
 				r.Worker, r.Rack, r.Place = id, rackOf(id), f.place[rackOf(id)]
-				f.addRuns(r)
+				if id != "r0-w3" {
+					f.addRuns(r)
+				}
 			})
 		}
+		f.Pass(context.Background())
+		is.Equal(len(f.stopping), 0)
 	}
-	f.Pass(context.Background())
-	is.Equal(len(f.stopping), 0)
 	f.step(t)
 	is.Equal(len(f.stopping), 1)
 }
