--- a/internal/console/commander/commands.go
+++ b/internal/console/commander/commands.go
@@ -246,7 +246,7 @@
 // historyCommand prints the recorded history of one subject, or of all.
 type historyCommand struct {
 	listCommand
-	Subject string `long:"subject" description:"job, worker, manifest version or organisation"`
+	Subject string `long:"subject" description:"job, worker, place, manifest version or organisation"`
 	Org     string `long:"organisation" description:"organisation whose records to show"`
 }
 
