placer: guarantees are reclaimed from lasting tasks and from excess urgent work

An urgent job within its organisation's guarantee never began while tasks that last held the accelerators, or urgent tasks of an organisation far beyond its own guarantee. Such runs may now be stopped for a unit within its guarantee where no other run makes room, lasting tasks as many at a time as their steps bear.

--- a/internal/queue/placer/evict.go
+++ b/internal/queue/placer/evict.go
@@ -88,7 +88,7 @@
 // pass.
 func (p *pass) isInfeasible(u *unit) bool {
 	return slices.ContainsFunc(p.infeasible, func(earlier *unit) bool {
-		return !earlier.excludesMoreThan(u) && earlier.pool == u.pool && earlier.job.Work.GetPriority() <= u.job.Work.GetPriority() && len(earlier.tasks) <= len(u.tasks) &&
+		return !earlier.excludesMoreThan(u) && (earlier.guaranteed || !u.guaranteed) && earlier.pool == u.pool && earlier.job.Work.GetPriority() <= u.job.Work.GetPriority() && len(earlier.tasks) <= len(u.tasks) &&
 			u.need.covers(earlier.need) && earlier.step.Spec.GetLabel() == "" &&
 			(u.prefersRack() || !earlier.prefersRack()) && earlier.step.Spec.GetSpread() == 0
 	})
@@ -162,6 +162,9 @@
 			continue
 		}
 		e.selected[member] = true
+		if member.Step.Spec.GetLasting() {
+			clear(e.options) // which may hold other tasks of the step
+		}
 		e.runs = append(e.runs, member)
 		c := p.workerOf[member]
 		free, ok := e.free[c]
@@ -202,6 +205,9 @@
 		return o
 	}
 	for _, v := range p.victims(u, e, c) {
+		if !p.mayBeAway(v.run, e, o.runs) {
+			continue
+		}
 		o.runs = append(o.runs, v.run)
 		o.cost += v.cost
 		free = free.Add(v.run.Need)
@@ -213,15 +219,21 @@
 	return o
 }
 
-// victims lists the runs on a worker that may be evicted for a unit, cheapest first. Lasting tasks are
-// services with users of their own and are never evicted.
+// victims lists the runs on a worker that may be evicted for a unit, cheapest first.
 func (p *pass) victims(u *unit, e *eviction, c *candidate) []victim {
 	var list []victim
 	for _, a := range c.Runs {
-		if a.Stopping || a.Step.Spec.GetLasting() || e.selected[a] || a.Job.Work.GetPriority() <= u.job.Work.GetPriority() || a.Remaining < minRemaining {
+		if a.Stopping || e.selected[a] {
 			continue
 		}
-		list = append(list, victim{a, p.costOf(a)})
+		switch {
+		case !a.Step.Spec.GetLasting() && a.Job.Work.GetPriority() > u.job.Work.GetPriority():
+			if a.Remaining >= minRemaining {
+				list = append(list, victim{a, p.costOf(a)})
+			}
+		case p.isReclaimable(u, a):
+			list = append(list, victim{a, p.costOf(a) + reclaimPenalty})
+		}
 	}
 	sortVictims(list)
 	return list
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -131,6 +131,8 @@
 	racks        map[string][]*candidate // by pool and rack
 	pools        map[string][]*candidate
 	gangs        map[*tracker.Step][]*ActiveRun // running members of each gang
+	lasting      map[*tracker.Step][]*ActiveRun // of steps that limit how many of their tasks are away
+	demand       map[string]int64               // accelerators by organisation, of urgent jobs that have not ended
 	workerOf     map[*ActiveRun]*candidate
 	costs        map[*ActiveRun]int64 // of evicting a run together with its gang
 	infeasible   []*unit              // units that no eviction could fit
@@ -192,6 +194,7 @@
 		for _, a := range w.Runs {
 			p.workerOf[a] = c
 			p.running[a.Job] = p.running[a.Job] || !w.Silent
+			p.addLasting(a)
 			if a.Step.Spec.GetGang() {
 				p.gangs[a.Step] = append(p.gangs[a.Step], a)
 			}
@@ -224,10 +227,10 @@
 
 // units lists the units that may start, in placement order.
 func (p *pass) units() []*unit {
-	demand := map[string]int64{} // accelerators by organisation, of urgent jobs that have not ended
+	p.demand = map[string]int64{}
 	for _, j := range p.input.Jobs {
 		if isUrgent(j) && !j.Ended() {
-			demand[j.Work.GetOrganisation()] += accelerators(j)
+			p.demand[j.Work.GetOrganisation()] += accelerators(j)
 		}
 	}
 	var units []*unit
@@ -239,8 +242,7 @@
 		steps := j.Steps()
 		for i := range steps {
 			if u := p.newUnit(j, &steps[i], pool); u != nil {
-				org := j.Work.GetOrganisation()
-				u.guaranteed = u.urgent && demand[org] <= p.input.Guarantee(org)
+				u.guaranteed = u.urgent && !p.exceedsGuarantee(j.Work.GetOrganisation())
 				units = append(units, p.separateTrials(u)...)
 			}
 		}
