coordinator: evacuations among the random loads of TestNoJobWaitsBesideIdleWorkers

Cause: the test drew losses and crashes of workers, but no evacuations, which take room from waiting work just as they do. Change: up to three evacuations of two racks, some of which are returned; evacuated workers count neither as room nor as part of the pool. They are drawn last, so that each load is as before but for them.

--- a/internal/queue/coordinator/waiting_test.go
+++ b/internal/queue/coordinator/waiting_test.go
@@ -66,7 +66,8 @@
 func (i *idleTimes) observe() (time.Duration, string) {
 	f := i.fleet
 	longest, what := time.Duration(0), ""
-	idlePool := 2*f.used() < int64(len(f.workers))*workerProcessors
+	used, workers := f.used()
+	idlePool := 2*used < int64(workers)*workerProcessors
 	for _, j := range f.state.Open() {
 		s := j.Step(0, 0)
 		for n := range s.Tasks {
@@ -96,15 +97,19 @@
 	return longest, what
 }
 
-// used returns the processors in use.
-func (f *rackFleet) used() int64 {
-	total := int64(0)
+// used returns the processors in use on the workers that are not evacuated, and the number of these.
+func (f *rackFleet) used() (total int64, workers int) {
 	for _, id := range f.workers {
-		total += f.usedOn(id)
+		if !f.isEvacuated(id) {
+			total += f.usedOn(id)
+			workers++
+		}
 	}
-	return total
+	return total, workers
 }
 
+func (f *rackFleet) isEvacuated(id string) bool { return f.state.IsEvacuated(f.place[rackOf(id)]) }
+
 func (f *rackFleet) usedOn(id string) int64 {
 	total := int64(0)
 	for key := range f.state.RunsOn(id) {
@@ -121,7 +126,7 @@
 	}
 	fits := 0
 	for _, id := range f.workers {
-		if s.Spec.GetLabel() != "" && !isFirst(id) {
+		if s.Spec.GetLabel() != "" && !isFirst(id) || f.isEvacuated(id) {
 			continue
 		}
 		limit := want
@@ -141,7 +146,7 @@
 
 // TestNoJobWaitsBesideIdleWorkers guards against work that waits for a condition which other work can keep from ever being
 // true: an empty rack, workers that nothing speaks against, workers that are not reserved. Random gangs, lasting tasks,
-// failures, losses of workers and crashes after which they start again come first. The loads are the same in each run unless -rapid.seed draws others.
+// failures, losses of workers, crashes after which they start again, and evacuations of racks, some of which last, come first. The loads are the same in each run unless -rapid.seed draws others.
 func TestNoJobWaitsBesideIdleWorkers(outer *testing.T) {
 	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
 		if err := seed.Value.Set("1"); err != nil {
@@ -177,6 +182,16 @@
 				}
 			}
 		}
+		evacuations := map[int][]*messages.EvacuationOrder{}
+		for range rapid.IntRange(0, 3).Draw(t, "evacuations") {
+			at := rapid.IntRange(1, int(arrivalTime/testInterval)).Draw(t, "evacuation")
+			o := &messages.EvacuationOrder{Place: fmt.Sprintf("r%d", rapid.IntRange(0, 1).Draw(t, "rack"))}
+			evacuations[at] = append(evacuations[at], o)
+			if length := rapid.IntRange(0, 80).Draw(t, "evacuated"); length > 0 && at+length <= int(arrivalTime/testInterval) {
+				evacuations[at+length] = append(evacuations[at+length], &messages.EvacuationOrder{Place: o.GetPlace(), Over: true})
+			}
+		}
+		f.place = map[string]string{"r0": "r0", "r1": "r1"}
 		idle := &idleTimes{fleet: f, lastRun: map[tracker.TaskKey]time.Time{}, since: map[tracker.TaskKey]time.Time{}}
 		for n := range int((arrivalTime + calmTime + checkTime) / testInterval) {
 			elapsed := time.Duration(n) * testInterval
@@ -187,6 +202,9 @@
 					}}})
 				}
 			}
+			for _, o := range evacuations[n] {
+				f.order(outer, o.GetPlace(), o.GetOver())
+			}
 			if losses[n] {
 				f.workers = f.workers[1:]
 			}
@@ -195,7 +213,8 @@
 			}
 			f.step(outer)
 			if longest, what := idle.observe(); elapsed > arrivalTime+calmTime && longest > maxIdleTime {
-				t.Fatalf("%v after the start: %s has waited for %v, %d of %d processors are in use", elapsed, what, longest, f.used(), len(f.workers)*workerProcessors)
+				used, workers := f.used()
+				t.Fatalf("%v after the start: %s has waited for %v, %d of %d processors are in use", elapsed, what, longest, used, workers*workerProcessors)
 			}
 		}
 	})
