--- a/internal/queue/coordinator/waiting_test.go
+++ b/internal/queue/coordinator/waiting_test.go
@@ -146,7 +146,8 @@
 
 // TestNoJobWaitsBesideIdleWorkers guards against work that waits for a condition which other work can keep from ever being
 // true: an empty rack, workers that nothing speaks against, workers that are not reserved. Random gangs, lasting tasks,
-// failures, losses of workers, crashes after which they start again, and evacuations of racks, some of which last, come first. The loads are the same in each run unless -rapid.seed draws others.
+// failures, losses of workers, crashes after which they start again, and evacuations of racks, some of which last, come
+// first. The loads are the same in each run unless -rapid.seed draws others.
 func TestNoJobWaitsBesideIdleWorkers(outer *testing.T) {
 	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
 		if err := seed.Value.Set("1"); err != nil {
