placer: settings for what a stop costs

Cause: stops of tasks with checkpoints count as free, as nothing says how long such a task takes to resume. Nothing reads it yet.

--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -111,6 +111,7 @@
 		},
 		RedirectError: rep.server.RedirectError, Wait: coordinator.Wait, Now: time.Now, Wall: time.Now, Metrics: r.opts.Metrics.SubScope("queues"), Log: r.log,
 		Cores: cmp.Or(r.opts.Queues.Cores, float64(runtime.GOMAXPROCS(0))), RackFactor: r.opts.Queues.RackFactor,
+		Preemption: r.opts.Queues.Preemption,
 		MaxMessage: persister.MaxEntryBytes - entryMargin,
 	})
 	r.forwarder.SetLocalReplica(forwarder.LocalReplica{
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -29,6 +29,7 @@
 	"github.com/bluebellgauge/bluebellgauge/internal/entry/recoverer"
 	"github.com/bluebellgauge/bluebellgauge/internal/entry/router"
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/coordinator"
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/placer"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 	"github.com/bluebellgauge/bluebellgauge/internal/worker/registrar"
@@ -76,6 +77,8 @@
 	Cores   float64 // processor time per second that the daemon may use; 0 for all cores
 	// RackFactor is the run time of a compact gang across racks as a multiple of that in a single rack.
 	RackFactor float64
+	// Preemption is what stops for urgent work cost; the zero value counts only unsaved work.
+	Preemption placer.Preemption
 }
 
 // DefaultQueueOptions returns the queue parameters for production.
--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -97,6 +97,8 @@
 	MaxMessage int
 	// RackFactor is the run time of a compact gang across racks as a multiple of that in a single rack.
 	RackFactor float64
+	// Preemption is what stops for urgent work cost; the zero value counts only unsaved work.
+	Preemption placer.Preemption
 	// Metrics receives the counts and durations of decisions and commits.
 	Metrics tally.Scope
 	Log     *zap.Logger
--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -214,6 +214,7 @@
 		Resting:  c.isResting,
 		FailedAt: func(j *tracker.Job) time.Time { return c.failedWorkers.failedAt(now, j.Work.GetId()) },
 		Waited:   c.waitOf, RackFactor: c.opts.RackFactor,
+		Preemption: c.opts.Preemption,
 	}
 	quarantined := map[string]int{} // number of workers by pool
 	total := map[string]int{}
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -77,6 +77,8 @@
 	Waited func(StepKey) Wait
 	// RackFactor is the run time of a compact gang across racks as a multiple of that in a single rack.
 	RackFactor float64
+	// Preemption is what stops cost. While its Restore is 0, a stop costs the unsaved work only.
+	Preemption Preemption
 }
 
 // Plan holds the decisions of one pass.
