simulator: loads of a large pool with racks, and figures on stops

Cause: the presets have 48 workers in racks of 8, and say nothing of stops soon after a start, of the waits of gangs by size, or of the worst organisation.

--- a/internal/queue/simulator/job.go
+++ b/internal/queue/simulator/job.go
@@ -48,6 +48,9 @@
 					rate *= b.Factor
 				}
 			}
+			if period := s.opts.Load.WavePeriod; period > 0 {
+				rate *= 1 + s.opts.Load.WaveDepth*math.Sin(2*math.Pi*at.Seconds()/period.Seconds())
+			}
 			at += time.Duration(s.random.ExpFloat64() / rate * float64(time.Second))
 			if at >= s.opts.Load.Duration {
 				break
@@ -94,6 +97,9 @@
 		tasks := make([]time.Duration, width)
 		for k := range tasks {
 			tasks[k] = time.Duration(mean * s.lognormal(1, q.TaskSpread, 3))
+			if q.LongShare > 0 && s.random.Float64() < q.LongShare {
+				tasks[k] = time.Duration(float64(tasks[k]) * q.LongFactor)
+			}
 			j.size += tasks[k].Seconds() * float64(placer.Need(step).Weight()) / 1000
 		}
 		if q.Gang {
@@ -241,6 +247,9 @@
 	if r.job.accepted.IsZero() && r.job.refused {
 		s.recordViolation("task %v of a refused job starts", key)
 	}
+	if r.restored > 0 {
+		s.result.RestoreWork += r.weight() * s.opts.Fleet.RestoreTime.Seconds()
+	}
 	if key.Step != 0 || r.job.startedTasks[key] {
 		return
 	}
--- a/internal/queue/simulator/presets.go
+++ b/internal/queue/simulator/presets.go
@@ -54,3 +54,24 @@
 		},
 	}
 }
+
+// Racks returns the fleet and the load of a large pool with racks of 12 workers, in which waves of urgent compact gangs meet
+// larger gangs and wide steps, with a tail of long tasks. scale multiplies the arrival rates.
+func Racks(scale float64) (Fleet, Load) {
+	fleet := Fleet{
+		Workers: 350, WorkersPerRack: 12, Processors: 128_000, Memory: 262_144, Accelerators: 8, Speeds: []float64{0.9, 1, 1.1},
+		MaxLease: 6 * time.Second, MaxStopTime: 200 * time.Millisecond, CheckpointInterval: 2 * time.Second, RestoreTime: 600 * time.Millisecond,
+		MaxPollTime: maxPollTime,
+	}
+	load := load(scale, 1, [3]float64{2.28, 7.75, 1.43}, [3]float64{13, 5.4, 39})
+	load.Organisations, load.Guaranteed = 10, 140
+	load.WavePeriod, load.WaveDepth = 8*time.Second, 0.5
+	long, urgent, wide := &load.Queues[0], &load.Queues[1], &load.Queues[2]
+	long.Processors, long.Memory, long.Work, long.MaxWork = 52_000, 110_000, 5800*time.Millisecond, 9*time.Second
+	urgent.Processors, urgent.Memory, urgent.Work = 15_000, 31_000, 2100*time.Millisecond
+	wide.Processors, wide.Memory, wide.Work, wide.Steps = 11_000, 16_000, 8100*time.Millisecond, 1
+	for i := range load.Queues {
+		load.Queues[i].LongShare, load.Queues[i].LongFactor = 0.03, 7
+	}
+	return fleet, load
+}
--- a/internal/queue/simulator/result.go
+++ b/internal/queue/simulator/result.go
@@ -20,6 +20,10 @@
 	OfferedValue, EarnedValue float64 // value of all jobs that were not cancelled, and the part of it earned
 	LostWork                  float64 // core-seconds
 	Work                      float64 // core-seconds of all jobs that were not cancelled
+	RestoreWork               float64 // core-seconds for which resumed runs held their workers before they made progress
+	Stops, EarlyStops         int     // runs stopped for other work, and those of them within earlyStop of their start
+	Organisations             map[string]Earnings
+	GangWaits                 [gangSizes][]time.Duration // from submission to the start of the first step, by size of the gang
 	Runs                      int
 	Ends                      map[string]int  // runs by how they ended
 	GangTimeouts              int             // members ended by gangTimeout on connected workers
@@ -34,6 +38,42 @@
 	Violations                []string // invariant violations, at most maxViolations
 }
 
+// Earnings are the offered and the earned value of some jobs.
+type Earnings struct{ Offered, Earned float64 }
+
+// WorstOrganisation returns the least share of its offered value that an organisation earned.
+func (r *Result) WorstOrganisation() float64 {
+	worst := 1.0
+	for _, e := range r.Organisations {
+		worst = min(worst, e.Earned/max(e.Offered, 1e-9))
+	}
+	return worst
+}
+
+// WorstQueue returns the least share of its offered value that a queue earned.
+func (r *Result) WorstQueue() float64 {
+	worst := 1.0
+	for _, q := range r.Queues {
+		worst = min(worst, q.EarnedValue/max(q.OfferedValue, 1e-9))
+	}
+	return worst
+}
+
+const (
+	earlyStop = time.Second
+	gangSizes = 3 // up to 4, up to 16 and more members
+)
+
+func gangSize(members int32) int {
+	switch {
+	case members <= 4:
+		return 0
+	case members <= 16:
+		return 1
+	}
+	return 2
+}
+
 // QueueResult is the result for the jobs of one queue.
 type QueueResult struct {
 	Name                                       string
@@ -65,15 +105,24 @@
 		return
 	}
 	s.result.LostWork += r.lostWork(how)
+	if (how == tracker.EndStopped || how == tracker.EndGangEnded && r.stopping) && !r.job.cancelSent {
+		s.result.Stops++
+		if s.now.Sub(r.received) < earlyStop {
+			s.result.EarlyStops++
+		}
+	}
 }
 
+// weight returns the resources of the run in cores.
+func (r *run) weight() float64 { return float64(placer.Need(r.spec).Weight()) / 1000 }
+
 // lostWork returns the core-seconds that are lost if the run ends now without a result.
 func (r *run) lostWork(how string) float64 {
 	lost := r.done - max(r.checkpoint, r.restored)
 	if r.spec.GetCheckpoints() && how == tracker.EndStopped {
 		lost = 0
 	}
-	return max(lost, 0).Seconds() * float64(placer.Need(r.spec).Weight()) / 1000
+	return max(lost, 0).Seconds() * r.weight()
 }
 
 // collectResult computes the result after the last event.
@@ -99,7 +148,9 @@
 	for i, j := range jobs {
 		scale := min(maxValueScale, fixedValueShare+(1-fixedValueShare)*j.size/mean)
 		s.result.Work += j.size
+		earned := r.EarnedValue
 		served := r.addJob(j, s.objective(j), q.Value*scale, q.LateValue*scale)
+		s.addOrganisation(j, q.Value*scale, r.EarnedValue-earned)
 		if i < max(len(jobs)/10, 1) {
 			r.LargeSubmitted++
 			if served {
@@ -108,6 +159,10 @@
 		}
 		if !j.firstStepStarted.IsZero() {
 			starts = append(starts, j.firstStepStarted.Sub(j.submitted))
+			if q.Gang {
+				size := gangSize(j.work.GetSteps()[0].GetCount())
+				s.result.GangWaits[size] = append(s.result.GangWaits[size], j.firstStepStarted.Sub(j.submitted))
+			}
 		}
 		if q.Priority == 0 && j.isLateReclaim() {
 			s.result.LateReclaims++
@@ -122,6 +177,14 @@
 	s.result.Queues = append(s.result.Queues, r)
 }
 
+func (s *Simulator) addOrganisation(j *job, offered, earned float64) {
+	if s.result.Organisations == nil {
+		s.result.Organisations = map[string]Earnings{}
+	}
+	e := s.result.Organisations[j.org]
+	s.result.Organisations[j.org] = Earnings{e.Offered + offered, e.Earned + earned}
+}
+
 // A job's value is its queue's value times a scale: a fixed part plus a part in proportion to the job's size,
 // capped.
 const (
--- a/internal/queue/simulator/simulator.go
+++ b/internal/queue/simulator/simulator.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/coordinator"
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/placer"
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/applier"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
@@ -57,7 +58,9 @@
 	Guaranteed     int64         // accelerators, of each organisation
 	Duration       time.Duration // time during which jobs arrive
 	Bursts         []Burst
-	CancelledReads float64 // share of reads of the replicated state whose caller cancels them
+	WavePeriod     time.Duration // of the arrival rates, 0 for constant rates
+	WaveDepth      float64       // amplitude of the waves as a share of the mean rate
+	CancelledReads float64       // share of reads of the replicated state whose caller cancels them
 }
 
 // Burst multiplies the arrival rate of one queue for some time.
@@ -91,6 +94,8 @@
 	Checkpoints      float64 // share of steps
 	EstimateSpread   float64 // of the declared run time
 	TaskSpread       float64 // of the run times within a step
+	LongShare        float64 // share of tasks that take LongFactor times as long; the members of a gang do so together
+	LongFactor       float64
 	FailureRate      float64 // share of runs that fail because of the job
 	AlwaysFailing    float64 // share of jobs whose runs all fail
 	Cancelled        float64 // share of jobs that their callers cancel
@@ -138,7 +143,9 @@
 	Faults []Fault
 	// DrainTime is how long the simulation continues after the end of the arrivals, 0 for drainTime.
 	DrainTime time.Duration
-	Log       *zap.Logger
+	// Preemption is passed to the leader.
+	Preemption placer.Preemption
+	Log        *zap.Logger
 }
 
 // Simulator is the state of one simulation.
@@ -434,6 +441,7 @@
 		Now:           func() time.Time { return s.now },
 		Wall:          func() time.Time { return s.now },
 		RackFactor:    crossRackSlowdown,
+		Preemption:    s.opts.Preemption,
 		Metrics:       tally.NoopScope,
 		Log:           s.opts.Log,
 	})
