simulator: a quarter of the large load, and work lost by stops alone

Cause: a trial of the large load takes a minute, too long for many seeds, and most of its lost work is that of gangs of which a member failed, which hides what stops lose. Change: loads racks-quarter* with a quarter of the workers and of the load; the figure loststopped.

--- a/internal/queue/simulator/load_test.go
+++ b/internal/queue/simulator/load_test.go
@@ -33,11 +33,21 @@
 	{"listings-urgent-burst", Listings, 1.05, []Burst{{Queue: 1, Start: 5 * time.Second, Duration: 6 * time.Second, Factor: 2.2}}, nil},
 	{"listings-long-burst", Listings, 1.05, []Burst{{Queue: 0, Start: 10 * time.Second, Duration: 3 * time.Second, Factor: 2.8}}, nil},
 	{"listings-trouble", Listings, 1, nil, faults()},
+	{"racks-quarter", quarterOfRacks, 1, nil, nil},
+	{"racks-quarter-busy", quarterOfRacks, 1.3, nil, nil},
+	{"racks-quarter-burst", quarterOfRacks, 1, []Burst{{Queue: 1, Start: 8 * time.Second, Duration: 6 * time.Second, Factor: 2}}, nil},
 	{"racks-waves", Racks, 1, nil, nil},
 	{"racks-busy", Racks, 1.3, nil, nil},
 	{"racks-urgent-burst", Racks, 1, []Burst{{Queue: 1, Start: 8 * time.Second, Duration: 6 * time.Second, Factor: 2}}, nil},
 }
 
+// quarterOfRacks is Racks with a quarter of the workers and of the load, for trials with many seeds.
+func quarterOfRacks(scale float64) (Fleet, Load) {
+	fleet, load := Racks(scale / 4)
+	fleet.Workers, load.Guaranteed = 84, 35
+	return fleet, load
+}
+
 // measure runs a load with several seeds. It returns the summed results and the share of jobs served.
 func measure(name string, seeds int, preemption placer.Preemption) (sum Result, served float64) {
 	for _, l := range loads {
@@ -79,6 +89,7 @@
 	r.LostWork += other.LostWork
 	r.Work += other.Work
 	r.RestoreWork += other.RestoreWork
+	r.StoppedWork += other.StoppedWork
 	r.Runs += other.Runs
 	r.Stops += other.Stops
 	r.EarlyStops += other.EarlyStops
@@ -148,6 +159,7 @@
 	b.ReportMetric(float64(r.Stops)/float64(r.Runs), "stops")
 	b.ReportMetric(float64(r.EarlyStops)/float64(r.Runs), "earlystops")
 	b.ReportMetric(r.LostWork/r.Work, "lost")
+	b.ReportMetric(r.StoppedWork/r.Work, "loststopped")
 	b.ReportMetric(r.RestoreWork/r.Work, "restoring")
 	b.ReportMetric(r.WorstQueue(), "worstqueue")
 	b.ReportMetric(r.WorstOrganisation(), "worstorg")
--- a/internal/queue/simulator/result.go
+++ b/internal/queue/simulator/result.go
@@ -21,6 +21,7 @@
 	LostWork                  float64 // core-seconds
 	Work                      float64 // core-seconds of all jobs that were not cancelled
 	RestoreWork               float64 // core-seconds for which resumed runs held their workers before they made progress
+	StoppedWork               float64 // core-seconds of LostWork that were lost by stops for other work
 	Stops, EarlyStops         int     // runs stopped for other work, and those of them within earlyStop of their start
 	Organisations             map[string]Earnings
 	GangWaits                 [gangSizes][]time.Duration // from submission to the start of the first step, by size of the gang
@@ -107,6 +108,7 @@
 	s.result.LostWork += r.lostWork(how)
 	if (how == tracker.EndStopped || how == tracker.EndGangEnded && r.stopping) && !r.job.cancelSent {
 		s.result.Stops++
+		s.result.StoppedWork += r.lostWork(how)
 		if s.now.Sub(r.received) < earlyStop {
 			s.result.EarlyStops++
 		}
