placer: a stop costs the time to resume and what was invested in the start

Cause: stops of tasks with checkpoints count as free, so urgent work stops these again and again, mostly soon after their start, and a new leader takes all runs for new. Change: where the settings name the time to resume, a stop of a run with checkpoints costs that time and what it has spent on forming its gang or resuming; of others, the time since their committed start if it is longer.

--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -182,7 +182,7 @@
 		c.stopping[a.Key] = true
 		c.wakeWorker(a.Job.Step(a.Key.Occurrence, a.Key.Step).Tasks[a.Key.Task].Worker)
 		c.opts.Log.Info("run is stopped for urgent work", zap.String("request", a.Key.Job), zap.Int32("occurrence", a.Key.Occurrence), zap.Int32("step", a.Key.Step),
-			zap.Int32("task", a.Key.Task), zap.Uint32("run", a.Key.Number), zap.Duration("unsaved", a.Unsaved), zap.Duration("remaining", a.Remaining))
+			zap.Int32("task", a.Key.Task), zap.Uint32("run", a.Key.Number), zap.Duration("unsaved", a.Unsaved), zap.Duration("remaining", a.Remaining), zap.Duration("held", a.Held))
 	}
 	for _, r := range plan.Starts {
 		w := c.workers[r.GetWorker()]
@@ -264,6 +264,15 @@
 // unboundedRemaining is the remaining time of a task that runs until its job is cancelled.
 const unboundedRemaining = 1000 * time.Hour
 
+// heldFor returns the time since the start of a run was committed, by the clocks of the leaders then and now. It is 0 for starts
+// of builds that recorded no time.
+func (c *Coordinator) heldFor(r *messages.Run) time.Duration {
+	if r.GetStarted() == 0 {
+		return 0
+	}
+	return max(c.opts.Wall().Sub(time.UnixMilli(r.GetStarted())), 0)
+}
+
 // workerView returns the placer's input for a worker.
 func (c *Coordinator) workerView(state *tracker.Tracker, w *worker, now time.Time) *placer.Worker {
 	silent := now.Sub(w.lastContact) >= c.opts.Timing.contactTimeout(w.interval) || !now.Before(w.leaseEnd)
@@ -290,6 +299,7 @@
 		v.Runs = append(v.Runs, &placer.ActiveRun{
 			Key: key, Job: j, Step: s, Need: need, Stopping: c.mustStop(j, key),
 			Unsaved: t.unsaved(now, s.Spec.GetCheckpoints()), Remaining: remaining, Starting: !t.hasSurvived(),
+			Held: c.heldFor(r),
 		})
 	}
 	for key := range w.listed {
--- a/internal/queue/placer/evict.go
+++ b/internal/queue/placer/evict.go
@@ -240,7 +240,7 @@
 	cost, known := p.costs[a]
 	if !known {
 		for _, member := range p.gangOf(a) {
-			cost += member.Need.Weight() * member.Unsaved.Milliseconds() / 1000
+			cost += member.Need.Weight() * p.input.Preemption.lostTime(member).Milliseconds() / 1000
 		}
 		p.costs[a] = cost
 	}
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -41,6 +41,7 @@
 	Stopping  bool          // a stop order was sent
 	Unsaved   time.Duration // work that would be lost by a stop
 	Remaining time.Duration // estimated time until it completes
+	Held      time.Duration // time since its start was committed
 	Starting  bool          // the worker has not been seen alive some time after the start
 }
 
--- a/internal/queue/simulator/simulator_test.go
+++ b/internal/queue/simulator/simulator_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/placer"
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
 )
 
@@ -149,3 +150,26 @@
 		}
 	}
 }
+
+// TestInvariantsWithPreemption checks the invariants, and that all accepted jobs end, while leaders weigh stops by their full cost
+// and urgent work waits for runs to end: leaders change, workers crash, and estimates are wrong for slow and stuck runs.
+func TestInvariantsWithPreemption(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			preset := Reports
+			if seed%2 == 1 {
+				preset = Listings
+			}
+			fleet, load := preset(1.1)
+			preemption := placer.Preemption{Restore: 600 * time.Millisecond, Stop: fleet.MaxStopTime}
+			r := Run(Options{Seed: seed, Fleet: fleet, Load: load, Faults: faults(), Preemption: preemption, Log: zap.NewNop()})
+			for _, v := range r.Violations {
+				t.Error(v)
+			}
+			for _, j := range r.Unfinished {
+				t.Errorf("unfinished: %s", j)
+			}
+		})
+	}
+}
