--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -182,7 +182,8 @@
 		c.stopping[a.Key] = true
 		c.wakeWorker(a.Job.Step(a.Key.Occurrence, a.Key.Step).Tasks[a.Key.Task].Worker)
 		c.opts.Log.Info("run is stopped for urgent work", zap.String("request", a.Key.Job), zap.Int32("occurrence", a.Key.Occurrence), zap.Int32("step", a.Key.Step),
-			zap.Int32("task", a.Key.Task), zap.Uint32("run", a.Key.Number), zap.Duration("unsaved", a.Unsaved), zap.Duration("remaining", a.Remaining), zap.Duration("held", a.Held))
+			zap.Int32("task", a.Key.Task), zap.Uint32("run", a.Key.Number), zap.Duration("unsaved", a.Unsaved), zap.Duration("remaining", a.Remaining),
+			zap.Duration("held", a.Held))
 	}
 	for _, r := range plan.Starts {
 		w := c.workers[r.GetWorker()]
--- a/internal/queue/coordinator/deferral.go
+++ b/internal/queue/coordinator/deferral.go
@@ -35,6 +35,9 @@
 	for _, d := range plan.Deferred {
 		if c.deferrals[d.Key] == nil {
 			c.deferrals[d.Key] = &deferral{since: now}
+			if d.Preferred == placer.PrefersEnds {
+				c.metrics.awaited.Inc(1)
+			}
 			c.logDeferral("step waits for workers that it prefers", d, 0)
 		}
 	}
--- a/internal/queue/coordinator/metrics.go
+++ b/internal/queue/coordinator/metrics.go
@@ -14,6 +14,7 @@
 	ends      map[string]tally.Counter // by the way a run ended
 	starts    tally.Counter
 	evicted   tally.Counter // runs preempted by urgent work
+	awaited   tally.Counter // urgent steps that waited for runs to end by themselves instead of stopping some
 	evacuated tally.Counter // runs moved from leaving workers
 	lost      tally.Counter // worker incarnations that were replaced or whose leases expired
 	crashes   tally.Counter // runs that had just started when their worker was lost
@@ -35,7 +36,8 @@
 func newMetrics(scope tally.Scope) metrics {
 	m := metrics{
 		submits: map[string]tally.Counter{}, ends: map[string]tally.Counter{},
-		starts: scope.Counter("starts"), evicted: scope.Counter("evicted"), evacuated: scope.Counter("evacuated"), lost: scope.Counter("lost_workers"),
+		starts: scope.Counter("starts"), evicted: scope.Counter("evicted"), awaited: scope.Counter("awaited_ends"),
+		evacuated: scope.Counter("evacuated"), lost: scope.Counter("lost_workers"),
 		crashes: scope.Counter("crashes"), givenUp: scope.Counter("given_up"), reports: scope.Counter("reports"), unknownEnds: scope.Counter("unknown_ends"),
 		ignored: map[string]tally.Counter{}, ignoredEnds: map[string]tally.Counter{},
 		pass: scope.Histogram("pass_seconds", buckets()), commit: scope.Histogram("commit_seconds", buckets()),
--- a/internal/queue/coordinator/size_test.go
+++ b/internal/queue/coordinator/size_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/placer"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
 
@@ -43,6 +45,14 @@
 				clear(f.stopping)
 			}
 		})
+		b.Run(fmt.Sprintf("pass-preemption/workers=%d", n), func(b *testing.B) {
+			f.opts.Preemption = placer.Preemption{Restore: 600 * time.Millisecond, Stop: 200 * time.Millisecond}
+			for b.Loop() {
+				f.decide(f.state)
+				clear(f.stopping)
+			}
+			f.opts.Preemption = placer.Preemption{}
+		})
 		b.Run(fmt.Sprintf("report/workers=%d", n), func(b *testing.B) {
 			sequence := uint64(1)
 			for b.Loop() {
--- a/internal/queue/placer/gang.go
+++ b/internal/queue/placer/gang.go
@@ -31,6 +31,9 @@
 		}
 		return
 	}
+	if u.urgent && p.reserveEnds(u, domains) != nil {
+		return
+	}
 	if u.urgent && p.evict(u, domains) != nil {
 		p.block(u.key(), StopsPending)
 		return
--- a/internal/queue/placer/obstacle.go
+++ b/internal/queue/placer/obstacle.go
@@ -11,6 +11,7 @@
 	NoCapacity       Obstacle = "no capacity"       // it fits on none of the workers that it may use
 	PreferredWorkers Obstacle = "preferred workers" // it waits for workers that it prefers, though it fits on others
 	StopsPending     Obstacle = "stops pending"     // runs that have been stopped for it have not ended
+	EndsPending      Obstacle = "ends pending"      // runs that are expected to end soon have not ended
 	TrialLimit       Obstacle = "trial limit"       // as many trials as the pool may have are under way
 	TrialOfJob       Obstacle = "trial of its job"  // another trial of its job is under way
 	StartsPending    Obstacle = "starts pending"    // others are starting on the worker that is to try it
--- a/internal/queue/placer/preemption.go
+++ b/internal/queue/placer/preemption.go
@@ -23,3 +23,42 @@
 	// A leader that has just been elected has seen the run for less time than it has lasted.
 	return max(a.Unsaved, a.Held)
 }
+
+// PrefersEnds is the preference of an urgent unit that waits for runs to end by themselves instead of stopping some.
+const PrefersEnds = "runs that end soon"
+
+const (
+	// endWaitFactor is the longest wait for runs to end by themselves, as a multiple of the time that a stop takes.
+	endWaitFactor = 2
+	// maxEndWait limits that wait where stops are slow: urgent gangs run for 2 s.
+	maxEndWait = time.Second
+)
+
+// reserveEnds reserves capacity for an urgent unit that fits without a stop once runs have ended that are expected to end no
+// later than a stop would take, and returns it. It returns nil if there is none, or if the unit has waited long enough: the
+// estimate of a stuck run stays short for ever.
+func (p *pass) reserveEnds(u *unit, domains [][]*candidate) []allocation {
+	stop := p.input.Preemption.Stop
+	if !p.input.Preemption.Enabled() || p.input.Waited(u.key()).Deferred >= min(endWaitFactor*stop, maxEndWait) {
+		return nil
+	}
+	allocations := p.bestFit(u, domains, func(c *candidate) Vector { return c.projectedAfter(stop) })
+	if allocations == nil {
+		return nil
+	}
+	p.reserveCapacity(u, allocations)
+	p.plan.Deferred = append(p.plan.Deferred, Deferral{Key: u.key(), Preferred: PrefersEnds})
+	p.block(u.key(), EndsPending)
+	return allocations
+}
+
+// projectedAfter returns the projected capacity once the runs have ended that are expected to within the limit.
+func (c *candidate) projectedAfter(limit time.Duration) Vector {
+	v := c.projected
+	for _, a := range c.Runs {
+		if !a.Stopping && a.Remaining <= limit {
+			v = v.Add(a.Need)
+		}
+	}
+	return v
+}
--- a/internal/queue/placer/preemption_test.go
+++ b/internal/queue/placer/preemption_test.go
@@ -129,3 +129,48 @@
 		})
 	}
 }
+
+// TestUrgentWorkWaitsForRunsThatEndSoon guards against stops that make room no earlier than runs which end by themselves,
+// and against an urgent unit that waits for long for ends that do not come.
+func TestUrgentWorkWaitsForRunsThatEndSoon(t *testing.T) {
+	stop := testPreemption.Stop
+	for _, c := range []struct {
+		name       string
+		gang       bool
+		preemption Preemption
+		remaining  time.Duration
+		waited     time.Duration
+		stops      int
+	}{
+		{"off", true, Preemption{Stop: stop}, stop, 0, 2},
+		{"gang", true, testPreemption, stop, 0, 0},
+		{"tasks", false, testPreemption, stop, 0, 0},
+		{"the run ends later than a stop", true, testPreemption, stop + 1, 0, 2},
+		{"not for long", true, testPreemption, stop, endWaitFactor*stop - 1, 0},
+		{"long enough", true, testPreemption, stop, endWaitFactor * stop, 2},
+		{"tasks, long enough", false, testPreemption, stop, endWaitFactor * stop, 2},
+		{"slow stops, long enough", true, Preemption{Restore: time.Minute, Stop: 10 * time.Second}, stop, maxEndWait, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			tr := tracker.New()
+			workers := fleet(4)
+			submit(tr, "low", 1, &messages.Step{Count: 4, Accelerators: 8})
+			occupy(tr, "low", workers...)
+			for _, w := range workers[:2] {
+				w.Runs[0].Remaining = c.remaining
+			}
+			submit(tr, "urgent", 0, &messages.Step{Count: 2, Accelerators: 8, Gang: c.gang})
+			in := input(workers, tr)
+			in.Preemption = c.preemption
+			in.Waited = func(StepKey) Wait { return Wait{Deferred: c.waited} }
+			plan := NewPlan(in)
+			is.Equal(len(plan.Stops), c.stops)
+			want := StopsPending
+			if c.stops == 0 {
+				want = EndsPending
+			}
+			is.Equal(plan.Blocked[len(plan.Blocked)-1].Obstacle, want)
+		})
+	}
+}
--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -22,8 +22,7 @@
 			return
 		case p.startRelaxedTasks(u, u.tasks[i:], counts):
 			return
-		case u.urgent && p.evictForTask(u, counts):
-			p.block(u.key(), StopsPending) // capacity is reserved for the task
+		case u.urgent && p.evictForTask(u, counts): // capacity is reserved for the task
 		default:
 			p.placeRelaxedTasks(u, u.tasks[i:], counts)
 			return
@@ -129,12 +128,17 @@
 // not possible.
 func (p *pass) evictForTask(u *unit, counts map[string]int) bool {
 	single, candidates := p.singleTask(u, counts)
+	domains := [][]*candidate{candidates}
+	obstacle := StopsPending
 	allocations, ok := single.pack(candidates, func(c *candidate) Vector { return c.projected })
 	if ok {
 		p.reserveCapacity(single, allocations)
-	} else if allocations = p.evict(single, [][]*candidate{candidates}); allocations == nil {
+	} else if allocations = p.reserveEnds(single, domains); allocations != nil {
+		obstacle = EndsPending
+	} else if allocations = p.evict(single, domains); allocations == nil {
 		return false
 	}
+	p.block(u.key(), obstacle)
 	counts[allocations[0].candidate.ID]++
 	return true
 }
