--- a/internal/queue/coordinator/waiting_test.go
+++ b/internal/queue/coordinator/waiting_test.go
@@ -142,7 +142,15 @@
 // TestNoJobWaitsBesideIdleWorkers guards against work that waits for a condition which other work can keep from ever being
 // true: an empty rack, workers that nothing speaks against, workers that are not reserved. Random gangs, lasting tasks,
 // failures, losses of workers and crashes after which they start again come first. The loads are the same in each run unless -rapid.seed draws others.
-func TestNoJobWaitsBesideIdleWorkers(outer *testing.T) {
+func TestNoJobWaitsBesideIdleWorkers(t *testing.T) { checkNoJobWaits(t, placer.Preemption{}) }
+
+// TestNoJobWaitsWithPreemption guards against the same where stops are weighed by their full cost and urgent work waits for
+// runs to end.
+func TestNoJobWaitsWithPreemption(t *testing.T) {
+	checkNoJobWaits(t, placer.Preemption{Restore: 600 * time.Millisecond, Stop: 200 * time.Millisecond})
+}
+
+func checkNoJobWaits(outer *testing.T, preemption placer.Preemption) {
 	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
 		if err := seed.Value.Set("1"); err != nil {
 			outer.Fatal(err)
@@ -163,6 +171,7 @@
 			}
 			return ""
 		})
+		f.opts.Preemption = preemption
 		losses := map[int]bool{}
 		for range rapid.IntRange(0, 3).Draw(t, "losses") {
 			losses[rapid.IntRange(1, int(arrivalTime/testInterval)).Draw(t, "loss")] = true
