placer: no wait for the ends of runs by work that it could make late

Cause: urgent work that waits for runs to end and then needs stops nevertheless starts later, by up to 0.4 s with stops of 0.2 s, and its objective leaves about a second. Change: it waits only if it still meets its objective with a stop after the whole wait.

--- a/internal/queue/placer/preemption.go
+++ b/internal/queue/placer/preemption.go
@@ -35,11 +35,15 @@
 )
 
 // reserveEnds reserves capacity for an urgent unit that fits without a stop once runs have ended that are expected to end no
-// later than a stop would take, and returns it. It returns nil if there is none, or if the unit has waited long enough: the
-// estimate of a stuck run stays short for ever.
+// later than a stop would take, and returns it. It returns nil if there is none, if the unit has waited long enough, as the
+// estimate of a stuck run stays short for ever, or if a stop after such a wait could make it late.
 func (p *pass) reserveEnds(u *unit, domains [][]*candidate) []allocation {
 	stop := p.input.Preemption.Stop
-	if !p.input.Preemption.Enabled() || p.input.Waited(u.key()).Deferred >= min(endWaitFactor*stop, maxEndWait) {
+	limit := min(endWaitFactor*stop, maxEndWait)
+	switch {
+	case !p.input.Preemption.Enabled(), p.input.Waited(u.key()).Deferred >= limit:
+		return nil
+	case u.objective > 0 && u.age+u.estimate+limit+stop > u.objective:
 		return nil
 	}
 	allocations := p.bestFit(u, domains, func(c *candidate) Vector { return c.projectedAfter(stop) })
--- a/internal/queue/placer/preemption_test.go
+++ b/internal/queue/placer/preemption_test.go
@@ -140,16 +140,19 @@
 		preemption Preemption
 		remaining  time.Duration
 		waited     time.Duration
+		age        time.Duration // of the urgent job, which takes 2 s and is to end within 60 s
 		stops      int
 	}{
-		{"off", true, Preemption{Stop: stop}, stop, 0, 2},
-		{"gang", true, testPreemption, stop, 0, 0},
-		{"tasks", false, testPreemption, stop, 0, 0},
-		{"the run ends later than a stop", true, testPreemption, stop + 1, 0, 2},
-		{"not for long", true, testPreemption, stop, endWaitFactor*stop - 1, 0},
-		{"long enough", true, testPreemption, stop, endWaitFactor * stop, 2},
-		{"tasks, long enough", false, testPreemption, stop, endWaitFactor * stop, 2},
-		{"slow stops, long enough", true, Preemption{Restore: time.Minute, Stop: 10 * time.Second}, stop, maxEndWait, 2},
+		{"off", true, Preemption{Stop: stop}, stop, 0, 0, 2},
+		{"gang", true, testPreemption, stop, 0, 0, 0},
+		{"tasks", false, testPreemption, stop, 0, 0, 0},
+		{"the run ends later than a stop", true, testPreemption, stop + 1, 0, 0, 2},
+		{"not for long", true, testPreemption, stop, endWaitFactor*stop - 1, 0, 0},
+		{"long enough", true, testPreemption, stop, endWaitFactor * stop, 0, 2},
+		{"tasks, long enough", false, testPreemption, stop, endWaitFactor * stop, 0, 2},
+		{"time for a stop after the wait", true, testPreemption, stop, 0, 58*time.Second - 3*stop, 0},
+		{"no time for that", true, testPreemption, stop, 0, 58*time.Second - 3*stop + 1, 2},
+		{"slow stops, long enough", true, Preemption{Restore: time.Minute, Stop: 10 * time.Second}, stop, maxEndWait, 0, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -163,6 +166,7 @@
 			submit(tr, "urgent", 0, &messages.Step{Count: 2, Accelerators: 8, Gang: c.gang})
 			in := input(workers, tr)
 			in.Preemption = c.preemption
+			in.Age = func(*tracker.Job) time.Duration { return c.age }
 			in.Waited = func(StepKey) Wait { return Wait{Deferred: c.waited} }
 			plan := NewPlan(in)
 			is.Equal(len(plan.Stops), c.stops)
