--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -121,6 +121,7 @@
 		KnowsPlace: func(term uint64, place string) bool {
 			return current.HasPlace(place) || rep.server.HasDaemonIn(term, place)
 		},
+		Preemption: r.opts.Queues.Preemption,
 	})
 	r.forwarder.SetLocalReplica(forwarder.LocalReplica{
 		Address: s.PeeringAddr(), Queues: queues,
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -30,6 +30,7 @@
 	"github.com/bluebellgauge/bluebellgauge/internal/entry/router"
 	"github.com/bluebellgauge/bluebellgauge/internal/job/scheduler"
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/coordinator"
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/placer"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 	"github.com/bluebellgauge/bluebellgauge/internal/worker/registrar"
@@ -80,6 +81,8 @@
 	// Places are the data centres that the settings name. Without any, a leader takes all names for known until the workers have had
 	// time to report.
 	Places []string
+	// Preemption is what stops for urgent work cost; the zero value counts only unsaved work.
+	Preemption placer.Preemption
 }
 
 // DefaultQueueOptions returns the queue parameters for production.
--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -105,6 +105,8 @@
 	// OutdatedKeeper returns the name of a keeper in contact that can't apply entries with evacuations, "" for none. It is called
 	// inside Read. nil means that there is none.
 	OutdatedKeeper func(term uint64) string
+	// Preemption is what stops for urgent work cost; the zero value counts only unsaved work.
+	Preemption placer.Preemption
 	// Metrics receives the counts and durations of decisions and commits.
 	Metrics tally.Scope
 	Log     *zap.Logger
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -46,6 +46,7 @@
 	Stopping  bool          // a stop order was sent
 	Unsaved   time.Duration // work that would be lost by a stop
 	Remaining time.Duration // estimated time until it completes
+	Held      time.Duration // time since its start was committed
 	Starting  bool          // the worker has not been seen alive some time after the start
 }
 
@@ -82,6 +83,8 @@
 	Waited func(StepKey) Wait
 	// RackFactor is the run time of a compact gang across racks as a multiple of that in a single rack.
 	RackFactor float64
+	// Preemption is what stops cost. While its Restore is 0, a stop costs the unsaved work only.
+	Preemption Preemption
 }
 
 // Plan holds the decisions of one pass.
