runner: a voter that stops or falls silent is replaced by a learner at once

Cause: a voter counted as unavailable only 3.5 s after its last heartbeat, or after the start of a term. A machine that had been replaced as planned stayed one of three voters until then, beside a successor that held all data and had no vote. A known loss of a disk waited for the same time under a new leader.

Voters that can't vote any more are removed first, and keepers that stop are not taken in. Without a learner nothing changes.

--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -79,7 +79,7 @@
 	r.peering.identity.Store(&identity)
 	members := a.Members
 	r.peering.storedMembers.Store(&members)
-	rep.repair = newRepairer(cmp.Or(r.opts.Voters, len(s.Keepers)), r.opts.RepairAfter)
+	rep.repair = newRepairer(cmp.Or(r.opts.Voters, len(s.Keepers)), r.opts.RepairAfter, r.opts.ReplaceAfter)
 	rep.server = forwarder.NewServer(forwarder.ServerOptions{
 		Replica: a, Timing: r.opts.Timing, Now: time.Now, Address: r.peering.replicaAddress, History: rep.history, Burn: rep.burn, Log: r.log,
 	})
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -55,9 +55,11 @@
 	SnapshotBytes int
 	// RepairAfter is how long a replica may be out of contact before another one replaces it.
 	RepairAfter time.Duration
-	Dial        Dial        // connects to other daemons; nil dials directly
-	Files       filer.Files // holds the data folder
-	Queues      QueueOptions
+	// ReplaceAfter is how long a voter may acknowledge nothing before a learner that is caught up replaces it; 0 means RepairAfter.
+	ReplaceAfter time.Duration
+	Dial         Dial        // connects to other daemons; nil dials directly
+	Files        filer.Files // holds the data folder
+	Queues       QueueOptions
 	// Metrics is set by New.
 	Metrics tally.Scope
 	// Voters is the target number of voting replicas; 0 takes the number of replicas in the settings.
--- a/internal/state/applier/requests.go
+++ b/internal/state/applier/requests.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync/atomic"
+	"time"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/job/scheduler"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/persister"
@@ -178,8 +179,24 @@
 	Suspended bool // the storage can't be written
 	LogBytes  int64
 	CaughtUp  []string // on a leader: other members that lack few committed entries and do not leave
-	Leaving   bool     // the daemon stops
-	Successor string   // to which a leader hands over, "" if to none
+	Voters    []VoterStatus
+	Leaving   bool   // the daemon stops
+	Successor string // to which a leader hands over, "" if to none
+}
+
+// VoterStatus describes another voter as the consensus of a leader sees it.
+type VoterStatus struct {
+	Name    string
+	Silence time.Duration // since the sending of the last heartbeat that it has acknowledged, or since its last one if it led before
+	Leaving bool          // its daemon stops
+}
+
+func (a *Applier) voterStatus() []VoterStatus {
+	var list []VoterStatus
+	for _, s := range a.node.Successors() {
+		list = append(list, VoterStatus{Name: s.Name, Silence: time.Duration(s.Silent) * a.opts.Tick, Leaving: s.Leaving})
+	}
+	return list
 }
 
 // Status returns the state of the replica.
@@ -190,7 +207,7 @@
 			Role: a.node.Role(), Leader: a.node.Leader(), Term: a.node.Term(), Lease: a.node.HasLease(),
 			Applied: a.applied, Committed: a.node.Committed(), Members: a.node.Members(),
 			Identity: a.storage.Identity(), LogBytes: a.logBytes, Suspended: a.suspended, CaughtUp: a.node.CaughtUp(),
-			Leaving: a.leaving, Successor: a.node.Transferee(),
+			Voters: a.voterStatus(), Leaving: a.leaving, Successor: a.node.Transferee(),
 		}
 		return nil
 	})
--- a/internal/state/replicator/election.go
+++ b/internal/state/replicator/election.go
@@ -98,6 +98,10 @@
 	n.transferee = ""
 	n.peers = map[string]*progress{}
 	n.updatePeers()
+	if p := n.peers[n.lastLeader]; p != nil && !n.votes[n.lastLeader] {
+		p.silentSince = n.lastContact // counted from the term on, the election would add to its silence
+	}
+	n.lastLeader = ""
 	n.heartbeatAt = n.tick + n.opts.HeartbeatTicks
 	n.termStart = n.appendEntry(messages.EntryKind_ENTRY_EMPTY, nil)
 }
@@ -224,7 +228,7 @@
 	if n.role != Follower {
 		n.becomeFollower(m.GetTerm(), m.GetFrom())
 	}
-	n.leader = m.GetFrom()
+	n.leader, n.lastLeader = m.GetFrom(), m.GetFrom()
 	n.lastContact = n.tick
 	n.resetElection()
 }
--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -91,8 +91,9 @@
 	resuming         bool // led the current term until it restarted, and asks to be elected again
 	leaving          bool // the daemon stops
 	tick             int
-	lastContact      int // tick at which the last message from the leader was received
-	electionAt       int // tick of the election timeout
+	lastContact      int    // tick at which the last message from the leader was received
+	lastLeader       string // sender of that message, "" if this node has led since
+	electionAt       int    // tick of the election timeout
 	heartbeatAt      int
 	votes            map[string]bool
 	peers            map[string]*progress
@@ -414,7 +415,7 @@
 	for _, list := range [][]*messages.Member{n.members.GetVoters(), n.members.GetLearners()} {
 		for _, m := range list {
 			if m.GetName() != n.opts.Name && n.peers[m.GetName()] == nil {
-				n.peers[m.GetName()] = &progress{next: n.log.last() + 1, ackedTick: n.tick}
+				n.peers[m.GetName()] = &progress{next: n.log.last() + 1, ackedTick: n.tick, silentSince: n.tick}
 			}
 		}
 	}
--- a/internal/state/replicator/replication.go
+++ b/internal/state/replicator/replication.go
@@ -15,6 +15,7 @@
 	probing         bool // the last append was refused; sends one append at a time until one is accepted
 	paused          bool // while probing: no append until the next heartbeat or reply
 	ackedTick       int  // tick at which the last acknowledged message was sent
+	silentSince     int  // the same, or of the leader before: tick of its last message, if it has not answered since
 	leaving         bool // its daemon stops, as of its last reply
 	sendingSnapshot bool // a snapshot transfer is in progress
 	snapshotOffset  uint64
@@ -133,7 +134,7 @@
 // acknowledge records the reply of a member to an append or a chunk.
 func (p *progress) acknowledge(m *messages.Message) {
 	if round := int(m.GetRound()); round >= p.ackedTick {
-		p.ackedTick, p.leaving = round, m.GetLeaving()
+		p.ackedTick, p.silentSince, p.leaving = round, round, m.GetLeaving()
 	}
 }
 
--- a/internal/state/replicator/transfer.go
+++ b/internal/state/replicator/transfer.go
@@ -6,7 +6,8 @@
 type Successor struct {
 	Name    string
 	Match   uint64 // last entry that it has acknowledged
-	Age     int    // ticks since the sending of the last heartbeat that it has acknowledged
+	Age     int    // ticks since the sending of the last heartbeat that it has acknowledged, or since the start of the term
+	Silent  int    // the same, but of the leader before since its last message
 	Leaving bool   // its daemon stops
 }
 
@@ -15,7 +16,7 @@
 	var list []Successor
 	for _, m := range n.members.GetVoters() {
 		if p := n.peers[m.GetName()]; p != nil {
-			list = append(list, Successor{Name: m.GetName(), Match: p.match, Age: n.tick - p.ackedTick, Leaving: p.leaving})
+			list = append(list, Successor{Name: m.GetName(), Match: p.match, Age: n.tick - p.ackedTick, Silent: n.tick - p.silentSince, Leaving: p.leaving})
 		}
 	}
 	return list
--- a/internal/worker/registrar/monitor.go
+++ b/internal/worker/registrar/monitor.go
@@ -102,7 +102,7 @@
 	d.heartbeat = b
 	d.lastContact = now
 	if b.GetIdentity() != "" {
-		d.keeper = KeeperStatus{Name: b.GetDaemon(), Place: b.GetPlace(), Address: b.GetAddress(), Identity: b.GetIdentity(), Last: now}
+		d.keeper = KeeperStatus{Name: b.GetDaemon(), Place: b.GetPlace(), Address: b.GetAddress(), Identity: b.GetIdentity(), Leaving: b.GetDraining(), Last: now}
 	}
 	if b.GetFull() {
 		for _, homes := range m.workers {
@@ -285,6 +285,7 @@
 	Place    string
 	Address  string
 	Identity string
+	Leaving  bool      // the daemon stops
 	Last     time.Time // of that heartbeat
 }
 
