replicator: a member that is no voter campaigns when there is no leader for long

A leader is cut off with the uncommitted promotion of a learner; the next one reaches only that learner with its first entry and then loses its disk. The learner's log is the longest, so that it refuses its vote to the two voters that are left, and it never campaigned, as it is no voter by its own log. A leader that has sent its own removal to nobody does the same. Learners count in no majority by their own log, but their votes are needed for a membership that names them.

Change: a member that is no voter campaigns, with pre-votes, after four election timeouts without a leader.

--- a/internal/state/replicator/election.go
+++ b/internal/state/replicator/election.go
@@ -20,6 +20,17 @@
 	return n.resuming && !n.leaving && n.led == n.term && n.tick < 2*n.opts.ElectionTicks
 }
 
+// lastResort is the number of election timeouts without a leader after which a node that is no voter campaigns.
+const lastResort = 4
+
+// mustCampaign reports whether a node that is no voter by its own log campaigns, as it may hold the longest log: if a leader
+// has sent its entries only to a learner, or its own removal to nobody, no voter that is left can win against that log. It
+// needs the votes of a majority of the voters that it knows, and has none itself. Once its term's first entry is committed, it
+// steps down.
+func (n *Node) mustCampaign() bool {
+	return len(n.members.GetVoters()) > 0 && n.tick-n.lastContact >= lastResort*n.opts.ElectionTicks
+}
+
 func (n *Node) becomeFollower(term uint64, leader string) {
 	if term > n.term {
 		n.term = term
--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -202,7 +202,7 @@
 		return
 	}
 	n.resetElection()
-	if n.isVoter(n.opts.Name) {
+	if n.isVoter(n.opts.Name) || n.mustCampaign() {
 		n.campaign(PreCandidate, false)
 	}
 }
