runner: TestReplacementBesideLostDisks plays each order of disruptions once

Cause: orders that differ only in which of two equal disruptions comes first were played several times, 41 s with the race detector.

Change: the permutations leave out equal ones; no order is lost.

--- a/internal/daemon/runner/replacement_test.go
+++ b/internal/daemon/runner/replacement_test.go
@@ -303,13 +303,16 @@
 	return c.leader != nil && len(c.members.GetVoters()) >= c.repair.voters
 }
 
-// permute calls f with each order of a list.
+// permute calls f with each different order of a list.
 func permute(list []string, done int, f func([]string)) {
 	if done == len(list) {
 		f(list)
 		return
 	}
 	for i := done; i < len(list); i++ {
+		if slices.Contains(list[done:i], list[i]) {
+			continue // swapped to this place before
+		}
 		list[done], list[i] = list[i], list[done]
 		permute(list, done+1, f)
 		list[done], list[i] = list[i], list[done]
