runner: TestLaggingReplicaFollowsReplacedLeader waits for the new disk, not for the moment without it

Cause: the test polled for the time between the removal of a voter with a replaced disk and its return as a learner.

Change: it waits until the member has another identity than before, which is as strict, as that needs the removal and the return.

--- a/internal/daemon/runner/lagging_test.go
+++ b/internal/daemon/runner/lagging_test.go
@@ -31,12 +31,21 @@
 	p.signalAndWait(lagging, os.Kill)
 	p.awaitRole("vm4", "voter")
 	p.awaitRole(p.settings[lagging].Name, "")
+	former := ""
+	p.eventually(10*time.Second, "identity of the disk to be replaced", func(ctx context.Context) bool {
+		former = p.member(ctx, p.settings[replaced].Name).Identity
+		return former != ""
+	})
 	p.signalAndWait(replaced, os.Kill)
 	p.noError(os.RemoveAll(p.settings[replaced].Data))
 	p.settings[replaced].Late = true
 	p.rewriteSettings()
 	p.start(replaced)
-	p.awaitRole(p.settings[replaced].Name, "")
+	// Between its removal and its return with the new disk it is no member for some milliseconds only.
+	p.eventually(30*time.Second, "member with a new disk", func(ctx context.Context) bool {
+		identity := p.member(ctx, p.settings[replaced].Name).Identity
+		return identity != "" && identity != former
+	})
 	p.awaitRole(p.settings[replaced].Name, "voter")
 	for leader := p.leader(); leader != replaced; leader = p.leader() {
 		p.signalAndWait(leader, os.Kill)
