replicator: a candidate names its folder to members that lag

Cause: a member that was cut off knows only the former folder under a name. It refused requests for votes of the folder that has replaced it until a leader had told it, and could not win itself against the longer log. If the other voters were lost meanwhile, a majority had its disks and there was no leader for good.

Change: a request for a vote carries the candidate's membership. From an unknown folder it is taken if that lists the sender with its folder: a leader takes a folder in only when the removal of the one before is committed, and such a candidate counts no vote of the former one as its own. Not taken is a request in a term in which the name has got the vote, since a former folder may have won it. This holds where replaced folders join the group and start none of their own.

--- a/internal/entry/forwarder/server.go
+++ b/internal/entry/forwarder/server.go
@@ -14,6 +14,7 @@
 	"github.com/bluebellgauge/bluebellgauge/internal/report/evaluator"
 	"github.com/bluebellgauge/bluebellgauge/internal/report/recorder"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/applier"
+	"github.com/bluebellgauge/bluebellgauge/internal/state/replicator"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 	"github.com/bluebellgauge/bluebellgauge/internal/worker/registrar"
 )
@@ -47,7 +48,7 @@
 func (s *Server) Exchange(ctx context.Context, b *messages.Batch) (*messages.Taken, error) {
 	list, step := b.GetMessages(), s.Replica.Step
 	if !s.Replica.IdentityMatches(b.GetFrom(), b.GetIdentity()) {
-		list, step = leaderMessages(list), s.Replica.StepUnknown
+		list, step = messagesOfUnknown(list, b.GetIdentity()), s.Replica.StepUnknown
 	}
 	if len(list) == 0 && len(b.GetMessages()) > 0 {
 		return nil, twirp.NewError(twirp.PermissionDenied, "the data folder of "+b.GetFrom()+" is not the one that is a member")
@@ -58,16 +59,17 @@
 	return &messages.Taken{}, nil
 }
 
-// leaderMessages returns the messages that only an elected leader sends. They may come from an unknown data folder: a replica
-// that lags may not have learned yet that the leader's folder was replaced. Votes and acknowledgements count for the folder.
-func leaderMessages(list []*messages.Message) []*messages.Message {
-	var fromLeader []*messages.Message
+// messagesOfUnknown returns the messages that may come from an unknown data folder: those that only an elected leader sends, and
+// requests for votes by a candidate that has learned from a leader that its folder takes part. A replica that lags may not have
+// learned yet that the folder was replaced. Votes and acknowledgements count for the folder.
+func messagesOfUnknown(list []*messages.Message, identity string) []*messages.Message {
+	var taken []*messages.Message
 	for _, m := range list {
-		if m.GetKind() == messages.Kind_KIND_APPEND || m.GetKind() == messages.Kind_KIND_SNAPSHOT {
-			fromLeader = append(fromLeader, m)
+		if m.GetKind() == messages.Kind_KIND_APPEND || m.GetKind() == messages.Kind_KIND_SNAPSHOT || replicator.NamesFolder(m, identity) {
+			taken = append(taken, m)
 		}
 	}
-	return fromLeader
+	return taken
 }
 
 // Propose commits an event.
--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -126,7 +126,7 @@
 
 type inputMessages struct{ list []*messages.Message }
 
-// inputUnknown holds the messages of a leader whose data folder is not the member's.
+// inputUnknown holds the messages of a leader or a candidate whose data folder is not the member's.
 type inputUnknown struct{ list []*messages.Message }
 
 type inputCall struct{ run func() }
@@ -457,7 +457,7 @@
 			a.node.Step(m)
 		}
 	case inputUnknown:
-		a.handle(inputMessages{slices.DeleteFunc(in.list, func(m *messages.Message) bool { return !a.mayLead(m) })})
+		a.handle(inputMessages{slices.DeleteFunc(in.list, func(m *messages.Message) bool { return !a.acceptsUnknown(m) })})
 	case inputCall:
 		// Earlier inputs may have taken long enough for the lease to expire.
 		a.catchUp()
@@ -467,6 +467,15 @@
 	}
 }
 
+// acceptsUnknown reports whether a message from an unknown data folder may be handled. A vote is not given to another folder in
+// the term in which a folder of the same name has got it.
+func (a *Applier) acceptsUnknown(m *messages.Message) bool {
+	if m.GetKind() == messages.Kind_KIND_VOTE || m.GetKind() == messages.Kind_KIND_PREVOTE {
+		return a.opts.Single && !a.node.HasVotedFor(m)
+	}
+	return a.mayLead(m)
+}
+
 // mayLead reports whether a message of a leader with an unknown data folder may be handled. If replaced folders may start a group of
 // their own, its leader must not replace what is committed in this one.
 func (a *Applier) mayLead(m *messages.Message) bool {
--- a/internal/state/applier/requests.go
+++ b/internal/state/applier/requests.go
@@ -17,7 +17,7 @@
 	return a.enqueueTo(ctx, a.peerInbox, inputMessages{list})
 }
 
-// StepUnknown is Step for messages of a leader whose data folder is not the one that this replica knows.
+// StepUnknown is Step for messages of a leader or a candidate whose data folder is not the one that this replica knows.
 func (a *Applier) StepUnknown(ctx context.Context, list []*messages.Message) error {
 	return a.enqueueTo(ctx, a.peerInbox, inputUnknown{list})
 }
--- a/internal/state/replicator/election.go
+++ b/internal/state/replicator/election.go
@@ -65,17 +65,35 @@
 	if n.countVotes() {
 		return
 	}
+	members := []*messages.Entry{{Kind: messages.EntryKind_ENTRY_MEMBERS, Data: EncodeMembers(n.members)}}
 	for _, m := range n.members.GetVoters() {
 		if m.GetName() == n.opts.Name {
 			continue
 		}
 		n.sendAfterSync(&messages.Message{
 			Kind: kind, To: m.GetName(), Term: term, Transfer: transfer,
-			Index: n.log.last(), Logterm: n.log.lastTerm(), Led: n.led,
+			Index: n.log.last(), Logterm: n.log.lastTerm(), Led: n.led, Entries: members,
 		})
 	}
 }
 
+// NamesFolder reports whether a message asks for a vote and its sender's own membership, which it carries, lists the sender with
+// the identity of a data folder. Such a candidate has learned from a leader that its folder takes part, which only happens once
+// the removal of any former folder under its name is committed, and counts no vote of that one as its own.
+func NamesFolder(m *messages.Message, identity string) bool {
+	if m.GetKind() != messages.Kind_KIND_VOTE && m.GetKind() != messages.Kind_KIND_PREVOTE || len(m.GetEntries()) != 1 || identity == "" {
+		return false
+	}
+	members, err := DecodeMembers(m.GetEntries()[0].GetData())
+	return err == nil && FindMember(members, m.GetFrom()).GetIdentity() == identity
+}
+
+// HasVotedFor reports whether this node's vote in the term of a request belongs to the sender's name. Under that name another
+// folder may have got it.
+func (n *Node) HasVotedFor(m *messages.Message) bool {
+	return m.GetTerm() == n.term && n.vote == m.GetFrom()
+}
+
 // countVotes ends the current campaign once a majority has granted or refused it, and reports whether it did.
 func (n *Node) countVotes() bool {
 	granted, refused := 0, 0
--- a/internal/state/replicator/schedule_test.go
+++ b/internal/state/replicator/schedule_test.go
@@ -38,7 +38,7 @@
 	snapshotIndex map[string]uint64            // by node, index of the snapshot that applied follows
 	members       *messages.Members
 	network       []*messages.Message
-	leaders       map[uint64]string          // leader by term
+	leaders       map[uint64]string          // leader and its disk, by term
 	committed     map[uint64]*messages.Entry // committed entry by index
 	acked         []uint64                   // indexes acknowledged to proposers
 	blocked       map[link]bool
@@ -202,10 +202,11 @@
 	for _, name := range c.names {
 		n := c.nodes[name]
 		if n.Role() == Leader {
-			if other := c.leaders[n.Term()]; other != "" && other != name {
-				c.t.Fatalf("%s and %s are both leader in term %d", other, name, n.Term())
+			folder := strings.TrimSpace(name + " " + c.identities[name])
+			if other := c.leaders[n.Term()]; other != "" && other != folder {
+				c.t.Fatalf("%s and %s are both leader in term %d", other, folder, n.Term())
 			}
-			c.leaders[n.Term()] = name
+			c.leaders[n.Term()] = folder
 		}
 		if n.HasLease() {
 			leases++
@@ -248,6 +249,9 @@
 		return true // only an elected leader sends these
 	}
 	member := FindMember(c.nodes[m.GetTo()].Members(), m.GetFrom())
+	if NamesFolder(m, c.senders[m]) && !c.nodes[m.GetTo()].HasVotedFor(m) {
+		return true
+	}
 	switch {
 	case member == nil:
 		return true
--- a/spec/members.pml
+++ b/spec/members.pml
@@ -12,8 +12,8 @@
  *   is not lost before the changes that follow from that;
  * - 0 does not end while 1 is being replaced.
  *
- * Sizes: three terms, logs of eight entries. That a new folder is refused by members that know only
- * the lost one under its name (applier.IdentityMatches) is part of the model for entries, not for votes.
+ * Sizes: three terms, logs of eight entries. All members take requests for votes of the new folder, as
+ * these name it (replicator.NamesFolder); a leader sends it entries once the lost one is removed.
  *
  * Properties: a committed entry stands in the log of every later leader; as long as the
  * environment keeps to that, the running folders can elect a leader.
