applier: TestNewLeaderReadsCommittedState expects the membership in requests for votes

Cause: the test picks messages by kind and number of entries.

Change: it waits for requests with one entry, which is as strict.

--- a/internal/state/applier/read_test.go
+++ b/internal/state/applier/read_test.go
@@ -66,9 +66,9 @@
 	}})
 	await(messages.Kind_KIND_APPEND_REPLY, 0)
 	elapsed.Store(int64(2 * electionTicks * tick))
-	await(messages.Kind_KIND_PREVOTE, 0)
+	await(messages.Kind_KIND_PREVOTE, 1) // with the membership of the candidate
 	step(&messages.Message{Kind: messages.Kind_KIND_PREVOTE_REPLY, Term: 2})
-	await(messages.Kind_KIND_VOTE, 0)
+	await(messages.Kind_KIND_VOTE, 1)
 	step(&messages.Message{Kind: messages.Kind_KIND_VOTE_REPLY, Term: 2})
 	first := await(messages.Kind_KIND_APPEND, 1)
 	for a.Leader() != "0" {
