--- a/internal/state/replicator/election.go
+++ b/internal/state/replicator/election.go
@@ -20,6 +20,17 @@
 	return n.resuming && !n.leaving && n.led == n.term && n.tick < 2*n.opts.ElectionTicks
 }
 
+// lastResort is the number of election timeouts without a leader after which a node that is no voter campaigns.
+const lastResort = 4
+
+// mustCampaign reports whether a node that is no voter by its own log campaigns, as it may hold the longest log: if a leader
+// has sent its entries only to a learner, or its own removal to nobody, no voter that is left can win against that log. It
+// needs the votes of a majority of the voters that it knows, and has none itself. Once its term's first entry is committed, it
+// steps down.
+func (n *Node) mustCampaign() bool {
+	return len(n.members.GetVoters()) > 0 && n.tick-n.lastContact >= lastResort*n.opts.ElectionTicks
+}
+
 func (n *Node) becomeFollower(term uint64, leader string) {
 	if term > n.term {
 		n.term = term
@@ -54,17 +65,35 @@
 	if n.countVotes() {
 		return
 	}
+	members := []*messages.Entry{{Kind: messages.EntryKind_ENTRY_MEMBERS, Data: EncodeMembers(n.members)}}
 	for _, m := range n.members.GetVoters() {
 		if m.GetName() == n.opts.Name {
 			continue
 		}
 		n.sendAfterSync(&messages.Message{
 			Kind: kind, To: m.GetName(), Term: term, Transfer: transfer,
-			Index: n.log.last(), Logterm: n.log.lastTerm(), Led: n.led,
+			Index: n.log.last(), Logterm: n.log.lastTerm(), Led: n.led, Entries: members,
 		})
 	}
 }
 
+// NamesFolder reports whether a message asks for a vote and its sender's own membership, which it carries, lists the sender with
+// the identity of a data folder. Such a candidate has learned from a leader that its folder takes part, which only happens once
+// the removal of any former folder under its name is committed, and counts no vote of that one as its own.
+func NamesFolder(m *messages.Message, identity string) bool {
+	if m.GetKind() != messages.Kind_KIND_VOTE && m.GetKind() != messages.Kind_KIND_PREVOTE || len(m.GetEntries()) != 1 || identity == "" {
+		return false
+	}
+	members, err := DecodeMembers(m.GetEntries()[0].GetData())
+	return err == nil && FindMember(members, m.GetFrom()).GetIdentity() == identity
+}
+
+// HasVotedFor reports whether this node's vote in the term of a request belongs to the sender's name. Under that name another
+// folder may have got it.
+func (n *Node) HasVotedFor(m *messages.Message) bool {
+	return m.GetTerm() == n.term && n.vote == m.GetFrom()
+}
+
 // countVotes ends the current campaign once a majority has granted or refused it, and reports whether it did.
 func (n *Node) countVotes() bool {
 	granted, refused := 0, 0
@@ -98,6 +127,10 @@
 	n.transferee = ""
 	n.peers = map[string]*progress{}
 	n.updatePeers()
+	if p := n.peers[n.lastLeader]; p != nil && !n.votes[n.lastLeader] {
+		p.silentSince = n.lastContact // counted from the term on, the election would add to its silence
+	}
+	n.lastLeader = ""
 	n.heartbeatAt = n.tick + n.opts.HeartbeatTicks
 	n.termStart = n.appendEntry(messages.EntryKind_ENTRY_EMPTY, nil)
 }
@@ -224,7 +257,7 @@
 	if n.role != Follower {
 		n.becomeFollower(m.GetTerm(), m.GetFrom())
 	}
-	n.leader = m.GetFrom()
+	n.leader, n.lastLeader = m.GetFrom(), m.GetFrom()
 	n.lastContact = n.tick
 	n.resetElection()
 }
