--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -97,6 +97,8 @@
 	MaxMessage int
 	// RackFactor is the run time of a compact gang across racks as a multiple of that in a single rack.
 	RackFactor float64
+	// IgnoreInterference places tasks without regard to images that slow each other down.
+	IgnoreInterference bool
 	// Metrics receives the counts and durations of decisions and commits.
 	Metrics tally.Scope
 	Log     *zap.Logger
@@ -150,6 +152,7 @@
 	endedAt         map[string]time.Time // when this leader first saw a job as ended
 	estimator       *estimator.Estimator
 	pacer           *pacer.Pacer
+	interference    interference
 }
 
 var _ messages.Queues = (*Coordinator)(nil)
@@ -216,6 +219,7 @@
 	c.seenAt = map[string]time.Time{}
 	c.endedAt = map[string]time.Time{}
 	c.estimator = estimator.New()
+	c.resetInterference()
 	c.pacer = pacer.New(pacer.Options{
 		Min: c.opts.Timing.MinReportInterval, Max: c.opts.Timing.maxReportInterval(), ReportCost: c.opts.Timing.ReportCost,
 		Cores: c.opts.Cores,
--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -175,6 +175,7 @@
 
 // planStarts returns the runs that the placer starts, and marks those that it preempts for stopping.
 func (c *Coordinator) planStarts(state *tracker.Tracker) []*messages.Run {
+	c.updateInterference()
 	plan := placer.NewPlan(c.placerInput(state))
 	c.recordDeferrals(plan)
 	c.recordBlocked(plan)
@@ -192,6 +193,7 @@
 	}
 	c.metrics.starts.Inc(int64(len(plan.Starts)))
 	c.metrics.evicted.Inc(int64(len(plan.Stops)))
+	c.metrics.startsApart.Inc(int64(plan.Apart))
 	return plan.Starts
 }
 
@@ -213,7 +215,7 @@
 		Held:     c.isHeld,
 		Resting:  c.isResting,
 		FailedAt: func(j *tracker.Job) time.Time { return c.failedWorkers.failedAt(now, j.Work.GetId()) },
-		Waited:   c.waitOf, RackFactor: c.opts.RackFactor,
+		Waited:   c.waitOf, RackFactor: c.opts.RackFactor, Slowdown: c.slowdown(),
 	}
 	quarantined := map[string]int{} // number of workers by pool
 	total := map[string]int{}
--- a/internal/queue/coordinator/metrics.go
+++ b/internal/queue/coordinator/metrics.go
@@ -25,6 +25,9 @@
 	ignoredEnds map[string]tally.Counter // ends in them that were not committed before
 	pass        tally.Histogram
 	commit      tally.Histogram
+	// interferingPairs is the number of pairs of images of which one slows the other down, as far as this leader knows.
+	interferingPairs tally.Gauge
+	startsApart      tally.Counter // starts that would be on another worker if no images interfered
 }
 
 // buckets range from a pass over an idle fleet to the longest limit for an acknowledgement.
@@ -39,6 +42,7 @@
 		crashes: scope.Counter("crashes"), givenUp: scope.Counter("given_up"), reports: scope.Counter("reports"), unknownEnds: scope.Counter("unknown_ends"),
 		ignored: map[string]tally.Counter{}, ignoredEnds: map[string]tally.Counter{},
 		pass: scope.Histogram("pass_seconds", buckets()), commit: scope.Histogram("commit_seconds", buckets()),
+		interferingPairs: scope.Gauge("interfering_pairs"), startsApart: scope.Counter("starts_apart"),
 	}
 	for _, status := range []string{StatusOK, StatusRefused, StatusNoQueue, StatusNoKey, StatusUnknown, StatusEmpty, StatusMismatch, StatusTooLarge} {
 		m.submits[status] = scope.Tagged(map[string]string{"status": status}).Counter("submits")
--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -270,6 +270,7 @@
 	}
 	c.updateWorker(w, r, now)
 	c.updateProgress(w, r)
+	c.observeNeighbours(state, w, r)
 	c.countMissed(state, w)
 	return c.newEnds(state, w, r), false
 }
--- a/internal/queue/placer/gang.go
+++ b/internal/queue/placer/gang.go
@@ -46,6 +46,7 @@
 // startGang starts all members of a gang if it fits.
 func (p *pass) startGang(u *unit, domains [][]*candidate) bool {
 	allocations := p.fitGang(u, domains)
+	p.plan.Apart += p.membersKeptApart(u, domains, allocations)
 	task := 0
 	for _, a := range allocations {
 		for range a.members {
@@ -140,10 +141,10 @@
 }
 
 // bestFit returns allocations for all members in the domain with the least free capacity in which they fit,
-// or nil if they fit in none.
+// or nil if they fit in none. Domains with the unit's data go first, then those without interference.
 func (p *pass) bestFit(u *unit, domains [][]*candidate, free func(*candidate) Vector) []allocation {
 	var best []allocation
-	bestRemaining := int64(-1)
+	bestRemaining, bestSlowdown := int64(-1), 1.0
 	for _, d := range domains {
 		allocations, ok := u.pack(d, free)
 		if !ok {
@@ -158,8 +159,12 @@
 		if u.isDataRemote(allocations) {
 			remaining += remotePenalty
 		}
-		if bestRemaining < 0 || remaining < bestRemaining {
-			best, bestRemaining = allocations, remaining
+		slowdown := u.slowdownOf(allocations)
+		if bestRemaining < 0 || cmp.Or(
+			cmp.Compare(remaining/remotePenalty, bestRemaining/remotePenalty),
+			cmp.Compare(slowdown, bestSlowdown), cmp.Compare(remaining, bestRemaining),
+		) < 0 {
+			best, bestRemaining, bestSlowdown = allocations, remaining, slowdown
 		}
 	}
 	return best
@@ -173,14 +178,24 @@
 	return rack != "" && slices.ContainsFunc(allocations, func(a allocation) bool { return a.candidate.Rack != rack })
 }
 
-// pack allocates all members in one domain, on the workers with the least free capacity first.
+// pack allocates all members in one domain, on the workers with the least free capacity first, and away from images that
+// interfere where there is room.
 func (u *unit) pack(domain []*candidate, free func(*candidate) Vector) ([]allocation, bool) {
+	allocations, ok := u.packAll(domain, free, u.maxPerWorker(len(u.tasks)))
+	if ok && u.slowdownOf(allocations) > 1 {
+		return u.packApart(domain, free, allocations), true
+	}
+	return allocations, ok
+}
+
+// packAll allocates all members in one domain, at most limit on a worker.
+func (u *unit) packAll(domain []*candidate, free func(*candidate) Vector, limit int) ([]allocation, bool) {
 	var allocations []allocation
 	for _, c := range domain {
 		if !u.mayUse(c) {
 			continue
 		}
-		if n := free(c).Fits(u.need, u.maxPerWorker(len(u.tasks))); n > 0 {
+		if n := free(c).Fits(u.need, limit); n > 0 {
 			allocations = append(allocations, allocation{c, n})
 		}
 	}
@@ -189,6 +204,7 @@
 		return cmp.Or(
 			compareBool(a.candidate.Suspect, b.candidate.Suspect), compareBool(a.candidate.closed, b.candidate.closed),
 			compareBool(rack != "" && a.candidate.Rack != rack, rack != "" && b.candidate.Rack != rack),
+			cmp.Compare(u.slowdown(a.candidate), u.slowdown(b.candidate)),
 			cmp.Compare(free(a.candidate).Weight(), free(b.candidate).Weight()),
 		)
 	})
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -77,6 +77,9 @@
 	Waited func(StepKey) Wait
 	// RackFactor is the run time of a compact gang across racks as a multiple of that in a single rack.
 	RackFactor float64
+	// Slowdown returns the factor by which a task of a step on a worker slows down, or is slowed down by, the runs there,
+	// the larger one, 1 for none. It is nil if no images interfere.
+	Slowdown func(s *tracker.Step, w *Worker) float64
 }
 
 // Plan holds the decisions of one pass.
@@ -89,6 +92,8 @@
 	Relaxed []Deferral
 	// Blocked are the steps that wait though the turn of a task has come.
 	Blocked []Blocked
+	// Apart is the number of starts that would be on another worker if no images interfered.
+	Apart int
 }
 
 // unit is a set of tasks that are placed together: a gang, or the tasks of a step that are neither done nor
@@ -116,6 +121,8 @@
 	estimate       time.Duration
 	objective      time.Duration
 	age            time.Duration
+	// neighbours is nil if no images interfere.
+	neighbours *neighbours
 }
 
 // pass holds the working state of one pass.
@@ -159,6 +166,8 @@
 	// reservedIn is the estimated time until a waiting gang starts here. Later units may use the worker only
 	// if they end by then. 0 means not reserved.
 	reservedIn time.Duration
+	// begun are the runs with images that start in this pass, kept only while images interfere.
+	begun []*ActiveRun
 }
 
 // close keeps the worker from later units of the pass that can wait.
@@ -271,6 +280,7 @@
 		job: j, step: s, need: Need(s.Spec), pool: pool, tasks: tasks, urgent: isUrgent(j),
 		estimate: p.input.Estimate(j, s), age: p.input.Age(j), objective: time.Duration(j.Work.GetObjective()) * time.Millisecond,
 	}
+	u.neighbours = p.newNeighbours(s)
 	if s.Spec.GetLasting() {
 		return u // it has no limit of attempts, and no end to be late for
 	}
@@ -376,6 +386,7 @@
 	p.running[u.job] = true
 	c.free = c.free.Sub(u.need)
 	c.projected = c.projected.Sub(u.need)
+	p.recordNeighbour(u, c)
 	p.plan.Starts = append(p.plan.Starts, &messages.Run{
 		Job: u.job.Work.GetId(), Occurrence: u.step.Occurrence, Step: u.step.Index, Task: task,
 		Number: number, Worker: c.ID, Born: c.Started, Saved: checkpoint,
--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -16,6 +16,9 @@
 		c := p.selectWorker(u, counts)
 		switch {
 		case c != nil:
+			if p.isKeptApart(u, counts, c) {
+				p.plan.Apart++
+			}
 			counts[c.ID]++
 			p.start(u, task, c)
 		case p.waitsForReserved(u, counts) && p.placeRelaxedTasks(u, u.tasks[i:], counts):
@@ -105,7 +108,7 @@
 }
 
 // selectWorker returns the worker with the least free capacity on which a task fits, preferring the rack of
-// its data.
+// its data and then workers without interference.
 func (p *pass) selectWorker(u *unit, counts map[string]int) *candidate {
 	rack := u.step.Spec.GetRack()
 	var best *candidate
@@ -116,6 +119,7 @@
 		if best == nil || cmp.Or(
 			compareBool(c.Suspect, best.Suspect), compareBool(c.closed, best.closed),
 			compareBool(rack != "" && c.Rack != rack, rack != "" && best.Rack != rack),
+			cmp.Compare(u.slowdown(c), u.slowdown(best)),
 			cmp.Compare(c.free.Accelerators, best.free.Accelerators),
 			cmp.Compare(c.free.Weight(), best.free.Weight()),
 		) < 0 {
--- a/internal/queue/simulator/job.go
+++ b/internal/queue/simulator/job.go
@@ -78,14 +78,18 @@
 	for float64(steps) < q.Steps+0.5 && s.random.Float64() < q.Steps-float64(steps) {
 		steps++
 	}
+	image := ""
+	if len(q.Images) > 0 {
+		image = q.Images[s.random.IntN(len(q.Images))]
+	}
 	accelerators := q.Accelerators[s.random.IntN(len(q.Accelerators))]
 	for i := range steps {
 		width := max(1, int(s.lognormal(q.Width, q.WidthSpread, float64(q.MaxWidth))+0.5))
 		mean := s.lognormal(float64(q.Work), q.WorkSpread, float64(q.MaxWork))
 		step := &messages.Step{
 			Count: int32(width), Processors: q.Processors, Memory: q.Memory, Accelerators: accelerators,
-			Gang: q.Gang, Compact: q.Gang && s.random.Float64() < q.Compact, Checkpoints: s.random.Float64() < q.Checkpoints, Lasting: q.Lasting, Spread: q.Spread,
-			Estimate: int64(mean * s.lognormal(1, q.EstimateSpread, 10) / float64(time.Millisecond)),
+			Gang: q.Gang, Compact: q.Gang && s.random.Float64() < q.Compact, Checkpoints: s.random.Float64() < q.Checkpoints, Lasting: q.Lasting, Spread: q.Spread, Image: image,
+			Tail: q.Tail, Estimate: int64(mean * s.lognormal(1, q.EstimateSpread, 10) / float64(time.Millisecond)),
 		}
 		if i > 0 {
 			step.After = []int32{int32(i - 1)}
--- a/internal/queue/simulator/result.go
+++ b/internal/queue/simulator/result.go
@@ -29,6 +29,8 @@
 	Growths                   int             // growths of a worker's capacity that were reported
 	GrowthDelays              []time.Duration // from these reports to the next start on the worker, if there was one
 	Queues                    []QueueResult
+	TaskTime, TaskWork        float64  // seconds that tasks with images took in their last runs, and would take alone on a worker of speed 1
+	TailReadings, TailsOver   int      // readings of the tails of lasting tasks, those above their bound
 	LateReclaims              int      // accepted jobs of priority 0 that started later than maxReclaimTime
 	Unfinished                []string // accepted jobs that have not ended drainTime after the last arrival
 	Violations                []string // invariant violations, at most maxViolations
--- a/internal/queue/simulator/run.go
+++ b/internal/queue/simulator/run.go
@@ -25,16 +25,19 @@
 	checkpointTag string
 	restored      time.Duration // work done by earlier runs, restored from a checkpoint
 	failAt        time.Duration // work after which the run fails, 0 if it does not
+	begunAt       time.Time     // of the execution
 	endVersion    int           // of the scheduled end; events of earlier versions are ignored
 }
 
 // start begins execution, after the restore time if there is a checkpoint, and schedules the end.
 func (r *run) start(w *worker) {
-	r.started = true
-	r.advancedAt = w.sim.now
-	if r.restored > 0 {
-		r.advancedAt = r.advancedAt.Add(w.sim.opts.Fleet.RestoreTime)
-	}
+	w.changeCompany(func() {
+		r.started = true
+		r.advancedAt, r.begunAt = w.sim.now, w.sim.now
+		if r.restored > 0 {
+			r.advancedAt = r.advancedAt.Add(w.sim.opts.Fleet.RestoreTime)
+		}
+	})
 	r.scheduleEnd(w)
 }
 
@@ -45,7 +48,7 @@
 	}
 	rate := w.speed / w.slowdown
 	if !r.spec.GetGang() {
-		return rate / w.sim.distance(r, w)
+		return rate / w.sim.distance(r, w) / w.sim.interference(r, w)
 	}
 	// A gang runs at the speed of its slowest member. A compact gang is slower if it spans racks.
 	g := w.sim.gangs[gangKey{r.key.Job, r.key.Occurrence, r.key.Step, r.key.Number}]
@@ -57,6 +60,7 @@
 		}
 		rate = min(rate, m.speed/m.slowdown)
 	}
+	rate /= w.sim.gangInterference(r, g)
 	if r.spec.GetCompact() && len(racks) > 1 {
 		return rate / crossRackSlowdown
 	}
--- a/internal/queue/simulator/simulator.go
+++ b/internal/queue/simulator/simulator.go
@@ -87,16 +87,18 @@
 	Memory           int64
 	Accelerators     []int64 // drawn for each job
 	Gang             bool
-	Compact          float64 // share of a gang queue's steps
-	Checkpoints      float64 // share of steps
-	EstimateSpread   float64 // of the declared run time
-	TaskSpread       float64 // of the run times within a step
-	FailureRate      float64 // share of runs that fail because of the job
-	AlwaysFailing    float64 // share of jobs whose runs all fail
-	Cancelled        float64 // share of jobs that their callers cancel
-	Deadly           float64 // share of jobs with one task that crashes each worker on which it starts
-	Lasting          bool    // the tasks run until the job is cancelled
-	Spread           int32   // most tasks of a step on one worker, 0 for no limit
+	Compact          float64  // share of a gang queue's steps
+	Checkpoints      float64  // share of steps
+	EstimateSpread   float64  // of the declared run time
+	TaskSpread       float64  // of the run times within a step
+	FailureRate      float64  // share of runs that fail because of the job
+	AlwaysFailing    float64  // share of jobs whose runs all fail
+	Cancelled        float64  // share of jobs that their callers cancel
+	Deadly           float64  // share of jobs with one task that crashes each worker on which it starts
+	Lasting          bool     // the tasks run until the job is cancelled
+	Spread           int32    // most tasks of a step on one worker, 0 for no limit
+	Images           []string // one is drawn for each job, none for jobs without an image
+	Tail             int64    // bound on the tail of the response times of lasting tasks, milliseconds, 0 for none
 }
 
 // Fault is a fault injected into some workers, or into the leader, for some time.
@@ -136,6 +138,8 @@
 	Fleet  Fleet
 	Load   Load
 	Faults []Fault
+	// Interference is the model of images that slow each other down.
+	Interference Interference
 	// DrainTime is how long the simulation continues after the end of the arrivals, 0 for drainTime.
 	DrainTime time.Duration
 	Log       *zap.Logger
@@ -169,6 +173,7 @@
 	disturbedAt       time.Time // last begin or end of a fault
 	electedAt         time.Time // of the last leader
 	lastingWaits      map[tracker.TaskKey]*wait
+	interferenceAt    time.Duration // of the last change of the model of interference, since the start
 	result            Result
 }
 
@@ -189,6 +194,7 @@
 	s.addWorkers()
 	s.scheduleArrivals()
 	s.scheduleFaults()
+	s.scheduleInterference()
 	s.every(passInterval, func() {
 		if leader := s.leader; leader != nil && !s.passing {
 			s.passing = true
@@ -436,6 +442,8 @@
 		RackFactor:    crossRackSlowdown,
 		Metrics:       tally.NoopScope,
 		Log:           s.opts.Log,
+
+		IgnoreInterference: s.opts.Interference.Ignored,
 	})
 }
 
--- a/internal/queue/simulator/worker.go
+++ b/internal/queue/simulator/worker.go
@@ -144,7 +144,7 @@
 			Run: &messages.Run{
 				Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number, Saved: r.checkpointTag,
 			},
-			Percent: int32(100 * r.done / max(r.total, 1)),
+			Percent: int32(100 * r.done / max(r.total, 1)), Usage: r.usage(w),
 		})
 	}
 	report.Ends = append(report.Ends, w.pendingEnds[:min(len(w.pendingEnds), 500)]...)
@@ -348,9 +348,10 @@
 		return // already ended with its gang
 	}
 	r.advance(w)
-	delete(w.runs, key)
+	w.changeCompany(func() { delete(w.runs, key) })
 	if how == tracker.EndDone {
 		s.recordDone(r)
+		s.recordTaskTime(r)
 	}
 	s.activeRuns[key.TaskKey]--
 	s.recordRunEnd(r)
@@ -432,7 +433,7 @@
 	for _, key := range slices.SortedFunc(maps.Keys(w.runs), tracker.CompareKeys) {
 		lost := w.runs[key]
 		lost.advance(w)
-		delete(w.runs, key)
+		w.changeCompany(func() { delete(w.runs, key) })
 		w.sim.activeRuns[key.TaskKey]--
 		w.sim.recordRunEnd(lost)
 		w.sim.countEnd(lost, tracker.EndExpired)
