profiler: rates that change for other reasons are no evidence

Stretches whose rate changes within them are left out, the spread of all pairs counts, and two thirds of at least six workers have to agree.

--- a/internal/queue/placer/gang.go
+++ b/internal/queue/placer/gang.go
@@ -204,7 +204,7 @@
 		return cmp.Or(
 			compareBool(a.candidate.Suspect, b.candidate.Suspect), compareBool(a.candidate.closed, b.candidate.closed),
 			compareBool(rack != "" && a.candidate.Rack != rack, rack != "" && b.candidate.Rack != rack),
-			cmp.Compare(u.slowdown(a.candidate), u.slowdown(b.candidate)),
+			u.compareSlowdowns(a.candidate, b.candidate),
 			cmp.Compare(free(a.candidate).Weight(), free(b.candidate).Weight()),
 		)
 	})
--- a/internal/queue/placer/neighbour.go
+++ b/internal/queue/placer/neighbour.go
@@ -14,12 +14,12 @@
 type neighbours struct {
 	step      *tracker.Step
 	slowdown  func(s *tracker.Step, w *Worker) float64
-	beside    float64 // of a task beside another one of the unit
-	slowdowns map[*candidate]neighbourSlowdown
-	seen      bool // there is a worker with interference, or the tasks of the unit interfere
+	beside    float64             // of a task beside another one of the unit
+	slowdowns []neighbourSlowdown // by index of the worker
+	seen      bool                // there is a worker with interference, or the tasks of the unit interfere
 }
 
-// neighbourSlowdown is a cached slowdown. It holds until another task starts on the worker.
+// neighbourSlowdown is a cached slowdown, 0 for none. It holds until another task starts on the worker.
 type neighbourSlowdown struct {
 	begun int
 	value float64
@@ -30,7 +30,7 @@
 	if p.input.Slowdown == nil || s.Spec.GetImage() == "" {
 		return nil
 	}
-	n := &neighbours{step: s, slowdown: p.input.Slowdown, slowdowns: map[*candidate]neighbourSlowdown{}}
+	n := &neighbours{step: s, slowdown: p.input.Slowdown, slowdowns: make([]neighbourSlowdown, len(p.workers))}
 	n.beside = n.ask(&Worker{Runs: []*ActiveRun{{Step: s}}})
 	return n
 }
@@ -59,14 +59,28 @@
 	if n == nil {
 		return 1
 	}
-	if known, ok := n.slowdowns[c]; ok && known.begun == len(c.begun) {
+	known := &n.slowdowns[c.index]
+	if known.value > 0 && known.begun == len(c.begun) {
 		return known.value
 	}
-	w := *c.Worker
-	w.Runs = slices.DeleteFunc(slices.Concat(c.Runs, c.begun), func(a *ActiveRun) bool { return a.Stopping })
-	value := n.ask(&w)
-	n.slowdowns[c] = neighbourSlowdown{len(c.begun), value}
-	return value
+	w := c.Worker
+	if len(c.begun) > 0 || slices.ContainsFunc(c.Runs, isStopping) {
+		v := *c.Worker
+		v.Runs = slices.DeleteFunc(slices.Concat(c.Runs, c.begun), isStopping)
+		w = &v
+	}
+	*known = neighbourSlowdown{len(c.begun), n.ask(w)}
+	return known.value
+}
+
+func isStopping(a *ActiveRun) bool { return a.Stopping }
+
+// compareSlowdowns orders workers by the slowdown of a task of the unit, or of the runs there.
+func (u *unit) compareSlowdowns(a, b *candidate) int {
+	if u.neighbours == nil {
+		return 0
+	}
+	return cmp.Compare(u.slowdown(a), u.slowdown(b))
 }
 
 // slowdownOf returns the largest slowdown in allocations. A gang runs at the rate of its slowest member.
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -168,6 +168,7 @@
 	reservedIn time.Duration
 	// begun are the runs with images that start in this pass, kept only while images interfere.
 	begun []*ActiveRun
+	index int // in the list of all workers
 }
 
 // close keeps the worker from later units of the pass that can wait.
@@ -189,7 +190,7 @@
 	}
 	p.planTrials()
 	for _, w := range in.Workers {
-		c := &candidate{Worker: w, free: w.Free, projected: w.Free, starting: w.hasStarts(), loss: -1}
+		c := &candidate{Worker: w, free: w.Free, projected: w.Free, starting: w.hasStarts(), loss: -1, index: len(p.workers)}
 		for _, a := range w.Runs {
 			p.workerOf[a] = c
 			p.running[a.Job] = p.running[a.Job] || !w.Silent
--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -119,7 +119,7 @@
 		if best == nil || cmp.Or(
 			compareBool(c.Suspect, best.Suspect), compareBool(c.closed, best.closed),
 			compareBool(rack != "" && c.Rack != rack, rack != "" && best.Rack != rack),
-			cmp.Compare(u.slowdown(c), u.slowdown(best)),
+			u.compareSlowdowns(c, best),
 			cmp.Compare(c.free.Accelerators, best.free.Accelerators),
 			cmp.Compare(c.free.Weight(), best.free.Weight()),
 		) < 0 {
--- a/internal/queue/profiler/pair.go
+++ b/internal/queue/profiler/pair.go
@@ -23,16 +23,17 @@
 	minSlowdown = 1.1
 	// minClusters, minSamplesEach and minEvidenceRuns are the evidence needed: workers (a gang is one, as all its members
 	// progress at one rate), of these after an arrival and after a departure of the neighbour, and runs.
-	minClusters     = 4
+	minClusters     = 6
 	minSamplesEach  = 2
-	minEvidenceRuns = 4
-	// confidence is the number of standard errors by which the estimate has to exceed minSlowdown. With 36 pairs that are
-	// each judged anew with each sample, two gave false positives in the simulator.
-	confidence = 3
-	// priorSpread and priorWeight are the spread of samples that is assumed before any is known, and its weight in samples.
-	// Four samples may agree by chance.
-	priorSpread = 0.25
-	priorWeight = 4
+	minEvidenceRuns = 6
+	// confidence is the number of standard errors by which the estimate has to exceed minSlowdown, as dozens of pairs are
+	// judged anew with each sample, and keepConfidence the number for a pair that is known to interfere.
+	confidence     = 3.5
+	keepConfidence = 1
+	// minSpread and priorWeight are the least spread of samples that is assumed beside that of a pair's own samples, and its
+	// weight in samples, as a few samples may agree by chance. The spread of all pairs counts if it is larger.
+	minSpread   = 0.25
+	priorWeight = 6
 )
 
 // pairKey is a pair of images: runs of the first are compared with and without the second beside them.
@@ -138,6 +139,7 @@
 			p.forget(id)
 		}
 	}
+	spread := p.spread(now)
 	var changes []Change
 	for key, q := range p.pairs {
 		q.samples = slices.DeleteFunc(q.samples, func(s sample) bool { return now.Sub(s.at) > sampleRetention })
@@ -148,7 +150,7 @@
 			continue
 		}
 		before := q.interfering
-		q.evaluate(now)
+		q.evaluate(now, spread)
 		if q.interfering != before {
 			changes = append(changes, Change{key.image, key.beside, q.interfering, q.slowdown, len(q.samples)})
 		}
@@ -171,46 +173,74 @@
 	}
 }
 
+// spread returns the spread of the samples of all pairs around the means of their pairs. It is large while workers become
+// slow and fast again, so that more evidence is needed then.
+func (p *Profiler) spread(now time.Time) float64 {
+	var squares, freedom float64
+	for _, q := range p.pairs {
+		for _, arrived := range []bool{true, false} {
+			if e := q.estimate(now, arrived, 0); e.clusters > 1 {
+				squares += e.deviations * float64(e.clusters)
+				freedom += float64(e.clusters - 1)
+			}
+		}
+	}
+	if freedom == 0 {
+		return minSpread
+	}
+	return max(minSpread, math.Sqrt(squares/freedom))
+}
+
 // evaluate decides whether the pair interferes. Arrivals and departures of the neighbour weigh the same, whatever their
 // numbers, so that a rate that falls or rises by itself, as on a worker that becomes slow, cancels out.
-func (q *pair) evaluate(now time.Time) {
+func (q *pair) evaluate(now time.Time, spread float64) {
 	q.changed = false
 	if q.interfering && now.Sub(q.lastSample) > fadeTime {
 		q.interfering = false
 		return
 	}
-	arrivals, departures := q.estimate(now, true), q.estimate(now, false)
+	arrivals, departures := q.estimate(now, true, spread), q.estimate(now, false, spread)
 	if arrivals.clusters < minSamplesEach || departures.clusters < minSamplesEach {
 		return
 	}
 	mean := (arrivals.mean + departures.mean) / 2
+	deviation := math.Sqrt(arrivals.variance+departures.variance) / 2
 	threshold := math.Log(minSlowdown)
 	if q.interfering {
-		q.interfering = mean >= threshold
+		q.interfering = mean-keepConfidence*deviation >= threshold
 	} else {
-		margin := confidence * math.Sqrt(arrivals.variance+departures.variance) / 2
-		q.interfering = mean-margin >= threshold && q.hasEvidence()
+		q.interfering = mean-confidence*deviation >= threshold && q.hasEvidence(threshold)
 	}
 	q.slowdown = math.Exp(mean)
 }
 
-// hasEvidence reports whether the samples stem from enough runs and workers.
-func (q *pair) hasEvidence() bool {
-	clusters, workers, runs := map[uint64]bool{}, map[uint64]bool{}, map[uint64]bool{}
+// hasEvidence reports whether the samples stem from enough runs and workers, and whether two thirds of the workers agree.
+func (q *pair) hasEvidence(threshold float64) bool {
+	type sum struct{ value, n float64 }
+	clusters, workers, runs := map[uint64]sum{}, map[uint64]bool{}, map[uint64]bool{}
 	for _, s := range q.samples {
-		clusters[s.cluster], workers[s.worker], runs[s.run] = true, true, true
+		c := clusters[s.cluster]
+		clusters[s.cluster] = sum{c.value + s.value, c.n + 1}
+		workers[s.worker], runs[s.run] = true, true
+	}
+	agree := 0
+	for _, c := range clusters {
+		if c.value/c.n >= threshold {
+			agree++
+		}
 	}
-	return min(len(clusters), len(workers)) >= minClusters && len(runs) >= minEvidenceRuns
+	return min(len(clusters), len(workers)) >= minClusters && len(runs) >= minEvidenceRuns && 3*agree >= 2*len(clusters)
 }
 
 // estimate is the mean of the samples after arrivals or after departures.
 type estimate struct {
 	mean, variance float64 // variance of the mean
+	deviations     float64 // mean square around the mean
 	clusters       int
 }
 
 // estimate computes the mean over clusters, each of which counts once, so that one worker with odd reports decides nothing.
-func (q *pair) estimate(now time.Time, arrived bool) estimate {
+func (q *pair) estimate(now time.Time, arrived bool, spread float64) estimate {
 	type cluster struct{ sum, weight, newest float64 }
 	clusters := map[uint64]*cluster{}
 	var order []*cluster // the order of the sums below has to be the same each time
@@ -229,7 +259,7 @@
 		c.weight += weight
 		c.newest = max(c.newest, weight)
 	}
-	var sum, weights, squares, deviations float64
+	var sum, weights, squares float64
 	for _, c := range order {
 		sum += c.newest * c.sum / c.weight
 		weights += c.newest
@@ -243,10 +273,10 @@
 	effective := weights * weights / squares
 	for _, c := range order {
 		d := c.sum/c.weight - e.mean
-		deviations += c.newest / weights * d * d
+		e.deviations += c.newest / weights * d * d
 	}
 	// The variance around the mean of n samples, with that of the prior beside it.
-	e.variance = (deviations*effective + priorWeight*priorSpread*priorSpread) / (effective - 1 + priorWeight) / effective
+	e.variance = (e.deviations*effective + priorWeight*spread*spread) / (effective - 1 + priorWeight) / effective
 	return e
 }
 
--- a/internal/queue/profiler/profiler.go
+++ b/internal/queue/profiler/profiler.go
@@ -36,6 +36,9 @@
 	enoughPoints = 8
 	// stallPoints is the expected progress from which a run without any is taken to be stalled.
 	stallPoints = 4
+	// maxUnevenness is the ratio of the rates in two parts of a stretch from which on it is not compared: the rate has changed
+	// for another reason than the company, such as a worker that becomes slow.
+	maxUnevenness = 1.5
 	// minReadings is the number of readings of a tail in a stretch that is compared.
 	minReadings = 2
 	// tailWindow is the time over which a worker measures a tail.
@@ -104,12 +107,18 @@
 	start, end time.Duration
 	seconds    float64
 	points     float64 // percent
+	window     part    // the last part, of minPoints
+	slowest    float64 // lowest rate of a part, in percent a second, 0 before the first one
+	fastest    float64
 	idle       float64 // seconds without progress at its end
 	readings   int     // of the tail
 	logTail    float64 // sum of the logarithms of the readings
 	compared   bool
 }
 
+// part is a part of a stretch.
+type part struct{ seconds, points float64 }
+
 // Observe records a report. Reports of one worker have to be in order.
 func (p *Profiler) Observe(now time.Time, r Report) {
 	w := p.workers[r.Worker]
@@ -264,15 +273,36 @@
 		t.moving = progress > 0
 	default:
 		s.add(elapsed.Seconds(), float64(progress))
-		if rate := t.rate(); s.idle*rate >= stallPoints {
+		rate := t.rate()
+		if s.idle*rate >= stallPoints {
 			t.spoiled = true
 		}
+		s.closePart(rate)
 	}
 }
 
+// closePart ends the last part of the stretch once it is long enough. The rates allow for the rounding of the percentage.
+func (s *stretch) closePart(rate float64) {
+	w := s.window
+	if w.seconds*rate < minPoints {
+		return
+	}
+	slow, fast := (w.points+0.5)/w.seconds, (w.points-0.5)/w.seconds
+	if s.slowest == 0 || slow < s.slowest {
+		s.slowest = slow
+	}
+	s.fastest = max(s.fastest, fast)
+	s.window = part{}
+}
+
+// isUneven reports whether the rate has changed within the stretch.
+func (s *stretch) isUneven() bool { return s.fastest > maxUnevenness*s.slowest }
+
 func (s *stretch) add(seconds, points float64) {
 	s.seconds += seconds
 	s.points += points
+	s.window.seconds += seconds
+	s.window.points += points
 	s.idle += seconds
 	if points > 0 {
 		s.idle = 0
@@ -306,7 +336,7 @@
 // compare compares the current stretch of a run with the one before it, once.
 func (p *Profiler) compare(now time.Time, id string, key tracker.RunKey, t *track) {
 	a, b := &t.before, &t.current
-	if t.spoiled || b.compared || !a.valid || b.start-a.end > maxGap || !a.isLong(t, minPoints) || !b.isLong(t, minPoints) {
+	if t.spoiled || b.compared || !a.valid || b.start-a.end > maxGap || !a.isLong(t, minPoints) || !b.isLong(t, minPoints) || a.isUneven() || b.isUneven() {
 		return
 	}
 	image, arrived, ok := difference(a.company, b.company)
--- a/internal/queue/simulator/interference.go
+++ b/internal/queue/simulator/interference.go
@@ -57,7 +57,7 @@
 	factors := map[string]float64{}
 	for _, other := range w.runs {
 		beside := other.spec.GetImage()
-		if beside == "" || other == r || !other.started || s.isSameGang(r, other) {
+		if beside == "" || other == r || !other.started {
 			continue
 		}
 		factors[beside] = s.opts.Interference.Factor(s.interferenceAt, image, beside)
@@ -69,10 +69,6 @@
 	return factor
 }
 
-func (s *Simulator) isSameGang(a, b *run) bool {
-	return a.spec.GetGang() && b.spec.GetGang() && gangOf(a) == gangOf(b)
-}
-
 func gangOf(r *run) gangKey { return gangKey{r.key.Job, r.key.Occurrence, r.key.Step, r.key.Number} }
 
 // gangInterference returns the largest factor of a gang's members, as it progresses at the rate of the slowest one.
--- a/internal/queue/simulator/interference_test.go
+++ b/internal/queue/simulator/interference_test.go
@@ -119,3 +119,44 @@
 	}
 	w.Flush()
 }
+
+func TestFalsePositiveScan(t *testing.T) {
+	if os.Getenv("FIGURES") == "" {
+		t.Skip()
+	}
+	slow := func(start, length time.Duration, share, factor float64) Fault {
+		return Fault{Kind: Slow, Start: start, Duration: length, Share: share, Slowdown: factor}
+	}
+	var flicker []Fault
+	for i := range 12 {
+		flicker = append(flicker, slow(time.Duration(5+7*i)*time.Second, 4*time.Second, 0.3, 2.5))
+	}
+	var stuck []Fault
+	for i := range 12 {
+		stuck = append(stuck, Fault{Kind: Stuck, Start: time.Duration(5+7*i) * time.Second, Duration: 2 * time.Second, Share: 0.2})
+	}
+	for _, c := range []struct {
+		name   string
+		faults []Fault
+		scale  float64
+	}{{"busy", nil, 1}, {"overload", nil, 1.4}, {"flicker", flicker, 0.6}, {"flicker-busy", flicker, 1}, {"stuck", stuck, 0.8}, {"trouble", faults(), 0.8}} {
+		var all []observer.LoggedEntry
+		var lock sync.Mutex
+		var wait sync.WaitGroup
+		for seed := range uint64(20) {
+			wait.Go(func() {
+				fleet, load := Reports(c.scale)
+				load.Duration = 90 * time.Second
+				for i := range load.Queues {
+					load.Queues[i].Images = append([]string{"e", "f", "g", "h"}, images...)[:4+4*(seed%2)]
+				}
+				_, lines := play(100+seed, fleet, load, c.faults, Interference{})
+				lock.Lock()
+				defer lock.Unlock()
+				all = append(all, lines...)
+			})
+		}
+		wait.Wait()
+		fmt.Println(c.name, describe(all))
+	}
+}
