--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -21,6 +21,7 @@
 		c.opts.Log.Info("report interval", zap.Duration("interval", c.pacer.Interval()), zap.Int("workers", len(c.workers)), zap.Duration("wait", c.pacer.Wait()))
 	}
 	c.evacuate(state)
+	c.updateInterference()
 	change.Ends = append(c.expiredWorkers(state), c.unsentStarts(state)...)
 	change.Forgets = c.expiredJobs(state)
 	change.Failures = c.giveUps(state)
@@ -175,7 +176,6 @@
 
 // planStarts returns the runs that the placer starts, and marks those that it preempts for stopping.
 func (c *Coordinator) planStarts(state *tracker.Tracker) []*messages.Run {
-	c.updateInterference()
 	plan := placer.NewPlan(c.placerInput(state))
 	c.recordDeferrals(plan)
 	c.recordBlocked(plan)
