--- a/internal/queue/profiler/pair.go
+++ b/internal/queue/profiler/pair.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/maphash"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -56,6 +57,9 @@
 	interfering bool
 	slowdown    float64
 	lastSample  time.Time
+	// squares and freedom are the sum of the squares of the samples around their means, and its degrees of freedom, at the
+	// last evaluation.
+	squares, freedom float64
 }
 
 var seed = maphash.MakeSeed()
@@ -104,7 +108,7 @@
 	var least *pair
 	for key, q := range p.pairs {
 		if least == nil || cmp.Or(compareBool(q.interfering, least.interfering), cmp.Compare(len(q.samples), len(least.samples)),
-			q.lastSample.Compare(least.lastSample), cmp.Compare(key.image, worst.image), cmp.Compare(key.beside, worst.beside)) < 0 {
+			q.lastSample.Compare(least.lastSample), comparePairs(key, worst)) < 0 {
 			worst, least = key, q
 		}
 	}
@@ -139,7 +143,12 @@
 			p.forget(id)
 		}
 	}
-	spread := p.spread(now)
+	for _, q := range p.pairs {
+		if q.changed {
+			q.updateSpread(now)
+		}
+	}
+	spread := p.spread()
 	var changes []Change
 	for key, q := range p.pairs {
 		q.samples = slices.DeleteFunc(q.samples, func(s sample) bool { return now.Sub(s.at) > sampleRetention })
@@ -158,7 +167,7 @@
 	if len(changes) > 0 || len(p.active) > 0 {
 		p.rebuild()
 	}
-	slices.SortFunc(changes, func(a, b Change) int { return cmp.Or(cmp.Compare(a.Image, b.Image), cmp.Compare(a.Beside, b.Beside)) })
+	slices.SortFunc(changes, func(a, b Change) int { return comparePairs(pairKey{a.Image, a.Beside}, pairKey{b.Image, b.Beside}) })
 	return changes
 }
 
@@ -175,15 +184,11 @@
 
 // spread returns the spread of the samples of all pairs around the means of their pairs. It is large while workers become
 // slow and fast again, so that more evidence is needed then.
-func (p *Profiler) spread(now time.Time) float64 {
+func (p *Profiler) spread() float64 {
 	var squares, freedom float64
-	for _, q := range p.pairs {
-		for _, arrived := range []bool{true, false} {
-			if e := q.estimate(now, arrived, 0); e.clusters > 1 {
-				squares += e.deviations * float64(e.clusters)
-				freedom += float64(e.clusters - 1)
-			}
-		}
+	for _, key := range slices.SortedFunc(maps.Keys(p.pairs), comparePairs) { // the sum depends on the order
+		squares += p.pairs[key].squares
+		freedom += p.pairs[key].freedom
 	}
 	if freedom == 0 {
 		return minSpread
@@ -191,6 +196,10 @@
 	return max(minSpread, math.Sqrt(squares/freedom))
 }
 
+func comparePairs(a, b pairKey) int {
+	return cmp.Or(cmp.Compare(a.image, b.image), cmp.Compare(a.beside, b.beside))
+}
+
 // evaluate decides whether the pair interferes. Arrivals and departures of the neighbour weigh the same, whatever their
 // numbers, so that a rate that falls or rises by itself, as on a worker that becomes slow, cancels out.
 func (q *pair) evaluate(now time.Time, spread float64) {
@@ -239,44 +248,59 @@
 	clusters       int
 }
 
+// updateSpread computes squares and freedom.
+func (q *pair) updateSpread(now time.Time) {
+	q.squares, q.freedom = 0, 0
+	for _, arrived := range []bool{true, false} {
+		if e := q.estimate(now, arrived, 0); e.clusters > 1 {
+			q.squares += e.deviations * float64(e.clusters)
+			q.freedom += float64(e.clusters - 1)
+		}
+	}
+}
+
+// clusterSum is the weighted sum of the samples of a cluster.
+type clusterSum struct {
+	cluster             uint64
+	sum, weight, newest float64
+}
+
 // estimate computes the mean over clusters, each of which counts once, so that one worker with odd reports decides nothing.
 func (q *pair) estimate(now time.Time, arrived bool, spread float64) estimate {
-	type cluster struct{ sum, weight, newest float64 }
-	clusters := map[uint64]*cluster{}
-	var order []*cluster // the order of the sums below has to be the same each time
+	clusters := make([]clusterSum, 0, len(q.samples))
 	for _, s := range q.samples {
 		if s.arrived != arrived {
 			continue
 		}
-		c := clusters[s.cluster]
-		if c == nil {
-			c = &cluster{}
-			clusters[s.cluster] = c
-			order = append(order, c)
+		i := slices.IndexFunc(clusters, func(c clusterSum) bool { return c.cluster == s.cluster })
+		if i < 0 {
+			i = len(clusters)
+			clusters = append(clusters, clusterSum{cluster: s.cluster})
 		}
+		c := &clusters[i]
 		weight := math.Exp2(-now.Sub(s.at).Seconds() / halfLife.Seconds())
 		c.sum += weight * s.value
 		c.weight += weight
 		c.newest = max(c.newest, weight)
 	}
+	e := estimate{clusters: len(clusters)}
+	if e.clusters == 0 {
+		return e
+	}
 	var sum, weights, squares float64
-	for _, c := range order {
+	for _, c := range clusters {
 		sum += c.newest * c.sum / c.weight
 		weights += c.newest
 		squares += c.newest * c.newest
 	}
-	e := estimate{clusters: len(order)}
-	if e.clusters == 0 {
-		return e
-	}
 	e.mean = sum / weights
-	effective := weights * weights / squares
-	for _, c := range order {
+	for _, c := range clusters {
 		d := c.sum/c.weight - e.mean
 		e.deviations += c.newest / weights * d * d
 	}
 	// The variance around the mean of n samples, with that of the prior beside it.
-	e.variance = (e.deviations*effective + priorWeight*spread*spread) / (effective - 1 + priorWeight) / effective
+	n := weights * weights / squares
+	e.variance = (e.deviations*n + priorWeight*spread*spread) / (n - 1 + priorWeight) / n
 	return e
 }
 
--- a/internal/queue/profiler/profiler.go
+++ b/internal/queue/profiler/profiler.go
@@ -11,7 +11,7 @@
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
 )
 
-// Bounds of the memory. The state below is at most 15 MB.
+// Bounds of the memory, at which the state takes 41 MB.
 const (
 	maxPairs    = 1024
 	maxSamples  = 64     // of a pair
@@ -142,31 +142,34 @@
 	w.born, w.clock, w.seenAt = r.Born, r.Clock, now
 	p.dropEnded(now, r.Worker, w, r.Runs)
 	for _, run := range r.Runs {
-		if nameOf(run.Image) == "" {
-			continue
+		if nameOf(run.Image) != "" {
+			p.observeRun(now, r, w, run, companyOf(run, r.Runs, images), elapsed)
 		}
-		company := companyOf(run, r.Runs, images)
-		t := w.runs[run.Key]
-		if t == nil {
-			if p.runs < maxRuns {
-				p.runs++
-				w.runs[run.Key] = newTrack(run, company, r.Clock)
-			}
-			continue
-		}
-		if !slices.Equal(company, t.current.company) {
-			p.change(now, r.Worker, run.Key, t, company, r.Clock)
-			t.percent, t.since = run.Percent, r.Clock
-			continue // the time since the last report is partly of the one company, partly of the other
+	}
+	if len(w.runs) == 0 {
+		p.forget(r.Worker)
+	}
+}
+
+// observeRun records a run in a report.
+func (p *Profiler) observeRun(now time.Time, r Report, w *worker, run Run, company []string, elapsed time.Duration) {
+	t := w.runs[run.Key]
+	switch {
+	case t == nil:
+		if p.runs < maxRuns {
+			p.runs++
+			w.runs[run.Key] = newTrack(run, company, r.Clock)
 		}
+	case !slices.Equal(company, t.current.company):
+		// The time since the last report is partly of the one company, partly of the other.
+		p.change(now, r.Worker, run.Key, t, company, r.Clock)
+		t.percent, t.since = run.Percent, r.Clock
+	default:
 		t.advance(run, elapsed, r.Clock)
 		if t.current.isLong(t, enoughPoints) {
 			p.compare(now, r.Worker, run.Key, t)
 		}
 	}
-	if len(w.runs) == 0 {
-		p.forget(r.Worker)
-	}
 }
 
 // Observes reports whether runs with images were on a worker at its last report.
