placer: interference is counted in the scan that selects the worker

The count of starts that are kept apart scanned the workers a second time: 780 starts over 350 workers took 20 to 24 ms in a pass, without interference 10 ms. The cache of a unit is allocated only if it fits on a worker.

--- a/internal/queue/placer/neighbour.go
+++ b/internal/queue/placer/neighbour.go
@@ -16,7 +16,9 @@
 	slowdown  func(s *tracker.Step, w *Worker) float64
 	beside    float64             // of a task beside another one of the unit
 	slowdowns []neighbourSlowdown // by index of the worker
+	workers   int                 // number of all workers
 	seen      bool                // there is a worker with interference, or the tasks of the unit interfere
+	apart     bool                // the worker selected last is another one than if no images interfered
 }
 
 // neighbourSlowdown is a cached slowdown, 0 for none. It holds until another task starts on the worker.
@@ -30,7 +32,7 @@
 	if p.input.Slowdown == nil || s.Spec.GetImage() == "" {
 		return nil
 	}
-	n := &neighbours{step: s, slowdown: p.input.Slowdown, slowdowns: make([]neighbourSlowdown, len(p.workers))}
+	n := &neighbours{step: s, slowdown: p.input.Slowdown, workers: len(p.workers)}
 	n.beside = n.ask(&Worker{Runs: []*ActiveRun{{Step: s}}})
 	return n
 }
@@ -59,6 +61,9 @@
 	if n == nil {
 		return 1
 	}
+	if n.slowdowns == nil {
+		n.slowdowns = make([]neighbourSlowdown, n.workers) // only for units that fit somewhere
+	}
 	known := &n.slowdowns[c.index]
 	if known.value > 0 && known.begun == len(c.begun) {
 		return known.value
@@ -143,9 +148,22 @@
 	return &v
 }
 
-// isKeptApart reports whether a task that starts on the worker would start on another one if no images interfered.
-func (p *pass) isKeptApart(u *unit, counts map[string]int, c *candidate) bool {
-	return u.neighbours != nil && u.neighbours.seen && p.selectWorker(u.regardless(), counts) != c
+// compareRegardless orders workers for a single task as if no images interfered.
+func (u *unit) compareRegardless(a, b *candidate) int {
+	rack := u.step.Spec.GetRack()
+	return cmp.Or(
+		compareBool(a.Suspect, b.Suspect), compareBool(a.closed, b.closed),
+		compareBool(rack != "" && a.Rack != rack, rack != "" && b.Rack != rack),
+		cmp.Compare(a.free.Accelerators, b.free.Accelerators),
+		cmp.Compare(a.free.Weight(), b.free.Weight()),
+	)
+}
+
+// recordChoice records whether the worker selected for a single task is another one than if no images interfered.
+func (u *unit) recordChoice(selected, regardless *candidate) {
+	if u.neighbours != nil {
+		u.neighbours.apart = selected != regardless
+	}
 }
 
 // membersKeptApart returns how many members of a gang would start on other workers if no images interfered.
--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -16,7 +16,7 @@
 		c := p.selectWorker(u, counts)
 		switch {
 		case c != nil:
-			if p.isKeptApart(u, counts, c) {
+			if u.neighbours != nil && u.neighbours.apart {
 				p.plan.Apart++
 			}
 			counts[c.ID]++
@@ -111,7 +111,7 @@
 // its data and then workers without interference.
 func (p *pass) selectWorker(u *unit, counts map[string]int) *candidate {
 	rack := u.step.Spec.GetRack()
-	var best *candidate
+	var best, regardless *candidate
 	for _, c := range p.pools[u.pool] {
 		if !u.canStartOn(c, counts) || c.available(u).Fits(u.need, 1) == 0 {
 			continue
@@ -125,7 +125,11 @@
 		) < 0 {
 			best = c
 		}
+		if u.neighbours != nil && (regardless == nil || u.compareRegardless(c, regardless) < 0) {
+			regardless = c
+		}
 	}
+	u.recordChoice(best, regardless)
 	return best
 }
 
