--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -107,6 +107,8 @@
 	OutdatedKeeper func(term uint64) string
 	// Preemption is what stops for urgent work cost; the zero value counts only unsaved work.
 	Preemption placer.Preemption
+	// IgnoreInterference places tasks without regard to images that slow each other down.
+	IgnoreInterference bool
 	// Metrics receives the counts and durations of decisions and commits.
 	Metrics tally.Scope
 	Log     *zap.Logger
@@ -162,6 +164,7 @@
 	estimator       *estimator.Estimator
 	pacer           *pacer.Pacer
 	remainder       remainder
+	interference    interference
 }
 
 var _ messages.Queues = (*Coordinator)(nil)
@@ -230,6 +233,7 @@
 	c.begun = map[string]bool{}
 	c.remainder = remainder{}
 	c.estimator = estimator.New()
+	c.resetInterference()
 	c.pacer = pacer.New(pacer.Options{
 		Min: c.opts.Timing.MinReportInterval, Max: c.opts.Timing.maxReportInterval(), ReportCost: c.opts.Timing.ReportCost,
 		Cores: c.opts.Cores,
--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -23,6 +23,7 @@
 	c.evacuate(state)
 	c.relocate(state)
 	c.checkRemainder(state)
+	c.updateInterference()
 	change.Ends = append(c.expiredWorkers(state), c.unsentStarts(state)...)
 	change.Forgets = c.expiredJobs(state)
 	change.Failures = c.giveUps(state)
@@ -203,6 +204,7 @@
 	}
 	c.metrics.starts.Inc(int64(len(starts)))
 	c.metrics.evicted.Inc(int64(len(plan.Stops)))
+	c.metrics.startsApart.Inc(int64(plan.Apart))
 	return starts
 }
 
@@ -224,8 +226,7 @@
 		Held:     c.isHeld,
 		Resting:  c.isResting,
 		FailedAt: func(j *tracker.Job) time.Time { return c.failedWorkers.failedAt(now, j.Work.GetId()) },
-		Waited:   c.waitOf, RackFactor: c.opts.RackFactor,
-		Preemption: c.opts.Preemption,
+		Waited:   c.waitOf, RackFactor: c.opts.RackFactor, Preemption: c.opts.Preemption, Slowdown: c.slowdown(),
 	}
 	quarantined := map[string]int{} // number of workers by pool
 	total := map[string]int{}
--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -17,6 +17,9 @@
 		c := p.selectWorker(u, counts)
 		switch {
 		case c != nil:
+			if u.neighbours != nil && u.neighbours.apart {
+				p.plan.Apart++
+			}
 			counts[c.ID]++
 			p.start(u, task, c)
 		case p.waitsForReserved(u, counts) && p.placeRelaxedTasks(u, u.tasks[i:], counts):
@@ -109,24 +112,33 @@
 }
 
 // selectWorker returns the worker with the least free capacity on which a task fits, preferring the rack of
-// its data.
+// its data, then workers that are not cold, and then those without interference.
 func (p *pass) selectWorker(u *unit, counts map[string]int) *candidate {
 	rack := u.step.Spec.GetRack()
-	var best *candidate
+	// slowdowns is the order by interference.
+	compare := func(a, b *candidate, slowdowns int) int {
+		return cmp.Or(
+			compareBool(a.Suspect, b.Suspect), compareBool(a.closed, b.closed),
+			compareBool(rack != "" && a.Rack != rack, rack != "" && b.Rack != rack),
+			compareBool(a.Cold, b.Cold),
+			slowdowns,
+			cmp.Compare(a.free.Accelerators, b.free.Accelerators),
+			cmp.Compare(a.free.Weight(), b.free.Weight()),
+		)
+	}
+	var best, regardless *candidate
 	for _, c := range p.pools[u.pool] {
 		if !u.canStartOn(c, counts) || c.available(u).Fits(u.need, 1) == 0 {
 			continue
 		}
-		if best == nil || cmp.Or(
-			compareBool(c.Suspect, best.Suspect), compareBool(c.closed, best.closed),
-			compareBool(rack != "" && c.Rack != rack, rack != "" && best.Rack != rack),
-			compareBool(c.Cold, best.Cold),
-			cmp.Compare(c.free.Accelerators, best.free.Accelerators),
-			cmp.Compare(c.free.Weight(), best.free.Weight()),
-		) < 0 {
+		if best == nil || compare(c, best, u.compareSlowdowns(c, best)) < 0 {
 			best = c
 		}
+		if u.neighbours != nil && (regardless == nil || compare(c, regardless, 0) < 0) {
+			regardless = c
+		}
 	}
+	u.recordChoice(best, regardless)
 	return best
 }
 
--- a/internal/queue/simulator/simulator.go
+++ b/internal/queue/simulator/simulator.go
@@ -97,12 +97,14 @@
 	TaskSpread       float64 // of the run times within a step
 	LongShare        float64 // share of tasks that take LongFactor times as long; the members of a gang do so together
 	LongFactor       float64
-	FailureRate      float64 // share of runs that fail because of the job
-	AlwaysFailing    float64 // share of jobs whose runs all fail
-	Cancelled        float64 // share of jobs that their callers cancel
-	Deadly           float64 // share of jobs with one task that crashes each worker on which it starts
-	Lasting          bool    // the tasks run until the job is cancelled
-	Spread           int32   // most tasks of a step on one worker, 0 for no limit
+	FailureRate      float64  // share of runs that fail because of the job
+	AlwaysFailing    float64  // share of jobs whose runs all fail
+	Cancelled        float64  // share of jobs that their callers cancel
+	Deadly           float64  // share of jobs with one task that crashes each worker on which it starts
+	Lasting          bool     // the tasks run until the job is cancelled
+	Spread           int32    // most tasks of a step on one worker, 0 for no limit
+	Images           []string // one is drawn for each job, none for jobs without an image
+	Tail             int64    // bound on the tail of the response times of lasting tasks, milliseconds, 0 for none
 }
 
 // Fault is a fault injected into some workers, or into the leader, for some time.
@@ -147,6 +149,8 @@
 	Fleet  Fleet
 	Load   Load
 	Faults []Fault
+	// Interference is the model of images that slow each other down.
+	Interference Interference
 	// DrainTime is how long the simulation continues after the end of the arrivals, 0 for drainTime.
 	DrainTime time.Duration
 	// Preemption is passed to the leader.
@@ -184,6 +188,7 @@
 	lastingWaits      map[tracker.TaskKey]*wait
 	orders            map[string]*order // the last one about each data centre
 	orderList         []*order          // all, in the order in which they were sent
+	interferenceAt    time.Duration     // of the last change of the model of interference, since the start
 	result            Result
 }
 
@@ -204,6 +209,7 @@
 	s.addWorkers()
 	s.scheduleArrivals()
 	s.scheduleFaults()
+	s.scheduleInterference()
 	s.every(passInterval, func() {
 		if leader := s.leader; leader != nil && !s.passing {
 			s.passing = true
@@ -452,6 +458,8 @@
 		Preemption:    s.opts.Preemption,
 		Metrics:       tally.NoopScope,
 		Log:           s.opts.Log,
+
+		IgnoreInterference: s.opts.Interference.Ignored,
 	})
 }
 
