placer: a guarantee takes from others only what exceeds their own

Urgent runs are now taken while the organisation's urgent runs use more than its guarantee; only units that need accelerators reclaim; the members of a gang don't count as absent for each other, and a task that has just started counts as absent.

--- a/internal/queue/placer/evict.go
+++ b/internal/queue/placer/evict.go
@@ -163,8 +163,8 @@
 			continue
 		}
 		e.selected[member] = true
-		if member.Step.Spec.GetLasting() {
-			clear(e.options) // which may hold other tasks of the step
+		if member.Step.Spec.GetLasting() || isUrgent(member.Job) {
+			clear(e.options) // which may hold other tasks of the step or the organisation
 		}
 		e.runs = append(e.runs, member)
 		c := p.workerOf[member]
@@ -206,7 +206,7 @@
 		return o
 	}
 	for _, v := range p.victims(u, e, c) {
-		if !p.mayBeAway(v.run, e, o.runs) {
+		if !p.mayTake(v.run, e, o.runs) {
 			continue
 		}
 		o.runs = append(o.runs, v.run)
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -142,6 +142,7 @@
 	pools        map[string][]*candidate
 	gangs        map[*tracker.Step][]*ActiveRun // running members of each gang
 	lasting      map[*tracker.Step][]*ActiveRun // of steps that limit how many of their tasks are away
+	urgentRuns   map[string][]*ActiveRun        // by organisation
 	demand       map[string]int64               // accelerators by organisation, of urgent jobs that have not ended
 	workerOf     map[*ActiveRun]*candidate
 	costs        map[*ActiveRun]int64 // of evicting a run together with its gang
@@ -198,7 +199,7 @@
 		input: in, racks: map[string][]*candidate{}, pools: map[string][]*candidate{},
 		gangs: map[*tracker.Step][]*ActiveRun{}, workerOf: map[*ActiveRun]*candidate{}, costs: map[*ActiveRun]int64{},
 		trials: map[string]int{}, old: map[string]int{}, tried: map[*tracker.Job]bool{}, running: map[*tracker.Job]bool{}, idle: map[string]bool{},
-		startsOf: map[*tracker.Step]map[string]int{},
+		startsOf: map[*tracker.Step]map[string]int{}, lasting: map[*tracker.Step][]*ActiveRun{}, urgentRuns: map[string][]*ActiveRun{},
 		doubtful: map[string]bool{}, evacuated: map[string]bool{}, obstacles: map[StepKey]Obstacle{},
 	}
 	p.planTrials()
@@ -207,7 +208,7 @@
 		for _, a := range w.Runs {
 			p.workerOf[a] = c
 			p.running[a.Job] = p.running[a.Job] || !w.Silent
-			p.addLasting(a)
+			p.addProtected(a)
 			if a.Step.Spec.GetGang() {
 				p.gangs[a.Step] = append(p.gangs[a.Step], a)
 			}
--- a/internal/queue/placer/reclaim.go
+++ b/internal/queue/placer/reclaim.go
@@ -1,40 +1,49 @@
 package placer
 
-import (
-	"slices"
-
-	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
-)
+import "slices"
 
 // reclaimPenalty ranks runs that are evicted only for a guarantee behind all others.
 const reclaimPenalty = int64(1) << 50
 
-// isReclaimable reports whether a run that no other unit may evict is evicted for a unit within its organisation's guarantee:
-// a lasting task of lower priority, or an urgent run of an organisation whose urgent jobs exceed its guarantee. The latter can't
-// evict the former in turn.
+// isReclaimable reports whether a run that no other unit may evict may be evicted for a unit within its organisation's
+// guarantee: a lasting task of lower priority, or an urgent run of another organisation. mayTake bounds both.
 func (p *pass) isReclaimable(u *unit, a *ActiveRun) bool {
-	if !u.guaranteed {
-		return false
-	}
-	if isUrgent(a.Job) {
-		org := a.Job.Work.GetOrganisation()
-		if org == u.job.Work.GetOrganisation() || !p.exceedsGuarantee(org) {
-			return false
-		}
+	if !u.guaranteed || u.need.Accelerators == 0 {
+		return false // guarantees are of accelerators
 	}
-	return true
+	return !isUrgent(a.Job) || a.Job.Work.GetOrganisation() != u.job.Work.GetOrganisation() && p.exceedsGuarantee(a.Job.Work.GetOrganisation())
 }
 
 func (p *pass) exceedsGuarantee(organisation string) bool {
 	return p.demand[organisation] > p.input.Guarantee(organisation)
 }
 
-// mayBeAway reports whether the step of a run bears that the run, with the rest of its gang, is not at work for a while, beside
-// those that are not at work already, are stopped for the same eviction, or are chosen with the run.
+// mayTake reports whether a victim may be taken beside those that are selected for the eviction and those chosen with it.
+func (p *pass) mayTake(a *ActiveRun, e *eviction, chosen []*ActiveRun) bool {
+	if isUrgent(a.Job) {
+		return p.hasExcess(a.Job.Work.GetOrganisation(), e, chosen)
+	}
+	return !a.Step.Spec.GetLasting() || a.Step.Spec.GetAbsent() == 0 || p.mayBeAway(a, e, chosen)
+}
+
+// hasExcess reports whether the urgent runs of an organisation still use more than its guarantee without those that are being
+// stopped. What it is guaranteed stays with it, though it has asked for more.
+func (p *pass) hasExcess(organisation string, e *eviction, chosen []*ActiveRun) bool {
+	used := int64(0)
+	for _, a := range p.urgentRuns[organisation] {
+		if !a.Stopping && !e.selected[a] && !slices.Contains(chosen, a) {
+			used += a.Need.Accelerators
+		}
+	}
+	return used > p.input.Guarantee(organisation)
+}
+
+// mayBeAway reports whether the step of a lasting run bears that the run, with the rest of its gang, is not at work for a while,
+// beside those that are not at work already, or are stopped for the same eviction.
 func (p *pass) mayBeAway(a *ActiveRun, e *eviction, chosen []*ActiveRun) bool {
-	limit := int(a.Step.Spec.GetAbsent())
-	if !a.Step.Spec.GetLasting() || limit == 0 {
-		return true // the step names no limit
+	limit, gang := int(a.Step.Spec.GetAbsent()), a.Step.Spec.GetGang()
+	if gang && slices.ContainsFunc(chosen, func(other *ActiveRun) bool { return other.Step == a.Step }) {
+		return true // the gang is stopped as a whole in any case
 	}
 	away := 0
 	for i := range a.Step.Tasks {
@@ -43,23 +52,23 @@
 		}
 	}
 	for _, other := range p.lasting[a.Step] {
-		if other.Stopping || e.selected[other] || p.workerOf[other].Silent || slices.Contains(chosen, other) {
+		if other != a && (other.Stopping || other.Starting || e.selected[other] || p.workerOf[other].Silent || slices.Contains(chosen, other)) {
 			away++
 		}
 	}
-	if a.Step.Spec.GetGang() {
+	if gang {
 		return away == 0 && len(a.Step.Tasks) <= limit
 	}
 	return away < limit
 }
 
-// addLasting notes an active run of a step that names how many of its tasks may be away.
-func (p *pass) addLasting(a *ActiveRun) {
+// addProtected notes an active run that is evicted for guarantees alone.
+func (p *pass) addProtected(a *ActiveRun) {
+	if isUrgent(a.Job) {
+		p.urgentRuns[a.Job.Work.GetOrganisation()] = append(p.urgentRuns[a.Job.Work.GetOrganisation()], a)
+	}
 	if !a.Step.Spec.GetLasting() || a.Step.Spec.GetAbsent() == 0 {
 		return
 	}
-	if p.lasting == nil {
-		p.lasting = map[*tracker.Step][]*ActiveRun{}
-	}
 	p.lasting[a.Step] = append(p.lasting[a.Step], a)
 }
--- a/internal/queue/placer/reclaim_test.go
+++ b/internal/queue/placer/reclaim_test.go
@@ -125,3 +125,59 @@
 	}
 	is.Equal(tr.Job("urgent").Active(), 1)
 }
+
+// TestReclaimLeavesOthersTheirGuarantee guards against an organisation that loses all that is guaranteed to it because it has
+// asked for more.
+func TestReclaimLeavesOthersTheirGuarantee(t *testing.T) {
+	for _, serviceFirst := range []bool{false, true} {
+		is := is.New(t)
+		tr := tracker.New()
+		workers := fleet(3)
+		guarantees := map[string]int64{"a": 8, "c": 16}
+		service := func() {
+			submitFor(tr, "b", "service", 2, &messages.Step{Count: 1, Processors: 100, Accelerators: 8, Lasting: true})
+			settle(tr, workers, guarantees)
+		}
+		if serviceFirst {
+			service()
+		}
+		for _, id := range []string{"a1", "a2"} { // twice the guarantee
+			submitFor(tr, "a", id, 0, &messages.Step{Count: 1, Processors: 100, Accelerators: 8})
+			settle(tr, workers, guarantees)
+		}
+		if !serviceFirst {
+			service()
+		}
+		submitFor(tr, "c", "claim", 0, &messages.Step{Count: 2, Processors: 100, Accelerators: 8})
+		settle(tr, workers, guarantees)
+		is.Equal(tr.Job("claim").Active(), 2)
+		is.Equal(tr.Job("a1").Active()+tr.Job("a2").Active(), 1)
+		is.Equal(tr.Job("service").Active(), 0)
+	}
+}
+
+// TestReclaimIsForAcceleratorsOnly guards against work without accelerators, for which nothing can be guaranteed, that stops
+// services and urgent work of others.
+func TestReclaimIsForAcceleratorsOnly(t *testing.T) {
+	is := is.New(t)
+	tr := tracker.New()
+	workers := fleet(1)
+	submitFor(tr, "b", "service", 2, &messages.Step{Count: 1, Processors: 64_000, Lasting: true})
+	settle(tr, workers, nil)
+	submitFor(tr, "nobody", "urgent", 0, &messages.Step{Count: 1, Processors: 1000})
+	is.Equal(len(settle(tr, workers, nil)), 0)
+}
+
+// TestReclaimFromGangOnOneWorker guards against a lasting gang that is not stopped for a guarantee because its members on one
+// worker count as absent for each other.
+func TestReclaimFromGangOnOneWorker(t *testing.T) {
+	is := is.New(t)
+	tr := tracker.New()
+	workers := fleet(1)
+	guarantees := map[string]int64{"a": 8}
+	submitFor(tr, "b", "service", 2, &messages.Step{Count: 2, Processors: 100, Accelerators: 4, Gang: true, Lasting: true, Absent: 2})
+	settle(tr, workers, guarantees)
+	submitFor(tr, "a", "urgent", 0, &messages.Step{Count: 1, Processors: 100, Accelerators: 8})
+	is.Equal(len(settle(tr, workers, guarantees)), 2)
+	is.Equal(tr.Job("urgent").Active(), 1)
+}
