coordinator: a start that is left out of a plan doesn't end its step's wait

The waits of all planned starts were dropped before the plan was cut to the size of a log entry, so a gang that had waited for one rack began its wait anew. Found by a review; TestStartLeftOutWaitsOn fails before (0 s, want 1 m).

--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -186,6 +186,7 @@
 // planStarts returns the runs that the placer starts, and marks those that it preempts for stopping.
 func (c *Coordinator) planStarts(state *tracker.Tracker) []*messages.Run {
 	plan := placer.NewPlan(c.placerInput(state))
+	plan.Starts = c.limitStarts(state, plan.Starts) // first, as a step whose start is left out waits on
 	c.recordDeferrals(plan)
 	c.recordBlocked(plan)
 	for _, a := range plan.Stops {
@@ -195,17 +196,16 @@
 			zap.Int32("task", a.Key.Task), zap.Uint32("run", a.Key.Number), zap.Duration("unsaved", a.Unsaved), zap.Duration("remaining", a.Remaining),
 			zap.Duration("held", a.Held))
 	}
-	starts := c.limitStarts(state, plan.Starts)
-	for _, r := range starts {
+	for _, r := range plan.Starts {
 		w := c.workers[r.GetWorker()]
 		c.opts.Log.Info("run starts", zap.String("request", r.GetJob()), zap.Int32("occurrence", r.GetOccurrence()), zap.Int32("step", r.GetStep()), zap.Int32("task", r.GetTask()),
 			zap.Uint32("run", r.GetNumber()), zap.String("worker", r.GetWorker()), zap.Uint64("report", w.sequence),
 			zap.Duration("age", c.opts.Now().Sub(w.lastContact)))
 	}
-	c.metrics.starts.Inc(int64(len(starts)))
+	c.metrics.starts.Inc(int64(len(plan.Starts)))
 	c.metrics.evicted.Inc(int64(len(plan.Stops)))
 	c.metrics.startsApart.Inc(int64(plan.Apart))
-	return starts
+	return plan.Starts
 }
 
 // placerInput returns the input of the placer: open jobs, workers and estimates.
--- a/internal/queue/coordinator/startlimit_test.go
+++ b/internal/queue/coordinator/startlimit_test.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/placer"
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/applier"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
@@ -109,3 +111,23 @@
 	is.Equal(f.state.Job("wide").Active(), 400)
 	is.True(passes > 1)
 }
+
+// TestStartLeftOutWaitsOn guards against a step that waits for its preferred workers anew because its start, which a pass has
+// planned, did not fit into the log entry.
+func TestStartLeftOutWaitsOn(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.opts.MaxMessage = 400
+	f.report(t, 1, nil)
+	for _, id := range []string{"first", "second"} {
+		f.state.Apply(&messages.QueueChange{Submits: []*messages.Work{{Id: id, Queue: "q", Pool: "p", Steps: []*messages.Step{{Count: 4, Processors: 10, Estimate: 1000, Gang: true}}}}})
+	}
+	key := placer.StepKey{Job: "second"}
+	f.deferrals[key] = &deferral{since: f.now.Add(-time.Minute)}
+	f.Pass(context.Background())
+	is.Equal(f.state.Job("first").Active(), 4)
+	is.Equal(f.state.Job("second").Active(), 0)
+	is.Equal(f.waitOf(key).Deferred, time.Minute)
+	f.Pass(context.Background())
+	is.Equal(f.state.Job("second").Active(), 4)
+}
