--- a/internal/daemon/runner/repair.go
+++ b/internal/daemon/runner/repair.go
@@ -99,6 +99,10 @@
 		m.Voters = slices.Delete(m.Voters, worst, worst+1)
 		return true
 	}
+	if excess := r.excessVoter(m, g); reason == sound && excess >= 0 {
+		m.Voters = slices.Delete(m.Voters, excess, excess+1)
+		return true
+	}
 	if (reason > sound || len(m.GetVoters()) < r.voters) && r.promoteLearner(m, g) {
 		return true
 	}
@@ -111,6 +115,20 @@
 	return false
 }
 
+// excessVoter returns the index of the voter that was added last if one was promoted for a voter that is sound again, or -1. An even
+// number of voters needs a larger quorum and bears no more losses than one less.
+func (r *repairer) excessVoter(m *messages.Members, g group) int {
+	if len(m.GetVoters()) <= r.voters || len(m.GetVoters())%2 > 0 {
+		return -1
+	}
+	for i, v := range slices.Backward(m.GetVoters()) {
+		if slices.ContainsFunc(g.voters, func(s applier.VoterStatus) bool { return s.Name == v.GetName() }) {
+			return i // not this replica, which leads
+		}
+	}
+	return -1
+}
+
 // isDiskReplaced reports whether the daemon with the member's name has another data folder than the member.
 func isDiskReplaced(m *messages.Member, seen []registrar.KeeperStatus) bool {
 	s := findReplica(seen, m.GetName())
--- a/internal/daemon/runner/repair_test.go
+++ b/internal/daemon/runner/repair_test.go
@@ -200,3 +200,38 @@
 	}
 	return list
 }
+
+// TestVoterThatReturnsLeavesNoExcess guards against a group that keeps a voter too many for good: one was promoted for a voter
+// that was silent and answered again before its removal.
+func TestVoterThatReturnsLeavesNoExcess(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	r := newRepairer(3, time.Minute, time.Second)
+	r.termStart = now
+	m := &messages.Members{Learners: []*messages.Member{{Name: "k3", Identity: "first-k3"}}}
+	var seen []registrar.KeeperStatus
+	for i := range 4 {
+		name := fmt.Sprintf("k%d", i)
+		if i < 3 {
+			m.Voters = append(m.Voters, &messages.Member{Name: name, Identity: "first-" + name})
+		}
+		seen = append(seen, registrar.KeeperStatus{Name: name, Identity: "first-" + name, Last: now})
+	}
+	look := func(silence time.Duration, others ...string) {
+		g := group{now: now, seen: seen, caughtUp: []string{"k3"}}
+		for _, name := range others {
+			g.voters = append(g.voters, applier.VoterStatus{Name: name})
+		}
+		g.voters[0].Silence = silence
+		if next := r.next(m, g); next != nil {
+			m = next
+		}
+	}
+	look(2*time.Second, "k1", "k2") // k0 leads
+	is.Equal(len(m.GetVoters()), 4)
+	look(0, "k1", "k2", "k3")
+	is.Equal(len(m.GetVoters()), 3)
+	is.True(voterSet(m)["k0"] && voterSet(m)["k1"] && voterSet(m)["k2"])
+	look(0, "k1", "k2")
+	is.Equal(len(m.GetVoters()), 3)
+}
