profiler: a pair fades without samples of both kinds

Arrivals or departures alone are no evidence, but each renewed a pair that interfered, for ever. Found by a review; TestOneSidedSamplesFade fails before.

--- a/internal/queue/profiler/pair.go
+++ b/internal/queue/profiler/pair.go
@@ -57,6 +57,7 @@
 	interfering bool
 	slowdown    float64
 	lastSample  time.Time
+	conclusive  time.Time // of the last sample that was evaluated beside samples of both kinds
 	// squares and freedom are the sum of the squares of the samples around their means, and its degrees of freedom, at the
 	// last evaluation.
 	squares, freedom float64
@@ -203,8 +204,9 @@
 // evaluate decides whether the pair interferes. Arrivals and departures of the neighbour weigh the same, whatever their
 // numbers, so that a rate that falls or rises by itself, as on a worker that becomes slow, cancels out.
 func (q *pair) evaluate(now time.Time, spread float64) {
+	changed := q.changed
 	q.changed = false
-	if q.interfering && now.Sub(q.lastSample) > fadeTime {
+	if q.interfering && now.Sub(q.conclusive) > fadeTime {
 		q.interfering = false
 		return
 	}
@@ -212,6 +214,9 @@
 	if arrivals.clusters < minSamplesEach || departures.clusters < minSamplesEach {
 		return
 	}
+	if changed {
+		q.conclusive = q.lastSample
+	}
 	mean := (arrivals.mean + departures.mean) / 2
 	deviation := math.Sqrt(arrivals.variance+departures.variance) / 2
 	threshold := math.Log(minSlowdown)
--- a/internal/queue/profiler/profiler_test.go
+++ b/internal/queue/profiler/profiler_test.go
@@ -357,3 +357,26 @@
 		p.Observe(time.Unix(0, 0).Add(at), Report{Worker: "w", Born: 1, Clock: at, Runs: runs})
 	}
 }
+
+// TestOneSidedSamplesFade guards against a pair that interferes for good, as samples of one kind alone, which say nothing, go on
+// to arrive.
+func TestOneSidedSamplesFade(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	p := New()
+	key := pairKey{"a", "b"}
+	add := func(at time.Duration, arrived bool, value float64, i int) {
+		id := uint64(i)
+		p.addSample(key, sample{at: start.Add(at), arrived: arrived, value: value, merged: 1, cluster: id, worker: id, run: id})
+	}
+	for i := range 20 {
+		add(0, i%2 == 0, math.Log(2), i)
+	}
+	p.Update(start)
+	is.True(p.pairs[key].interfering)
+	for second := 1; second <= 600; second++ {
+		add(time.Duration(second)*time.Second, true, 0, 100+second)
+		p.Update(start.Add(time.Duration(second) * time.Second))
+	}
+	is.True(!p.pairs[key].interfering)
+}
