--- a/internal/state/replicator/election.go
+++ b/internal/state/replicator/election.go
@@ -32,6 +32,9 @@
 }
 
 func (n *Node) becomeFollower(term uint64, leader string) {
+	if n.role == Leader {
+		n.lastContact = n.tick // it was in contact with itself until now
+	}
 	if term > n.term {
 		n.term = term
 		n.vote = ""
