placer: guarantees are reclaimed from protected runs after 2 s

Urgent work within a guarantee stopped urgent work of others beyond theirs at once, though most of it ends within two seconds by itself. It now waits so long; what is left of the bound is enough for the stops.

--- a/internal/queue/placer/evict.go
+++ b/internal/queue/placer/evict.go
@@ -88,7 +88,7 @@
 // pass.
 func (p *pass) isInfeasible(u *unit) bool {
 	return slices.ContainsFunc(p.infeasible, func(earlier *unit) bool {
-		return !earlier.excludesMoreThan(u) && (earlier.guaranteed || !u.guaranteed) && earlier.pool == u.pool &&
+		return !earlier.excludesMoreThan(u) && (earlier.reclaims() || !u.reclaims()) && earlier.pool == u.pool &&
 			earlier.job.Work.GetPriority() <= u.job.Work.GetPriority() && len(earlier.tasks) <= len(u.tasks) &&
 			u.need.covers(earlier.need) && earlier.step.Spec.GetLabel() == "" &&
 			(u.prefersRack() || !earlier.prefersRack()) && earlier.step.Spec.GetSpread() == 0
--- a/internal/queue/placer/reclaim.go
+++ b/internal/queue/placer/reclaim.go
@@ -1,15 +1,27 @@
 package placer
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // reclaimPenalty ranks runs that are evicted only for a guarantee behind all others.
 const reclaimPenalty = int64(1) << 50
 
+// reclaimDelay is how long a unit within its organisation's guarantee waits for room that work of others leaves by itself. Urgent
+// tasks mostly end within it, and the stops that follow leave time until the unit is owed its room.
+const reclaimDelay = 2 * time.Second
+
+// reclaims reports whether the unit may evict what is evicted for guarantees alone, which are of accelerators.
+func (u *unit) reclaims() bool {
+	return u.guaranteed && u.need.Accelerators > 0 && u.age >= reclaimDelay
+}
+
 // isReclaimable reports whether a run that no other unit may evict may be evicted for a unit within its organisation's
 // guarantee: a lasting task of lower priority, or an urgent run of another organisation. mayTake bounds both.
 func (p *pass) isReclaimable(u *unit, a *ActiveRun) bool {
-	if !u.guaranteed || u.need.Accelerators == 0 {
-		return false // guarantees are of accelerators
+	if !u.reclaims() {
+		return false
 	}
 	return !isUrgent(a.Job) || a.Job.Work.GetOrganisation() != u.job.Work.GetOrganisation() && p.exceedsGuarantee(a.Job.Work.GetOrganisation())
 }
--- a/internal/queue/placer/reclaim_test.go
+++ b/internal/queue/placer/reclaim_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -26,6 +27,7 @@
 	for range 50 {
 		in := input(workers, tr)
 		in.Guarantee = func(org string) int64 { return guarantees[org] }
+		in.Age = func(*tracker.Job) time.Duration { return reclaimDelay }
 		plan := NewPlan(in)
 		if len(plan.Stops)+len(plan.Starts) == 0 {
 			break
