coordinator: a lasting task rests only after crashes that speak against it

Since a lasting task rested after any crash of a worker under it. In storms of crashes the rests added up to its holds: TestJobsStartAfterStorms and TestStormsFailNoInnocentJobs found tasks without a run for 11 to 17 s. TestDeadlyLastingTaskRests first lets the leader know its workers for 15 s, without which no crash speaks against a task alone.

--- a/internal/queue/coordinator/crash.go
+++ b/internal/queue/coordinator/crash.go
@@ -133,7 +133,7 @@
 	for _, key := range starting {
 		alone := one && c.committedStarts[key]
 		counted := alone || c.counts(state, key)
-		if state.Job(key.Job).Step(key.Occurrence, key.Step).Spec.GetLasting() {
+		if s := state.Job(key.Job).Step(key.Occurrence, key.Step); s.Spec.GetLasting() && (alone || s.Tasks[key.Task].AloneCrashes() > 0) {
 			c.delayRestart(key.TaskKey, 0) // a deadly one crashes a worker at each start, and is never given up
 		}
 		if counted {
--- a/internal/queue/coordinator/lasting_trial_test.go
+++ b/internal/queue/coordinator/lasting_trial_test.go
@@ -77,6 +77,9 @@
 // worker after the other without a pause.
 func TestDeadlyLastingTaskRests(t *testing.T) {
 	f := newPoweredFleet(t, 8)
+	for range 60 {
+		f.step(t) // until a crash of these workers speaks against a task alone
+	}
 	f.submitLasting(1)
 	begin, crashes := f.now, 0
 	for f.now.Sub(begin) < time.Minute {
