queue: explain where a job would start now and why it would wait

Operators could learn where a job starts only by submitting it, and why it waits only from log lines. The leader now answers Explain: it runs the placer on an input of its own with the known or described job, and returns the starts, the stops for the job, the obstacles, or the refusal of admission. The plan names the step for which each run is stopped, and the last obstacle of each step. Entries serve POST /v1/explanations and GET /v1/explanations/JOB; the command is explain.

--- a/internal/console/client/client.go
+++ b/internal/console/client/client.go
@@ -237,6 +237,33 @@
 	Status string `json:"status"` // evacuated or returned
 }
 
+// Explanation is what the leader would decide now about a job.
+type Explanation struct {
+	Phase   string           `json:"phase,omitempty"`
+	Refusal string           `json:"refusal,omitempty"` // why the job would not be accepted
+	Starts  []map[string]any `json:"starts"`
+	Stops   []map[string]any `json:"stops"`
+	Waits   []map[string]any `json:"waits"`
+}
+
+// Explain explains a job that is not submitted.
+func (c *Client) Explain(ctx context.Context, d parser.Description) (Explanation, error) {
+	var reply Explanation
+	body, err := json.Marshal(d)
+	if err != nil {
+		return reply, fmt.Errorf("encode description: %w", err)
+	}
+	err = c.do(ctx, call{method: http.MethodPost, path: "/v1/explanations", body: body, timeout: requestTimeout}, &reply)
+	return reply, err
+}
+
+// ExplainJob explains a known job of a queue.
+func (c *Client) ExplainJob(ctx context.Context, id string) (Explanation, error) {
+	var reply Explanation
+	err := c.do(ctx, call{method: http.MethodGet, path: "/v1/explanations/" + url.PathEscape(id), timeout: requestTimeout}, &reply)
+	return reply, err
+}
+
 // Get reads one of the operator views into out.
 func (c *Client) Get(ctx context.Context, path string, out any) error {
 	return c.do(ctx, call{method: http.MethodGet, path: path, timeout: requestTimeout}, out)
--- a/internal/console/commander/commander.go
+++ b/internal/console/commander/commander.go
@@ -89,6 +89,7 @@
 		{"evacuate", "start nothing more on the workers of a place", &evacuateCommand{c: c}},
 		{"return", "end the evacuation of a place", &evacuateCommand{c: c, over: true}},
 		{"evacuations", "list the evacuated places", list("/v1/evacuations", "place", "since", "age", "by")},
+		{"explain", "show where a job would start now and why it would wait, without submitting it", &explainCommand{c: c}},
 		{"shapes", "show the guarantee of each organisation, in slots", list("/v1/shapes",
 			"organisation", "Promised", "Held", "Borrowed", "Surplus", "Reclaiming", "waiting", "atrisk")},
 		{"history", "show what was decided, when and why", &historyCommand{listCommand: *list("/v1/history", "time", "kind", "subject", "text")}},
--- a/internal/console/demonstrator/demonstrator.go
+++ b/internal/console/demonstrator/demonstrator.go
@@ -23,6 +23,7 @@
 	"github.com/bluebellgauge/bluebellgauge/internal/config/parser"
 	"github.com/bluebellgauge/bluebellgauge/internal/console/client"
 	"github.com/bluebellgauge/bluebellgauge/internal/daemon/runner"
+	"github.com/bluebellgauge/bluebellgauge/internal/entry/forwarder"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 	"github.com/bluebellgauge/bluebellgauge/internal/worker/executor"
@@ -120,6 +121,9 @@
 // Entries returns the addresses at which the daemons accept callers.
 func (f *Fleet) Entries() []netip.AddrPort { return f.entries }
 
+// Queues returns the queue service of the first daemon, which forwards calls to the leader.
+func (f *Fleet) Queues() *forwarder.Forwarder { return f.daemons[0].Queues() }
+
 // startFleet starts the daemons, applies the manifest and starts the workers.
 func startFleet(user User, log *zap.Logger) (*Fleet, error) {
 	folder, err := os.MkdirTemp("", "bluebellgauge-demo-")
--- a/internal/entry/forwarder/queues.go
+++ b/internal/entry/forwarder/queues.go
@@ -89,6 +89,13 @@
 	})
 }
 
+// Explain asks the leader where a job would start.
+func (f *Forwarder) Explain(ctx context.Context, q *messages.ExplainRequest) (*messages.Explanation, error) {
+	return call(ctx, f, request{methodExplain, q, callTimeout}, func(ctx context.Context, a netip.AddrPort) (*messages.Explanation, error) {
+		return f.queues(a).Explain(ctx, q)
+	})
+}
+
 // maxReportAttempts bounds the daemons to which a report is sent in turn.
 const maxReportAttempts = 3
 
--- a/internal/entry/forwarder/unanswered.go
+++ b/internal/entry/forwarder/unanswered.go
@@ -25,6 +25,7 @@
 	methodFetch       = "Fetch"
 	methodEvacuate    = "Evacuate"
 	methodEvacuations = "Evacuations"
+	methodExplain     = "Explain"
 	methodPropose     = "Propose"
 	methodAwait       = "Await"
 	methodQuery       = "Query"
@@ -42,7 +43,7 @@
 func newMetrics(scope tally.Scope) map[string]callMetrics {
 	m := map[string]callMetrics{}
 	for _, method := range []string{
-		methodSubmit, methodCancel, methodLook, methodInstall, methodFetch, methodEvacuate, methodEvacuations, methodPropose, methodAwait, methodQuery,
+		methodSubmit, methodCancel, methodLook, methodInstall, methodFetch, methodEvacuate, methodEvacuations, methodExplain, methodPropose, methodAwait, methodQuery,
 	} {
 		tagged := scope.Tagged(map[string]string{"call": method})
 		m[method] = callMetrics{repeated: tagged.Counter("repeated"), givenUp: tagged.Counter("given_up")}
@@ -206,7 +207,7 @@
 // messages of the consensus protocol.
 func isForwarded(method string) bool {
 	switch method {
-	case methodSubmit, methodCancel, methodLook, methodInstall, methodFetch, methodEvacuate, methodEvacuations, methodPropose, methodAwait, methodQuery:
+	case methodSubmit, methodCancel, methodLook, methodInstall, methodFetch, methodEvacuate, methodEvacuations, methodExplain, methodPropose, methodAwait, methodQuery:
 		return true
 	}
 	return false
--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -46,6 +46,7 @@
 	Query(ctx context.Context, q *messages.Question) (json.RawMessage, error)
 	Evacuate(ctx context.Context, o *messages.EvacuationOrder) (*messages.Verdict, error)
 	Evacuations(ctx context.Context) (*messages.EvacuationList, error)
+	Explain(ctx context.Context, q *messages.ExplainRequest) (*messages.Explanation, error)
 }
 
 // Options are the dependencies of a router.
@@ -78,6 +79,7 @@
 	r.callerRoutes()
 	r.operatorRoutes()
 	r.evacuationRoutes()
+	r.explanationRoutes()
 	r.mux.HandleFunc("/v1/workers", r.announce).Methods(http.MethodPost)
 	r.mux.HandleFunc("/v1/workers/{name}/report", r.report).Methods(http.MethodPost)
 	r.mux.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/queue/coordinator/call.go
+++ b/internal/queue/coordinator/call.go
@@ -28,6 +28,7 @@
 	StatusMismatch = "mismatch" // the job cannot run as specified
 	StatusTooLarge = "toolarge" // the job or the catalog does not fit into a log entry
 	StatusNoPlace  = "noplace"  // no data centre has this name
+	StatusInvalid  = "invalid"  // the description of a job to explain is malformed
 	StatusOutdated = "outdated" // a keeper of an earlier build could not apply the order
 )
 
--- a/internal/queue/placer/evict.go
+++ b/internal/queue/placer/evict.go
@@ -24,7 +24,7 @@
 		return nil
 	}
 	for _, a := range best.runs {
-		p.stop(a)
+		p.stop(a, u.key())
 	}
 	allocations, ok := u.pack(best.domain, func(c *candidate) Vector { return c.projected })
 	if !ok {
@@ -101,13 +101,14 @@
 		u.lastAttempt && !v.lastAttempt || !u.incautious && v.incautious || u.step.Spec.GetGang() && !v.step.Spec.GetGang()
 }
 
-// stop adds a run to the plan's stops and counts its resources as projected capacity.
-func (p *pass) stop(a *ActiveRun) {
+// stop adds a run to the plan's stops, in favour of a step, and counts its resources as projected capacity.
+func (p *pass) stop(a *ActiveRun, beneficiary StepKey) {
 	if a.Stopping {
 		return
 	}
 	a.Stopping = true
 	p.plan.Stops = append(p.plan.Stops, a)
+	p.plan.StoppedFor = append(p.plan.StoppedFor, beneficiary)
 	c := p.workerOf[a]
 	c.projected = c.projected.Add(a.Need)
 }
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -94,12 +94,16 @@
 type Plan struct {
 	Starts []*messages.Run
 	Stops  []*ActiveRun
+	// StoppedFor names, for each of Stops, the step for which it makes room.
+	StoppedFor []StepKey
 	// Deferred are the steps that wait for workers that they prefer, though they fit on others.
 	Deferred []Deferral
 	// Relaxed are the steps that have waited so long enough.
 	Relaxed []Deferral
 	// Blocked are the steps that wait though the turn of a task has come.
 	Blocked []Blocked
+	// Obstacles are the last obstacles to units by step, also of steps that have started in part or as a whole.
+	Obstacles map[StepKey]Obstacle
 	// Apart is the number of starts that would be on another worker if no images interfered.
 	Apart int
 }
@@ -235,6 +239,7 @@
 		p.place(u)
 	}
 	p.listBlocked()
+	p.plan.Obstacles = p.obstacles
 	return p.plan
 }
 
--- a/internal/queue/tracker/job.go
+++ b/internal/queue/tracker/job.go
@@ -101,6 +101,9 @@
 	return n
 }
 
+// NewJob returns a job that is in no state, for plans of jobs that are not accepted.
+func NewJob(w *messages.Work, sequence uint64) *Job { return newJob(w, sequence) }
+
 func newJob(w *messages.Work, sequence uint64) *Job {
 	j := &Job{Work: w, Sequence: sequence, Phase: Pending}
 	for k := range max(w.GetOccurrences(), 1) {
