--- a/internal/queue/coordinator/crash.go
+++ b/internal/queue/coordinator/crash.go
@@ -133,9 +133,7 @@
 	for _, key := range starting {
 		alone := one && c.committedStarts[key]
 		counted := alone || c.counts(state, key)
-		if s := state.Job(key.Job).Step(key.Occurrence, key.Step); s.Spec.GetLasting() && (alone || s.Tasks[key.Task].AloneCrashes() > 0) {
-			c.delayRestart(key.TaskKey, 0) // a deadly one crashes a worker at each start, and is never given up
-		}
+		c.delayDeadly(state, key.TaskKey, alone)
 		if counted {
 			list = append(list, &messages.Crash{
 				Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number, Alone: alone,
@@ -150,6 +148,15 @@
 	return list
 }
 
+// delayDeadly delays the next start of a lasting task if it alone explains this crash or an earlier one. A deadly lasting task
+// crashes a worker at each start, and is never given up.
+func (c *Coordinator) delayDeadly(state *tracker.Tracker, key tracker.TaskKey, alone bool) {
+	s := state.Job(key.Job).Step(key.Occurrence, key.Step)
+	if s.Spec.GetLasting() && (alone || s.Tasks[key.Task].AloneCrashes() > 0) {
+		c.delayRestart(key, 0)
+	}
+}
+
 // wasWidespread reports whether a large part of the workers was being lost without an explanation around the given time.
 func (c *Coordinator) wasWidespread(at time.Time) bool {
 	return !c.widespreadAt.IsZero() && at.Sub(c.widespreadAt) < widespreadPeriod
--- a/internal/queue/coordinator/startlimit_test.go
+++ b/internal/queue/coordinator/startlimit_test.go
@@ -120,7 +120,9 @@
 	f.opts.MaxMessage = 400
 	f.report(t, 1, nil)
 	for _, id := range []string{"first", "second"} {
-		f.state.Apply(&messages.QueueChange{Submits: []*messages.Work{{Id: id, Queue: "q", Pool: "p", Steps: []*messages.Step{{Count: 4, Processors: 10, Estimate: 1000, Gang: true}}}}})
+		f.state.Apply(&messages.QueueChange{Submits: []*messages.Work{
+			{Id: id, Queue: "q", Pool: "p", Steps: []*messages.Step{{Count: 4, Processors: 10, Estimate: 1000, Gang: true}}},
+		}})
 	}
 	key := placer.StepKey{Job: "second"}
 	f.deferrals[key] = &deferral{since: f.now.Add(-time.Minute)}
