--- a/internal/queue/placer/reclaim.go
+++ b/internal/queue/placer/reclaim.go
@@ -18,12 +18,16 @@
 }
 
 // isReclaimable reports whether a run that no other unit may evict may be evicted for a unit within its organisation's
-// guarantee: a lasting task of lower priority, or an urgent run of another organisation. mayTake bounds both.
+// guarantee: a run of lower priority, or an urgent run of another organisation. mayTake bounds both.
 func (p *pass) isReclaimable(u *unit, a *ActiveRun) bool {
 	if !u.reclaims() {
 		return false
 	}
-	return !isUrgent(a.Job) || a.Job.Work.GetOrganisation() != u.job.Work.GetOrganisation() && p.exceedsGuarantee(a.Job.Work.GetOrganisation())
+	if !isUrgent(a.Job) {
+		return a.Job.Work.GetPriority() > u.job.Work.GetPriority()
+	}
+	org := a.Job.Work.GetOrganisation()
+	return org != u.job.Work.GetOrganisation() && p.exceedsGuarantee(org)
 }
 
 func (p *pass) exceedsGuarantee(organisation string) bool {
--- a/internal/queue/placer/reclaim_test.go
+++ b/internal/queue/placer/reclaim_test.go
@@ -183,3 +183,18 @@
 	is.Equal(len(settle(tr, workers, guarantees)), 2)
 	is.Equal(tr.Job("urgent").Active(), 1)
 }
+
+// TestReclaimSparesHigherPriority guards against runs of a queue with a negative priority, which goes before 0, that are stopped
+// again and again for urgent work within its guarantee.
+func TestReclaimSparesHigherPriority(t *testing.T) {
+	for _, lasting := range []bool{false, true} {
+		is := is.New(t)
+		tr := tracker.New()
+		workers := fleet(1)
+		guarantees := map[string]int64{"a": 8}
+		submitFor(tr, "b", "first", -1, &messages.Step{Count: 1, Processors: 100, Accelerators: 8, Lasting: lasting})
+		settle(tr, workers, guarantees)
+		submitFor(tr, "a", "urgent", 0, &messages.Step{Count: 1, Processors: 100, Accelerators: 8})
+		is.Equal(len(settle(tr, workers, guarantees)), 0)
+	}
+}
