--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -157,6 +157,7 @@
 	idleSince       map[placer.StepKey]time.Time // since when steps wait though most of their pool is idle
 	waits           map[string]*jobWait          // by job
 	waitLog         waitLog
+	outdatedFor     map[placer.StepKey]string // keepers of an earlier build for which gangs wait, as of the last pass
 	restarts        map[tracker.TaskKey]restart
 	seenAt          map[string]time.Time // when this leader first saw a job
 	endedAt         map[string]time.Time // when this leader first saw a job as ended
@@ -227,6 +228,7 @@
 	c.idleSince = map[placer.StepKey]time.Time{}
 	c.waits = map[string]*jobWait{}
 	c.waitLog = waitLog{}
+	c.outdatedFor = map[placer.StepKey]string{}
 	c.restarts = map[tracker.TaskKey]restart{}
 	c.seenAt = map[string]time.Time{}
 	c.endedAt = map[string]time.Time{}
--- a/internal/queue/coordinator/startlimit.go
+++ b/internal/queue/coordinator/startlimit.go
@@ -1,11 +1,10 @@
 package coordinator
 
 import (
-	"slices"
-
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/placer"
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
 )
@@ -24,10 +23,12 @@
 	}
 	size := 0
 	var list []*messages.Run
-	for group := range slices.Values(groupStarts(state, starts)) {
+	previous := c.outdatedFor
+	c.outdatedFor = map[placer.StepKey]string{}
+	for _, group := range groupStarts(state, starts) {
 		groupSize := sizeOf(group)
 		if groupSize > limit {
-			if !c.inheritCheckpoints(group, groupSize) {
+			if !c.inheritCheckpoints(group, groupSize, previous) {
 				continue
 			}
 			groupSize = sizeOf(group)
@@ -43,15 +44,19 @@
 }
 
 // inheritCheckpoints takes the checkpoints out of the starts of a group. It reports false while a keeper in contact is of a
-// build that does not know such starts.
-func (c *Coordinator) inheritCheckpoints(group []*messages.Run, size int) bool {
+// build that does not know such starts. The previous pass logged the gangs in logged, with the keeper.
+func (c *Coordinator) inheritCheckpoints(group []*messages.Run, size int, logged map[placer.StepKey]string) bool {
 	key := tracker.KeyOf(group[0])
+	step := placer.StepKey{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step}
 	fields := []zap.Field{
 		zap.String("request", key.Job), zap.Int32("occurrence", key.Occurrence), zap.Int32("step", key.Step), zap.Int("starts", len(group)), zap.Int("bytes", size),
 	}
 	if c.opts.OutdatedKeeper != nil {
 		if name := c.opts.OutdatedKeeper(c.term); name != "" {
-			c.opts.Log.Warn("gang waits: its checkpoints do not fit into a log entry of an earlier build", append(fields, zap.String("keeper", name))...)
+			if logged[step] != name {
+				c.opts.Log.Warn("gang waits: its checkpoints do not fit into a log entry of an earlier build", append(fields, zap.String("keeper", name))...)
+			}
+			c.outdatedFor[step] = name
 			return false
 		}
 	}
--- a/internal/queue/coordinator/startlimit_test.go
+++ b/internal/queue/coordinator/startlimit_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/placer"
@@ -79,8 +81,13 @@
 	f, _ := newGangWithCheckpoint(t)
 	outdated := "keeper"
 	f.opts.OutdatedKeeper = func(uint64) string { return outdated }
+	core, logs := observer.New(zap.WarnLevel)
+	f.opts.Log = zap.New(core)
 	is.Equal(f.submit(t, "/q/small", "k1"), StatusOK)
-	f.Pass(context.Background())
+	for range 5 {
+		f.Pass(context.Background())
+	}
+	is.Equal(logs.FilterMessageSnippet("gang waits").Len(), 1) // not in each pass
 	is.Equal(f.state.Job("small").Phase, tracker.Running)
 	is.Equal(f.state.Job("gang").Active(), 0)
 	outdated = ""
