placer: racks of a pool and lasting runs are looked up once a pass

Each compact gang sorted the names of all racks and looked at every run of the pool. Plans are the same.

--- a/internal/queue/placer/gang.go
+++ b/internal/queue/placer/gang.go
@@ -100,10 +100,9 @@
 		return [][]*candidate{pool}
 	}
 	var racks [][]*candidate
-	prefix := u.pool + "\x00"
-	for _, key := range slices.Sorted(maps.Keys(p.racks)) {
-		if len(key) > len(prefix) && key[:len(prefix)] == prefix && u.fitsBesideLasting(p.racks[key]) {
-			racks = append(racks, p.racks[key])
+	for _, rack := range p.racksOf(u.pool) {
+		if u.fitsBesideLasting(rack) {
+			racks = append(racks, rack)
 		}
 	}
 	if len(racks) == 0 {
@@ -112,11 +111,30 @@
 	return racks
 }
 
+// racksOf returns the named racks of a pool in the order of their names.
+func (p *pass) racksOf(pool string) [][]*candidate {
+	if list, ok := p.poolRacks[pool]; ok {
+		return list
+	}
+	var list [][]*candidate
+	prefix := pool + "\x00"
+	for _, key := range slices.Sorted(maps.Keys(p.racks)) {
+		if len(key) > len(prefix) && key[:len(prefix)] == prefix {
+			list = append(list, p.racks[key])
+		}
+	}
+	p.poolRacks[pool] = list
+	return list
+}
+
 // fitsBesideLasting reports whether a gang fits on a set of workers once all runs there have ended but those of lasting
 // tasks, which never end by themselves.
 func (u *unit) fitsBesideLasting(candidates []*candidate) bool {
 	remaining := len(u.tasks)
 	for _, c := range candidates {
+		if remaining <= 0 {
+			break
+		}
 		if u.canRunOn(c.Worker) {
 			remaining -= c.withoutEndingRuns().Fits(u.need, u.maxPerWorker(remaining))
 		}
@@ -125,10 +143,10 @@
 }
 
 // withoutEndingRuns returns the capacity that lasting tasks leave.
-func (w *Worker) withoutEndingRuns() Vector {
-	v := w.Capacity
-	for _, a := range w.Runs {
-		if a.Step.Spec.GetLasting() && !a.Stopping {
+func (c *candidate) withoutEndingRuns() Vector {
+	v := c.Capacity
+	for _, a := range c.lasting {
+		if !a.Stopping {
 			v = v.Sub(a.Need)
 		}
 	}
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -142,7 +142,8 @@
 	input        *Input
 	plan         Plan
 	workers      []*candidate
-	racks        map[string][]*candidate // by pool and rack
+	racks        map[string][]*candidate   // by pool and rack
+	poolRacks    map[string][][]*candidate // by pool, once known
 	pools        map[string][]*candidate
 	gangs        map[*tracker.Step][]*ActiveRun // running members of each gang
 	lasting      map[*tracker.Step][]*ActiveRun // of steps that limit how many of their tasks are away
@@ -180,6 +181,7 @@
 	sealed    bool  // the same, and what started on it would share the blame that the trial is to settle
 	starting  bool  // a run is starting on it
 	loss      int64 // cost of the work that its crash would lose, negative until it is computed
+	lasting   []*ActiveRun
 	// reservedIn is the estimated time until a waiting gang starts here. Later units may use the worker only
 	// if they end by then. 0 means not reserved.
 	reservedIn time.Duration
@@ -200,7 +202,7 @@
 // NewPlan runs one pass and returns its plan.
 func NewPlan(in *Input) Plan {
 	p := &pass{
-		input: in, racks: map[string][]*candidate{}, pools: map[string][]*candidate{},
+		input: in, racks: map[string][]*candidate{}, poolRacks: map[string][][]*candidate{}, pools: map[string][]*candidate{},
 		gangs: map[*tracker.Step][]*ActiveRun{}, workerOf: map[*ActiveRun]*candidate{}, costs: map[*ActiveRun]int64{},
 		trials: map[string]int{}, old: map[string]int{}, tried: map[*tracker.Job]bool{}, running: map[*tracker.Job]bool{}, idle: map[string]bool{},
 		startsOf: map[*tracker.Step]map[string]int{}, lasting: map[*tracker.Step][]*ActiveRun{}, urgentRuns: map[string][]*ActiveRun{},
@@ -219,6 +221,9 @@
 			if a.Stopping {
 				c.projected = c.projected.Add(a.Need)
 			}
+			if a.Step.Spec.GetLasting() {
+				c.lasting = append(c.lasting, a)
+			}
 		}
 		p.workers = append(p.workers, c)
 		p.evacuated[w.Pool] = p.evacuated[w.Pool] || w.Evacuated
