--- a/internal/queue/tracker/job.go
+++ b/internal/queue/tracker/job.go
@@ -51,7 +51,7 @@
 	Number     uint32 // of its last run
 	Done       bool
 	Active     int    // runs that have not ended
-	Worker     string // of its last run
+	Worker     string // of its active run, "" without one: a snapshot has the workers of active runs only
 	Crashes    []Crash
 	failures   uint32
 	checkpoint string
@@ -209,6 +209,7 @@
 	s := j.Step(r.GetOccurrence(), r.GetStep())
 	t := &s.Tasks[r.GetTask()]
 	t.Active--
+	t.Worker = ""
 	j.active--
 	if s.Done || t.Done {
 		return
--- a/internal/queue/tracker/snapshot.go
+++ b/internal/queue/tracker/snapshot.go
@@ -68,17 +68,21 @@
 	for _, incarnation := range s.GetLives() {
 		t.incarnations[incarnation.GetWorker()] = Incarnation{Started: incarnation.GetBorn(), Sequence: incarnation.GetSequence()}
 	}
-	for _, state := range s.GetJobs() {
+	for i, state := range s.GetJobs() {
 		j, err := restoreJob(state)
 		if err != nil {
-			return nil, err
+			return nil, fmt.Errorf("restore queues: jobs[%d].%w", i, err)
+		}
+		id := j.Work.GetId()
+		if t.jobs[id] != nil {
+			return nil, fmt.Errorf("restore queues: jobs[%d].work.id: job %s is listed twice", i, id)
 		}
-		t.jobs[j.Work.GetId()] = j
+		t.jobs[id] = j
 		t.restoreSuspects(j)
 	}
-	for _, r := range s.GetRuns() {
+	for i, r := range s.GetRuns() {
 		if err := t.restoreRun(r); err != nil {
-			return nil, err
+			return nil, fmt.Errorf("restore queues: runs[%d].%w", i, err)
 		}
 	}
 	for _, state := range s.GetJobs() {
@@ -92,17 +96,37 @@
 // maxTasks bounds the tasks of a job in a snapshot, so that damaged data is an error and does not exhaust the memory.
 const maxTasks = 1 << 20
 
-// checkWork returns an error if a job cannot be built from its description.
+// checkWork returns an error that names the field if a job cannot be built from its description. The number of tasks is
+// checked at each step, so that the product with the occurrences does not overflow.
 func checkWork(w *messages.Work) error {
+	occurrences := max(w.GetOccurrences(), 1)
+	if occurrences > maxTasks {
+		return fmt.Errorf("work.occurrences: job %s has %d, want at most %d", w.GetId(), occurrences, maxTasks)
+	}
 	tasks := int64(0)
 	for i, step := range w.GetSteps() {
 		if step.GetCount() < 0 {
-			return fmt.Errorf("restore queues: job %s has %d tasks in step %d", w.GetId(), step.GetCount(), i)
+			return fmt.Errorf("work.steps[%d].count: job %s has %d tasks in the step, want 0 or more", i, w.GetId(), step.GetCount())
+		}
+		if tasks += int64(step.GetCount()) + 1; tasks*occurrences > maxTasks {
+			return fmt.Errorf("work.steps[%d].count: job %s has more than %d tasks and steps in %d occurrences", i, w.GetId(), maxTasks, occurrences)
 		}
-		tasks += int64(step.GetCount()) + 1
 	}
-	if occurrences := max(w.GetOccurrences(), 1); occurrences > maxTasks || tasks*occurrences > maxTasks {
-		return fmt.Errorf("restore queues: job %s has %d occurrences of %d steps and tasks", w.GetId(), occurrences, tasks)
+	return nil
+}
+
+// checkShape returns an error that names the field if the steps and tasks of a snapshot are not those of the job's
+// description. It is called before the job is built, so that a short snapshot can't allocate memory for many tasks.
+func checkShape(state *messages.JobState) error {
+	w := state.GetWork()
+	specs, steps := w.GetSteps(), state.GetSteps()
+	if want := max(w.GetOccurrences(), 1) * int64(len(specs)); int64(len(steps)) != want {
+		return fmt.Errorf("steps: job %s has %d entries, want %d", w.GetId(), len(steps), want)
+	}
+	for i, step := range steps {
+		if want := int(specs[i%len(specs)].GetCount()); len(step.GetTasks()) != want {
+			return fmt.Errorf("steps[%d].tasks: job %s has %d entries, want %d", i, w.GetId(), len(step.GetTasks()), want)
+		}
 	}
 	return nil
 }
@@ -111,17 +135,14 @@
 	if err := checkWork(state.GetWork()); err != nil {
 		return nil, err
 	}
+	if err := checkShape(state); err != nil {
+		return nil, err
+	}
 	j := newJob(state.GetWork(), state.GetSequence())
 	j.Phase, j.EndedAt = Phase(state.GetPhase()), state.GetEnded()
-	if len(j.steps) != len(state.GetSteps()) {
-		return nil, fmt.Errorf("restore queues: job %s has %d steps, want %d", j.Work.GetId(), len(state.GetSteps()), len(j.steps))
-	}
 	for i, step := range state.GetSteps() {
 		s := &j.steps[i]
 		s.number, s.Done, s.failures, s.lastFailed, s.checkpoint = step.GetNumber(), step.GetDone(), step.GetFailures(), step.GetFailed(), step.GetSaved()
-		if len(s.Tasks) != len(step.GetTasks()) {
-			return nil, fmt.Errorf("restore queues: job %s has %d tasks in step %d, want %d", j.Work.GetId(), len(step.GetTasks()), i, len(s.Tasks))
-		}
 		for k, task := range step.GetTasks() {
 			s.Tasks[k] = Task{Number: task.GetNumber(), Done: task.GetDone(), failures: task.GetFailures(), checkpoint: task.GetSaved()}
 			for _, c := range task.GetCrashes()[:min(len(task.GetCrashes()), maxCrashes)] {
@@ -153,14 +174,24 @@
 func (t *Tracker) restoreRun(r *messages.Run) error {
 	j := t.jobs[r.GetJob()]
 	if j == nil {
-		return fmt.Errorf("restore queues: run on worker %s belongs to unknown job %s", r.GetWorker(), r.GetJob())
+		return fmt.Errorf("job: run on worker %s belongs to unknown job %s", r.GetWorker(), r.GetJob())
+	}
+	if r.GetOccurrence() < 0 || int64(r.GetOccurrence()) >= max(j.Work.GetOccurrences(), 1) {
+		return fmt.Errorf("occurrence: job %s has no occurrence %d", r.GetJob(), r.GetOccurrence())
 	}
 	s := j.Step(r.GetOccurrence(), r.GetStep())
-	if s == nil || r.GetTask() < 0 || int(r.GetTask()) >= len(s.Tasks) {
-		return fmt.Errorf("restore queues: job %s has no task %d in step %d", r.GetJob(), r.GetTask(), r.GetStep())
+	if s == nil {
+		return fmt.Errorf("step: job %s has no step %d", r.GetJob(), r.GetStep())
+	}
+	if r.GetTask() < 0 || int(r.GetTask()) >= len(s.Tasks) {
+		return fmt.Errorf("task: job %s has no task %d in step %d", r.GetJob(), r.GetTask(), r.GetStep())
+	}
+	task := &s.Tasks[r.GetTask()]
+	if task.Active > 0 {
+		return fmt.Errorf("task: job %s has two runs of task %d in step %d", r.GetJob(), r.GetTask(), r.GetStep())
 	}
-	s.Tasks[r.GetTask()].Active++
-	s.Tasks[r.GetTask()].Worker = r.GetWorker()
+	task.Active++
+	task.Worker = r.GetWorker()
 	j.active++
 	if t.runs[r.GetWorker()] == nil {
 		t.runs[r.GetWorker()] = map[RunKey]*messages.Run{}
--- a/internal/queue/tracker/tracker_test.go
+++ b/internal/queue/tracker/tracker_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 
@@ -186,8 +188,9 @@
 	})
 }
 
-// TestDamagedSnapshot checks that a snapshot with indices or counts out of range is an error that names the job.
-func TestDamagedSnapshot(t *testing.T) {
+// damagedSnapshots returns snapshots with each index and count out of range, and the field that the error must name, "" for one
+// that is sound.
+func damagedSnapshots() []damagedSnapshot {
 	job := func(change func(*messages.JobState)) *messages.QueueState {
 		j := &messages.JobState{
 			Work:  &messages.Work{Id: "j", Steps: []*messages.Step{{Count: 1}}},
@@ -196,41 +199,84 @@
 		change(j)
 		return &messages.QueueState{Jobs: []*messages.JobState{j}}
 	}
-	run := func(r *messages.Run) *messages.QueueState {
+	run := func(runs ...*messages.Run) *messages.QueueState {
 		s := job(func(*messages.JobState) {})
-		r.Job, r.Worker = "j", "w"
-		s.Runs = []*messages.Run{r}
+		for _, r := range runs {
+			r.Job, r.Worker = "j", cmp.Or(r.GetWorker(), "w")
+			s.Runs = append(s.Runs, r)
+		}
 		return s
 	}
-	for _, c := range []struct {
-		name  string
-		state *messages.QueueState
-		valid bool
-	}{
-		{"a run of the task", run(&messages.Run{}), true},
-		{"a run of a negative task", run(&messages.Run{Task: -1}), false},
-		{"a run of a negative step", run(&messages.Run{Step: -1}), false},
-		{"a run of a negative occurrence", run(&messages.Run{Occurrence: -1}), false},
-		{"a run of a task that does not exist", run(&messages.Run{Task: 1}), false},
-		{"a negative number of tasks", job(func(j *messages.JobState) { j.Work.Steps[0].Count = -1 }), false},
-		{"too many occurrences", job(func(j *messages.JobState) { j.Work.Occurrences = 1 << 40 }), false},
-		{"a task is missing", job(func(j *messages.JobState) { j.Steps[0].Tasks = nil }), false},
-		{"a step is missing", job(func(j *messages.JobState) { j.Steps = nil }), false},
-	} {
+	manySteps := func(j *messages.JobState) {
+		j.Work.Occurrences, j.Work.Steps = 1<<20, nil
+		for range 4096 {
+			j.Work.Steps = append(j.Work.Steps, &messages.Step{Count: math.MaxInt32})
+		}
+	}
+	twice := job(func(*messages.JobState) {})
+	twice.Jobs = append(twice.Jobs, twice.Jobs[0])
+	return []damagedSnapshot{
+		{"a run of the task", run(&messages.Run{}), ""},
+		{"a run of a negative task", run(&messages.Run{Task: -1}), "runs[0].task"},
+		{"a run of a negative step", run(&messages.Run{Step: -1}), "runs[0].step"},
+		{"a run of a step that does not exist", run(&messages.Run{Step: 1}), "runs[0].step"},
+		{"a run of a negative occurrence", run(&messages.Run{Occurrence: -1}), "runs[0].occurrence"},
+		{"a run of an occurrence that does not exist", run(&messages.Run{Occurrence: 1}), "runs[0].occurrence"},
+		{"a run of a task that does not exist", run(&messages.Run{Task: 1}), "runs[0].task"},
+		{"the same run twice", run(&messages.Run{}, &messages.Run{}), "runs[1].task"},
+		{"two runs of a task on two workers", run(&messages.Run{}, &messages.Run{Number: 2, Worker: "v"}), "runs[1].task"},
+		{"a negative number of tasks", job(func(j *messages.JobState) { j.Work.Steps[0].Count = -1 }), "jobs[0].work.steps[0].count"},
+		{"too many tasks", job(func(j *messages.JobState) { j.Work.Steps[0].Count = math.MaxInt32 }), "jobs[0].work.steps[0].count"},
+		{"too many occurrences", job(func(j *messages.JobState) { j.Work.Occurrences = 1 << 40 }), "jobs[0].work.occurrences"},
+		{"a number of tasks and occurrences beyond 64 bits", job(manySteps), "jobs[0].work.steps[0].count"},
+		{"a task is missing", job(func(j *messages.JobState) { j.Steps[0].Tasks = nil }), "jobs[0].steps[0].tasks"},
+		{"a step is missing", job(func(j *messages.JobState) { j.Steps = nil }), "jobs[0].steps"},
+		{"a job is listed twice", twice, "jobs[1].work.id"},
+	}
+}
+
+type damagedSnapshot struct {
+	name  string
+	state *messages.QueueState
+	field string
+}
+
+// TestDamagedSnapshot guards against a snapshot with indices or counts out of range that ends the process, exhausts its
+// memory or is restored as an inconsistent state. It must be an error that names the field and the job.
+func TestDamagedSnapshot(t *testing.T) {
+	for _, c := range damagedSnapshots() {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			data, err := proto.Marshal(c.state)
 			is.NoErr(err)
 			_, err = Restore(data)
-			is.Equal(err == nil, c.valid)
+			is.Equal(err == nil, c.field == "")
 			if err != nil {
+				is.True(strings.HasPrefix(err.Error(), "restore queues: "+c.field+": "))
 				is.True(strings.Contains(err.Error(), "job j "))
 			}
 		})
 	}
 }
 
-// FuzzRestore checks that no snapshot takes the process down, and that a restored state is consistent.
+// TestRestoredWorkers guards against decisions that differ after a restore: the worker of a task is not in the snapshot, so
+// only tasks with an active run may have one.
+func TestRestoredWorkers(t *testing.T) {
+	is := is.New(t)
+	tr := New()
+	tr.Apply(&messages.QueueChange{Submits: []*messages.Work{{Id: "j", Attempts: 3, Steps: []*messages.Step{{Count: 3}}}}})
+	tr.Apply(&messages.QueueChange{Starts: []*messages.Run{start("j", 0, 1, "w1"), start("j", 1, 1, "w1")}})
+	tr.Apply(ended("w1", 1, end("j", 1, 1, EndFailed)))
+	data, err := tr.Save()
+	is.NoErr(err)
+	restored, err := Restore(data)
+	is.NoErr(err)
+	is.Equal(restored.Job("j").Step(0, 0).Tasks, tr.Job("j").Step(0, 0).Tasks)
+	is.Equal(tr.Job("j").Step(0, 0).Tasks[0].Worker, "w1")
+}
+
+// FuzzRestore checks that no snapshot takes the process down, also when the restored state is read and its runs end, and that
+// a restored state is consistent.
 func FuzzRestore(f *testing.F) {
 	tr := New()
 	tr.Apply(&messages.QueueChange{Submits: []*messages.Work{gangJob("j", 2, 2)}})
@@ -240,6 +286,19 @@
 		f.Fatal(err)
 	}
 	f.Add(data)
+	tr.Apply(&messages.QueueChange{Ends: []*messages.WorkerEnds{{
+		Worker: "w1", Born: 1, Over: true, Crashes: []*messages.Crash{{Job: "j", Number: 1, Alone: true}},
+	}}})
+	if data, err = tr.Save(); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	for _, c := range damagedSnapshots() {
+		if data, err = proto.Marshal(c.state); err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		restored, err := Restore(data)
 		if err != nil {
@@ -248,6 +307,31 @@
 		if err := restored.Check(); err != nil {
 			t.Fatal(err)
 		}
+		restored.EachSuspect(func(TaskKey, *Job, *Task) {})
+		restored.EachJob(func(j *Job) {
+			for i := range j.Steps() {
+				j.DependenciesDone(&j.Steps()[i])
+			}
+		})
+		change := &messages.QueueChange{}
+		restored.EachWorker(func(worker string, runs map[RunKey]*messages.Run) {
+			for key, r := range runs {
+				change.Ends = append(change.Ends, &messages.WorkerEnds{Worker: worker, Born: r.GetBorn(), Ends: []*messages.End{
+					{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number, How: EndDone},
+				}})
+			}
+		})
+		restored.Apply(change)
+		if err := restored.Check(); err != nil {
+			t.Fatal(err)
+		}
+		saved, err := restored.Save()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Restore(saved); err != nil {
+			t.Fatal(err)
+		}
 	})
 }
 
