coordinator: incarnations of workers that have gone are removed

The replicated state kept the incarnation of each worker that had ever reported an end: it was removed only with the last runs of a lost worker, and a report of that incarnation that came late committed it again. The leader now commits the end of incarnations without runs whose workers have not reported for the minute after which it forgets them too, in entries of at most 256, in passes that have nothing else to commit. What a late report registers is needed until then, as its ends are acknowledged by it.

--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -37,11 +37,41 @@
 		r.Started = change.Time
 	}
 	if len(change.Ends)+len(change.Forgets)+len(change.Failures)+len(change.Survivals)+len(change.Starts) == 0 {
-		return nil
+		// Last, as ends delay starts.
+		if change.Ends = c.goneIncarnations(state); len(change.Ends) == 0 {
+			return nil
+		}
 	}
 	return change
 }
 
+// maxRemovedIncarnations bounds the size of the entry that removes the incarnations of workers that have gone.
+const maxRemovedIncarnations = 256
+
+// goneIncarnations returns the ends of committed incarnations whose workers have no runs and have not reported for
+// workerRetention. An incarnation is committed with the first end that it reports, also if it was removed before with its last
+// runs and the report came late. A worker that returns lists its ends again, which has no effect on runs that have ended.
+func (c *Coordinator) goneIncarnations(state *tracker.Tracker) []*messages.WorkerEnds {
+	if c.opts.Now().Sub(c.termStart) <= workerRetention {
+		return nil // the workers may not have found this leader yet
+	}
+	var list []*messages.WorkerEnds
+	state.EachIncarnation(func(id string, incarnation tracker.Incarnation) {
+		// The ends of a worker with more of them would not be credible if it returned.
+		if incarnation.Sequence > maxGap/2 || c.workers[id] != nil || len(state.RunsOn(id)) > 0 {
+			return
+		}
+		list = append(list, &messages.WorkerEnds{Worker: id, Born: incarnation.Started, Over: true})
+	})
+	if len(list) == 0 {
+		return nil
+	}
+	slices.SortFunc(list, func(a, b *messages.WorkerEnds) int { return strings.Compare(a.GetWorker(), b.GetWorker()) })
+	list = list[:min(len(list), maxRemovedIncarnations)]
+	c.opts.Log.Info("incarnations of workers that have gone are removed", zap.Int("workers", len(list)), zap.String("first", list[0].GetWorker()))
+	return list
+}
+
 // expiredWorkers returns the worker incarnations whose leases have expired or that have been replaced.
 func (c *Coordinator) expiredWorkers(state *tracker.Tracker) []*messages.WorkerEnds {
 	var list []*messages.WorkerEnds
--- a/internal/queue/tracker/tracker.go
+++ b/internal/queue/tracker/tracker.go
@@ -136,6 +136,13 @@
 	return incarnation, ok
 }
 
+// EachIncarnation calls visit for each worker with a committed incarnation, in no particular order.
+func (t *Tracker) EachIncarnation(visit func(worker string, incarnation Incarnation)) {
+	for worker, incarnation := range t.incarnations {
+		visit(worker, incarnation)
+	}
+}
+
 // Apply applies a committed change.
 func (t *Tracker) Apply(c *messages.QueueChange) {
 	if c.GetCatalog() != nil {
