detector: records of workers that left and jobs that ended are removed

RemoveWorker was never called, so the health records of workers that failed a job and left stayed in the replicated state, and those of bad jobs that ended filled Jobs up to 4096.

Health records decide where jobs start, so keepers of two builds must remove the same ones. The leader commits an entry for it (scheduler.PruneHealth), once 256 records can go. It has the third entry format, which earlier builds refuse, and is only committed while all members of the group are in contact and apply it. Evacuations and inherited checkpoints need the second format as before. Records of quarantined workers stay until their probe is due. RemoveWorker is replaced by Prune. The clearing at 4096 stays, as earlier builds do it at the same entry; only jobs that have not ended can now reach it.

TestDecodeRejectsUnknownFormats names the next unknown format, 4, and now also refuses other kinds in the third.

--- a/internal/entry/forwarder/server.go
+++ b/internal/entry/forwarder/server.go
@@ -287,12 +287,26 @@
 	return s.monitorFor(term).Keepers()
 }
 
-// OutdatedKeeper returns the name of a keeper in contact that can't apply the latest log entries of this build, according to the
-// leader of a term, "" if there is none.
+// OutdatedKeeper returns the name of a keeper in contact that can't apply the latest entries of the queues of this build,
+// according to the leader of a term, "" if there is none.
 func (s *Server) OutdatedKeeper(term uint64) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.monitorFor(term).Outdated(s.Now(), scheduler.EntryFormat)
+	return s.monitorFor(term).Outdated(s.Now(), scheduler.QueueEntryFormat)
+}
+
+// AllApply reports whether all keepers of a list are in contact with the leader of a term, and apply all log entries of this
+// build.
+func (s *Server) AllApply(term uint64, keepers []*messages.Member) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	monitor := s.monitorFor(term)
+	for _, m := range keepers {
+		if !monitor.Applies(s.Now(), m.GetName(), scheduler.EntryFormat) {
+			return false
+		}
+	}
+	return true
 }
 
 // HasDaemonIn reports whether a daemon of a place is in contact, according to the leader of a term.
--- a/internal/job/scheduler/codec_test.go
+++ b/internal/job/scheduler/codec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -42,8 +43,10 @@
 
 func TestDecodeRejectsUnknownFormats(t *testing.T) {
 	is := is.New(t)
-	_, _, err := Decode([]byte(`{"format": 3, "kind": "tick"}`))
-	is.Equal(err.Error(), "decode entry: format 3, want at most 2")
+	_, _, err := Decode([]byte(`{"format": 4, "kind": "tick"}`))
+	is.Equal(err.Error(), "decode entry: format 4, want at most 3")
+	_, _, err = Decode([]byte(`{"format": 3, "kind": "tick"}`))
+	is.Equal(err.Error(), `decode entry "tick": unknown kind`)
 	_, _, err = Decode([]byte(`{"format": 2, "kind": "tick"}`))
 	is.Equal(err.Error(), `decode entry "tick": unknown kind`)
 	_, _, err = Decode([]byte(`{"format": 1, "kind": "queues", "body": ""}`))
@@ -112,3 +115,40 @@
 	is.Equal(at, now)
 	is.True(proto.Equal(e.(ChangeQueues).Change, change))
 }
+
+// TestRemovedHealthIsRefusedByEarlierBuilds guards against keepers whose health records differ: those of an earlier build keep
+// the records that this entry removes.
+func TestRemovedHealthIsRefusedByEarlierBuilds(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000, 0).UTC()
+	data, err := Encode(now, PruneHealth{})
+	is.NoErr(err)
+	var env envelope
+	is.NoErr(json.Unmarshal(data, &env))
+	is.Equal(env.Format, healthEntryFormat)
+	at, e, err := Decode(data)
+	is.NoErr(err)
+	is.Equal(at, now)
+	is.Equal(e, PruneHealth{})
+	_, _, err = Decode([]byte(`{"format": 2, "kind": "health"}`))
+	is.Equal(err.Error(), `decode entry "health": unknown kind`)
+}
+
+// TestHealthIsPruned guards against health records of workers that have left and of jobs that have ended, which grew with the
+// state and its snapshots.
+func TestHealthIsPruned(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000, 0).UTC()
+	s := New()
+	s.Step(now, Announce{Worker: WorkerInfo{Name: "here", Place: "p", Service: "s", Incarnation: 1, Slots: 8}})
+	s.health.RecordFailure(now, "here", "left")
+	is.True(!s.NeedsHealthPruned())
+	for i := range removableHealth {
+		s.health.RecordFailure(now, fmt.Sprint("gone", i), "poison")
+	}
+	is.True(s.NeedsHealthPruned())
+	s.Step(now, PruneHealth{})
+	is.True(!s.NeedsHealthPruned())
+	is.Equal(len(s.health.Workers), 1)
+	is.Equal(len(s.health.Jobs), 0)
+}
--- a/internal/job/scheduler/event.go
+++ b/internal/job/scheduler/event.go
@@ -55,6 +55,9 @@
 // as it is by far the most frequent event.
 type ChangeQueues struct{ Change *messages.QueueChange }
 
+// PruneHealth removes health records that are no longer needed.
+type PruneHealth struct{}
+
 // Tick advances the time, so that due deadlines are handled.
 type Tick struct{}
 
@@ -65,6 +68,7 @@
 func (Cancel) event()        {}
 func (Report) event()        {}
 func (ChangeQueues) event()  {}
+func (PruneHealth) event()   {}
 func (Tick) event()          {}
 
 // WorkerInfo describes a worker, as announced by it.
@@ -112,14 +116,18 @@
 
 // Versions of the log entry encoding. Builds that know only the first one would ignore the evacuations in a queue entry of its
 // own encoding, and start runs that inherit their checkpoints without them, so an entry with either has the second one, which
-// they refuse.
+// they refuse. PruneHealth has the third one.
 const (
 	entryFormat         = 1
 	extendedEntryFormat = 2
+	healthEntryFormat   = 3
 )
 
 // EntryFormat is the latest version of the log entry encoding that this build applies.
-const EntryFormat = extendedEntryFormat
+const EntryFormat = healthEntryFormat
+
+// QueueEntryFormat is the latest version that an entry with a ChangeQueues has.
+const QueueEntryFormat = extendedEntryFormat
 
 // isExtended reports whether builds that know only entryFormat would misread a change.
 func isExtended(c *messages.QueueChange) bool {
@@ -145,6 +153,9 @@
 		}
 		return encodeEnvelope(extendedEntryFormat, now, e, data)
 	}
+	if _, ok := e.(PruneHealth); ok {
+		return encodeEnvelope(healthEntryFormat, now, e, e)
+	}
 	return encodeEnvelope(entryFormat, now, e, e)
 }
 
@@ -172,6 +183,8 @@
 		return "report"
 	case ChangeQueues:
 		return "queues"
+	case PruneHealth:
+		return "health"
 	case Tick:
 		return "tick"
 	}
@@ -192,6 +205,8 @@
 	case entryFormat:
 	case extendedEntryFormat:
 		decode = decodeExtended
+	case healthEntryFormat:
+		decode = decodeHealth
 	default:
 		return time.Time{}, nil, fmt.Errorf("decode entry: format %d, want at most %d", env.Format, EntryFormat)
 	}
@@ -238,6 +253,14 @@
 	return ChangeQueues{Change: change}, nil
 }
 
+// decodeHealth decodes the body of an entry of healthEntryFormat.
+func decodeHealth(kind string, body []byte) (Event, error) {
+	if kind != kindOf(PruneHealth{}) {
+		return nil, fmt.Errorf("unknown kind")
+	}
+	return decodeAs[PruneHealth](body)
+}
+
 // queueEntryTag is the first byte of a ChangeQueues entry. No JSON text starts with it.
 const queueEntryTag = 1
 
--- a/internal/job/scheduler/state.go
+++ b/internal/job/scheduler/state.go
@@ -121,6 +121,8 @@
 			return nil // queues have their own workers and rules, so the fleet needs no new pass
 		}
 		s.applyEvacuations(places)
+	case PruneHealth:
+		s.health.Prune(s.hasJoined, s.hasEnded)
 	case Tick:
 	default:
 		panic(fmt.Sprintf("unknown event %T", e))
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -80,6 +80,22 @@
 	})
 }
 
+// removableHealth is the number of removable health records from which they are removed. An entry for each one would be many.
+const removableHealth = 256
+
+// NeedsHealthPruned reports whether enough health records can be removed.
+func (s *State) NeedsHealthPruned() bool {
+	return s.health.Removable(s.hasJoined, s.hasEnded) >= removableHealth
+}
+
+func (s *State) hasJoined(worker string) bool { return s.workers[worker] != nil }
+
+// hasEnded reports whether a job, by its ID, will not run again.
+func (s *State) hasEnded(id string) bool {
+	j := s.jobs[id]
+	return j == nil || j.Phase == Complete
+}
+
 // markMembersLost marks the members on one incarnation of a worker as lost. Jobs that had not started there
 // are requeued.
 func (s *State) markMembersLost(name string, incarnation uint64) {
--- a/internal/worker/detector/detector.go
+++ b/internal/worker/detector/detector.go
@@ -3,6 +3,7 @@
 package detector
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -11,7 +12,9 @@
 	failuresToQuarantine = 3           // consecutive failures of distinct jobs
 	minProbeDelay        = time.Minute // delay before the first probe; it doubles on each relapse
 	maxProbeDelay        = time.Hour
-	maxFailingJobs       = 4096 // bounds memory: Detector.Jobs is cleared at this size
+	// Bounds memory: Detector.Jobs is cleared at this size. Keepers of all builds must do so at the same entry, so the bound stays,
+	// and Prune keeps the jobs that have ended from reaching it.
+	maxFailingJobs = 4096
 )
 
 // Record is the health of one worker. Its fields are exported for snapshots.
@@ -88,7 +91,7 @@
 }
 
 // RemoveJob removes a job that will not run again. Jobs that failed on several workers are kept, so that their
-// failures stay uncounted.
+// failures stay uncounted, until Prune.
 func (d *Detector) RemoveJob(job string) {
 	if len(d.Jobs[job]) < 2 {
 		delete(d.Jobs, job)
@@ -128,8 +131,31 @@
 	return r != nil && r.Quarantined
 }
 
-// RemoveWorker deletes the record of a worker that has left the fleet.
-func (d *Detector) RemoveWorker(worker string) { delete(d.Workers, worker) }
+// Removable returns how many records Prune would remove, of workers and of jobs.
+func (d *Detector) Removable(joined, ended func(name string) bool) int {
+	n := 0
+	for name, r := range d.Workers {
+		if !r.Quarantined && !joined(name) {
+			n++
+		}
+	}
+	for job := range d.Jobs {
+		if ended(job) {
+			n++
+		}
+	}
+	return n
+}
+
+// Prune removes the records of workers that have left the fleet, unless they are quarantined, and what is known of jobs that have
+// ended. A job that failed on several workers stays uncounted: its failures are removed from the workers' records too.
+func (d *Detector) Prune(joined, ended func(name string) bool) {
+	maps.DeleteFunc(d.Workers, func(name string, r *Record) bool { return !r.Quarantined && !joined(name) })
+	for _, r := range d.Workers {
+		r.Failed = slices.DeleteFunc(r.Failed, func(job string) bool { return len(d.Jobs[job]) >= 2 && ended(job) })
+	}
+	maps.DeleteFunc(d.Jobs, func(job string, _ []string) bool { return ended(job) })
+}
 
 func (d *Detector) record(worker string) *Record {
 	r := d.Workers[worker]
--- a/internal/worker/registrar/monitor.go
+++ b/internal/worker/registrar/monitor.go
@@ -302,6 +302,12 @@
 	return list
 }
 
+// Applies reports whether a daemon is in contact and applies log entries of a format.
+func (m *Monitor) Applies(now time.Time, daemon string, format uint32) bool {
+	d := m.daemons[daemon]
+	return d != nil && d.heartbeat.GetFormat() >= format && now.Sub(d.lastContact) <= daemonTimeout
+}
+
 // Outdated returns the name of a keeper in contact that can't apply log entries of a format, the first one by name, "" if there
 // is none.
 func (m *Monitor) Outdated(now time.Time, format uint32) string {
--- a/internal/worker/registrar/roster_test.go
+++ b/internal/worker/registrar/roster_test.go
@@ -93,3 +93,18 @@
 	m.Heartbeat(full, &messages.Beat{Daemon: "old", Identity: "b", Format: 2})
 	is.Equal(m.Outdated(full, 2), "")
 }
+
+// TestOnlyKeepersInContactApply guards against an entry that stops a keeper of an earlier build which the leader has not heard, or
+// has not heard lately.
+func TestOnlyKeepersInContactApply(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1_000_000, 0)
+	m := NewMonitor(DefaultTiming(), start, zap.NewNop())
+	is.True(!m.Applies(start, "k", 3))
+	m.Heartbeat(start, &messages.Beat{Daemon: "k", Identity: "a", Format: 2})
+	is.True(m.Applies(start, "k", 2))
+	is.True(!m.Applies(start, "k", 3))
+	m.Heartbeat(start, &messages.Beat{Daemon: "k", Identity: "a", Format: 3})
+	is.True(m.Applies(start.Add(daemonTimeout), "k", 3))
+	is.True(!m.Applies(start.Add(daemonTimeout+time.Millisecond), "k", 3))
+}
