dispatcher: an acknowledgement has the incarnation of its order

All acknowledgements of a batch were reported for the incarnation of its first order. After a restart of the worker a batch may begin with a stop for the earlier incarnation, and the acknowledgements of holds for the present one were then dropped, until the orders were sent again. What acknowledges no order of the batch is left out.

--- a/internal/worker/dispatcher/dispatcher.go
+++ b/internal/worker/dispatcher/dispatcher.go
@@ -157,13 +157,39 @@
 		return err
 	}
 	d.opts.Metrics.Counter("orders_sent").Inc(int64(len(batch)))
-	acks, err := converter.DecodeAcks(worker, batch[0].GetIncarnation(), reply.GetAcks())
-	if err != nil || len(acks) == 0 {
+	acks, err := converter.DecodeAcks(worker, 0, reply.GetAcks()) // withIncarnations sets the incarnation
+	if err != nil {
 		return err
 	}
+	if acks = withIncarnations(acks, batch); len(acks) == 0 {
+		return nil
+	}
 	return d.opts.Report(d.ctx, acks)
 }
 
+// attempt identifies the part of an attempt that a worker was ordered to run.
+type attempt struct {
+	job    string
+	number uint32
+}
+
+// withIncarnations sets the incarnation of each acknowledgement to that of its order, as a batch may have orders for several
+// incarnations of a worker. What acknowledges no order of the batch is left out.
+func withIncarnations(acks []scheduler.Ack, batch []*messages.WorkerOrder) []scheduler.Ack {
+	incarnations := map[attempt]uint64{}
+	for _, o := range batch {
+		incarnations[attempt{o.GetJob(), o.GetAttempt()}] = o.GetIncarnation() // an attempt is for one incarnation
+	}
+	known := acks[:0]
+	for _, a := range acks {
+		incarnation, ok := incarnations[attempt{a.Job, a.Attempt}]
+		if a.Incarnation = incarnation; ok {
+			known = append(known, a)
+		}
+	}
+	return known
+}
+
 // post sends one request. Any error closes the connection, so that a connection without replies is not
 // reused.
 func (d *Dispatcher) post(address netip.AddrPort, orders *messages.WorkerOrders) (*messages.WorkerAcks, error) {
