parser: the error of a name lists the characters that are accepted

The error left out underscores, which are accepted, and the length. Names with underscores are in manifests and stay valid. A guarantee without a place for a service that no place declares was reported as 'in place ""', and is now 'in any place'.

TestWantedName compares the text with what is accepted; the new cases of TestErrors fail before.

--- a/internal/config/parser/manifest.go
+++ b/internal/config/parser/manifest.go
@@ -138,8 +138,8 @@
 }
 
 func (m *Manifest) checkPlace(c *checker, prefix string, p Place) {
-	c.require(ValidName(p.Name), prefix+"name", "is %q, want letters, digits, dots and dashes", p.Name)
-	c.require(ValidName(p.Service), prefix+"service", "is %q, want letters, digits, dots and dashes", p.Service)
+	c.requireName(p.Name, prefix+"name")
+	c.requireName(p.Service, prefix+"service")
 	c.require(p.Racks > 0 && p.Racks <= 4096, prefix+"racks", "is %d, want 1 to 4096", p.Racks)
 	c.require(p.Workers > 0 && p.Workers <= 256, prefix+"workers", "is %d, want 1 to 256", p.Workers)
 	c.require(p.Slots > 0 && p.Slots <= m.Width.Slots, prefix+"slots", "is %d, want 1 to %d", p.Slots, m.Width.Slots)
@@ -161,7 +161,7 @@
 	tokens := map[string]bool{}
 	for i, o := range m.Organisations {
 		prefix := fmt.Sprintf("organisations[%d].", i)
-		c.require(ValidName(o.Name), prefix+"name", "is %q, want letters, digits, dots and dashes", o.Name)
+		c.requireName(o.Name, prefix+"name")
 		c.require(!names[o.Name], prefix+"name", "%q is declared twice", o.Name)
 		raw, err := hex.DecodeString(o.Token)
 		c.require(err == nil && len(raw) == 32, prefix+"token", "of %s is not a SHA-256 digest in hexadecimal", o.Name)
@@ -184,7 +184,11 @@
 	declared := slices.ContainsFunc(m.Places, func(p Place) bool {
 		return p.Service == g.Service && (g.Place == "" || g.Place == p.Name)
 	})
-	c.require(declared, prefix+"service", "no place declares service %q in place %q", g.Service, g.Place)
+	where := "any place"
+	if g.Place != "" {
+		where = fmt.Sprintf("place %q", g.Place)
+	}
+	c.require(declared, prefix+"service", "service %q is not declared in %s", g.Service, where)
 }
 
 func (m *Manifest) checkObjective(c *checker, prefix string, o Objective) {
@@ -269,7 +273,10 @@
 	return slices.ContainsFunc(m.Places, func(p Place) bool { return p.Service == name })
 }
 
-// ValidName reports whether a name is 1 to 64 letters, digits, dots, dashes and underscores.
+// WantedName says which names ValidName accepts.
+const WantedName = "1 to 64 letters, digits, dots, dashes and underscores"
+
+// ValidName reports whether a name is as in WantedName.
 func ValidName(name string) bool {
 	if name == "" || len(name) > 64 {
 		return false
--- a/internal/config/parser/parser.go
+++ b/internal/config/parser/parser.go
@@ -115,6 +115,10 @@
 	}
 }
 
+func (c *checker) requireName(name, field string) {
+	c.require(ValidName(name), field, "is %q, want %s", name, WantedName)
+}
+
 // locate returns the offset of a field's value, or of the innermost existing object or array around it.
 func (c *checker) locate(field string) (offset int, ok bool) {
 	root, err := hujson.Parse(bytes.Clone(c.text))
--- a/internal/config/parser/parser_test.go
+++ b/internal/config/parser/parser_test.go
@@ -73,6 +73,10 @@
 		{"token", manifest, strings.Replace(goodManifest, `000"`, `00"`, 1)},
 		{"guarantee no power of two", manifest, strings.Replace(goodManifest, `"slots": 8, "count"`, `"slots": 6, "count"`, 1)},
 		{"guarantees don't fit", manifest, strings.Replace(goodManifest, `"count": 1`, `"count": 3`, 1)},
+		{"name with a space", manifest, strings.Replace(goodManifest, `"name": "p"`, `"name": "p q"`, 1)},
+		{"guarantee in any place", manifest, strings.Replace(goodManifest, `{"service": "s", "slots": 8, "count"`, `{"service": "t", "slots": 8, "count"`, 1)},
+		{"guarantee in a place", manifest, strings.Replace(goodManifest, `{"service": "s", "slots": 8, "count"`, `{"place": "q", "service": "s", "slots": 8, "count"`, 1)},
+		{"settings name with a slash", settings, strings.Replace(goodSettings, `"name": "`, `"name": "/`, 1)},
 		{"trailing text", manifest, goodManifest + "{}"},
 		{"name twice", manifest, strings.Replace(goodManifest, `"organisations": [`, `"organisations": [{"name": "o", "token": "`+strings.Repeat("1", 64)+`"},`, 1)},
 		{"address", settings, strings.Replace(goodSettings, `127.0.0.1:1"`, `localhost:1"`, 1)},
@@ -164,3 +168,26 @@
 		}
 	})
 }
+
+// TestWantedName guards against an error that names fewer characters than are accepted, or more.
+func TestWantedName(t *testing.T) {
+	is := is.New(t)
+	for c := rune(0); c < 256; c++ {
+		word := "other"
+		switch {
+		case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z':
+			word = "letters"
+		case c >= '0' && c <= '9':
+			word = "digits"
+		case c == '.':
+			word = "dots"
+		case c == '-':
+			word = "dashes"
+		case c == '_':
+			word = "underscores"
+		}
+		is.Equal(ValidName(string(c)), strings.Contains(WantedName, word))
+	}
+	is.True(ValidName(strings.Repeat("a", 64)) && strings.Contains(WantedName, "1 to 64"))
+	is.True(!ValidName(strings.Repeat("a", 65)) && !ValidName(""))
+}
--- a/internal/config/parser/settings.go
+++ b/internal/config/parser/settings.go
@@ -58,8 +58,8 @@
 }
 
 func (s *Settings) check(c *checker) {
-	c.require(ValidName(s.Name), "name", "is %q, want letters, digits, dots and dashes", s.Name)
-	c.require(ValidName(s.Place), "place", "is %q, want letters, digits, dots and dashes", s.Place)
+	c.requireName(s.Name, "name")
+	c.requireName(s.Place, "place")
 	requireAddress(c, "listen", s.Listen)
 	requireAddress(c, "peering", s.Peering)
 	if s.Metrics != "" {
@@ -75,7 +75,7 @@
 	names := map[string]bool{}
 	for i, p := range s.Keepers {
 		prefix := fmt.Sprintf("keepers[%d].", i)
-		c.require(ValidName(p.Name), prefix+"name", "is %q, want letters, digits, dots and dashes", p.Name)
+		c.requireName(p.Name, prefix+"name")
 		c.require(!names[p.Name], prefix+"name", "%q is declared twice", p.Name)
 		names[p.Name] = true
 		requireAddress(c, prefix+"address", p.Address)
--- a/internal/wire/converter/converter.go
+++ b/internal/wire/converter/converter.go
@@ -37,7 +37,7 @@
 		"name": a.GetName(), "place": a.GetPlace(), "rack": a.GetRack(), "service": a.GetService(),
 	} {
 		if !parser.ValidName(value) {
-			errs = append(errs, fmt.Errorf("%s is %q, want letters, digits, dots and dashes", field, value))
+			errs = append(errs, fmt.Errorf("%s is %q, want %s", field, value, parser.WantedName))
 		}
 	}
 	address, err := netip.ParseAddrPort(a.GetAddress())
