router: the reply to a batch of cancellations lists the unknown keys

A batch is not rejected for unknown keys: the other jobs are cancelled. So 200 stays, which callers and the client rely on, also if no key is known; 404 would say that nothing was cancelled.

--- a/internal/entry/router/caller.go
+++ b/internal/entry/router/caller.go
@@ -6,6 +6,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -138,7 +139,8 @@
 	return nil
 }
 
-// cancelMany cancels a batch of jobs with one log entry.
+// cancelMany cancels a batch of jobs with one log entry. Keys without a job do not keep the other jobs from being cancelled, so the
+// status is 200 also if all are unknown. Callers rely on it.
 func (r *Router) cancelMany(w http.ResponseWriter, q *http.Request, org *parser.Organisation) *problem {
 	body, p := readBody(w, q, maxJobBytes*2)
 	if p != nil {
@@ -159,10 +161,26 @@
 	if err != nil {
 		return unreachableProblem(err)
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"jobs": reply.Jobs, "reason": reply.Reason})
+	if reply.Status != scheduler.StatusOK && reply.Status != scheduler.StatusUnknown {
+		return rejection(reply) // nothing was cancelled
+	}
+	answer := map[string]any{"jobs": reply.Jobs, "reason": reply.Reason}
+	if unknown := unknownKeys(batch.Keys, reply.Jobs); len(unknown) > 0 {
+		answer["unknown"] = unknown
+	}
+	writeJSON(w, http.StatusOK, answer)
 	return nil
 }
 
+// unknownKeys returns the keys of a cancellation that are not among the jobs in its reply.
+func unknownKeys(keys []string, jobs []scheduler.JobView) []string {
+	known := map[string]bool{}
+	for _, v := range jobs {
+		known[v.Key] = true
+	}
+	return slices.DeleteFunc(slices.Clone(keys), func(key string) bool { return known[key] })
+}
+
 // listJobs serves the jobs of the organisation, or of all organisations to an operator.
 func (r *Router) listJobs(w http.ResponseWriter, q *http.Request) {
 	question := &messages.Question{Kind: "jobs", All: q.URL.Query().Get("all") == "true"}
