forwarder: a call of an earlier term leaves the leader's monitor

monitorFor replaced the monitor whenever the term differed. The leader's tasks read the term and ask for the keepers later, so when a replica lost the lead and got it back in between, the late call dropped the contacts of the new term: the next call began with an empty monitor, workers' losses were put off by a lease and daemons had to send full heartbeats again. A late call now gets an empty monitor that is not kept.

TestEarlierTermKeepsMonitor fails before.

--- a/internal/entry/forwarder/server.go
+++ b/internal/entry/forwarder/server.go
@@ -271,9 +271,13 @@
 	return reply, nil
 }
 
-// monitorFor returns the monitor of a term. It creates one if the term is new. The caller must hold the lock.
+// monitorFor returns the monitor of a term. It creates one if the term is new. A call that is late, with an earlier term, gets an
+// empty monitor that is not kept: the changes that it decides on are not committed. The caller must hold the lock.
 func (s *Server) monitorFor(term uint64) *registrar.Monitor {
-	if s.monitor == nil || s.term != term {
+	if s.monitor != nil && term < s.term {
+		return registrar.NewMonitor(s.Timing, s.Now(), s.Log)
+	}
+	if s.monitor == nil || term > s.term {
 		s.term = term
 		s.monitor = registrar.NewMonitor(s.Timing, s.Now(), s.Log)
 	}
--- a/internal/entry/forwarder/server_test.go
+++ b/internal/entry/forwarder/server_test.go
@@ -12,6 +12,7 @@
 	"github.com/bluebellgauge/bluebellgauge/internal/state/applier"
 	"github.com/bluebellgauge/bluebellgauge/internal/state/filer"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
+	"github.com/bluebellgauge/bluebellgauge/internal/worker/registrar"
 )
 
 // TestReplacedLeaderIsFollowed sends messages of a leader whose disk was replaced to a replica that has not learned of it.
@@ -40,3 +41,17 @@
 	is.Equal(status.Leader, "0")
 	is.Equal(status.Term, uint64(5)) // not that of the vote
 }
+
+// TestEarlierTermKeepsMonitor guards against a leader that forgets who is in contact: a call that began in an earlier term replaced
+// the monitor of the present one.
+func TestEarlierTermKeepsMonitor(t *testing.T) {
+	is := is.New(t)
+	s := NewServer(ServerOptions{Timing: registrar.DefaultTiming(), Now: time.Now, Log: zap.NewNop()})
+	s.monitorFor(7).Heartbeat(time.Now(), &messages.Beat{Daemon: "k", Place: "p", Identity: "a"})
+	is.Equal(len(s.Keepers(6)), 0)
+	is.Equal(len(s.Keepers(7)), 1)
+	is.True(!s.HasDaemonIn(6, "p"))
+	is.True(s.HasDaemonIn(7, "p"))
+	is.Equal(len(s.Keepers(8)), 0) // a new term begins without contacts
+	is.Equal(len(s.Keepers(7)), 0)
+}
