--- a/internal/queue/placer/placer_test.go
+++ b/internal/queue/placer/placer_test.go
@@ -96,7 +96,8 @@
 }
 
 // TestCompactGangStaysInOneRack checks that a compact gang, which is slow across racks, waits for a single
-// rack that it fits into instead of using free workers of two racks, and starts in the rack that becomes free.
+// rack that it fits into instead of using free workers of two racks, reserves no workers of the other one, and starts in the rack
+// that becomes free.
 func TestCompactGangStaysInOneRack(t *testing.T) {
 	is := is.New(t)
 	tr := tracker.New()
@@ -105,23 +106,49 @@
 	occupy(tr, "low", workers[0], workers[1], workers[4], workers[5])
 	submit(tr, "gang", 1, &messages.Step{Count: 4, Accelerators: 8, Gang: true, Compact: true})
 	is.Equal(len(NewPlan(input(workers, tr)).Starts), 0)
+	submit(tr, "long", 1, &messages.Step{Count: 4, Accelerators: 8, Estimate: 60_000})
+	is.Equal(startsByRack(workers, NewPlan(input(workers, tr))), map[string]int{"long r1": 2}) // the gang waits for r0
 	for _, w := range workers[4:6] {
 		w.Free, w.Runs = w.Capacity, nil
 	}
-	racks := map[string]int{}
-	for _, r := range NewPlan(input(workers, tr)).Starts {
-		racks[workers[slices.IndexFunc(workers, func(w *Worker) bool { return w.ID == r.GetWorker() })].Rack]++
-	}
-	is.Equal(racks, map[string]int{"r1": 4})
+	is.Equal(startsByRack(workers, NewPlan(input(workers, tr))), map[string]int{"gang r1": 4, "long r0": 2})
 	submit(tr, "other", 1, &messages.Step{Count: 2, Accelerators: 8})
 	occupy(tr, "other", workers[4], workers[5])
 	submit(tr, "loose", 1, &messages.Step{Count: 4, Accelerators: 8, Gang: true})
-	used := map[string]bool{}
-	tr.Apply(&messages.QueueChange{Cancels: []string{"gang"}})
-	for _, r := range NewPlan(input(workers, tr)).Starts {
-		used[r.GetWorker()] = true
+	tr.Apply(&messages.QueueChange{Cancels: []string{"gang", "long"}})
+	is.Equal(startsByRack(workers, NewPlan(input(workers, tr))), map[string]int{"loose r0": 2, "loose r1": 2})
+}
+
+// startsByRack counts the starts of a plan by job and rack.
+func startsByRack(workers []*Worker, plan Plan) map[string]int {
+	counts := map[string]int{}
+	for _, r := range plan.Starts {
+		w := workers[slices.IndexFunc(workers, func(w *Worker) bool { return w.ID == r.GetWorker() })]
+		counts[r.GetJob()+" "+w.Rack]++
 	}
-	is.Equal(len(used), 4)
+	return counts
+}
+
+// TestUrgentCompactGangEvictsInOneRack guards against an urgent compact gang that stops runs in two racks, though one rack of
+// them would do, or starts in both.
+func TestUrgentCompactGangEvictsInOneRack(t *testing.T) {
+	is := is.New(t)
+	tr := tracker.New()
+	workers := fleet(8)
+	submit(tr, "low", 1, &messages.Step{Count: 4, Accelerators: 8})
+	occupy(tr, "low", workers[0], workers[1], workers[4], workers[5])
+	for _, w := range []*Worker{workers[0], workers[4]} {
+		w.Runs[0].Unsaved = 0 // one cheap victim in each rack
+	}
+	submit(tr, "gang", 0, &messages.Step{Count: 4, Accelerators: 8, Gang: true, Compact: true})
+	plan := NewPlan(input(workers, tr))
+	is.Equal(len(plan.Starts), 0)
+	racks := map[string]int{}
+	for _, a := range plan.Stops {
+		racks[workers[slices.IndexFunc(workers, func(w *Worker) bool { return slices.Contains(w.Runs, a) })].Rack]++
+	}
+	is.Equal(len(racks), 1)
+	is.Equal(len(plan.Stops), 2)
 }
 
 // TestCompactGangBesideLastingTasks guards against a compact gang that waits for ever for a rack which lasting tasks
@@ -248,67 +275,102 @@
 	}
 }
 
-// TestPlanInvariants checks plans for random workers and jobs. A plan must not exceed the free capacity,
-// start only part of a gang, start a task that is running or use a worker not allowed for it, nor stop an
-// urgent run.
+// TestPlanInvariants checks plans for random workers and jobs, some of which are submitted while others run. A plan must not exceed
+// the free capacity, start only part of a gang, start a task that is running, done or started by the same plan, or use a worker not
+// allowed for it, nor stop a run that is urgent, lasting or of the job that gets its room, or stop it twice.
 func TestPlanInvariants(t *testing.T) {
+	stops := 0
 	rapid.Check(t, func(t *rapid.T) {
 		tr := tracker.New()
 		workers := fleet(rapid.IntRange(1, 10).Draw(t, "workers"))
 		for _, w := range workers {
 			w.Usable = rapid.IntRange(0, 9).Draw(t, "usable") > 0
+			w.Evacuated = rapid.IntRange(0, 9).Draw(t, "evacuated") == 0
 			w.Suspect = rapid.IntRange(0, 4).Draw(t, "suspect") == 0
 			w.Probed = rapid.IntRange(0, 4).Draw(t, "probed") == 0
 			if rapid.Bool().Draw(t, "label") {
 				w.Labels = []string{"a"}
 			}
 		}
-		for i := range rapid.IntRange(1, 12).Draw(t, "jobs") {
-			s := &messages.Step{
-				Count: int32(rapid.IntRange(1, 12).Draw(t, "count")), Accelerators: int64(rapid.SampledFrom([]int{0, 1, 2, 4, 8, 9}).Draw(t, "accelerators")),
-				Processors: int64(rapid.SampledFrom([]int{1000, 26_000, 64_000}).Draw(t, "processors")), Memory: 1000,
-				Gang: rapid.Bool().Draw(t, "gang"), Compact: rapid.Bool().Draw(t, "compact"), Checkpoints: rapid.Bool().Draw(t, "checkpoints"),
-				Spread: int32(rapid.SampledFrom([]int{0, 0, 1, 2}).Draw(t, "spread")), Label: rapid.SampledFrom([]string{"", "", "a"}).Draw(t, "needs"),
-				Estimate: int64(rapid.IntRange(100, 20_000).Draw(t, "estimate")),
-			}
-			id := fmt.Sprintf("j%d", i)
-			submit(tr, id, int32(rapid.IntRange(0, 2).Draw(t, "priority")), s)
-			fail(tr, id, rapid.IntRange(0, 2).Draw(t, "failures"))
-		}
-		for range 3 {
+		for round := range 4 {
+			submitRandom(t, tr, round)
 			plan := NewPlan(input(workers, tr))
 			checkPlan(t, tr, workers, plan)
-			tr.Apply(&messages.QueueChange{Starts: plan.Starts})
-			byID := map[string]*Worker{}
-			for _, w := range workers {
-				byID[w.ID] = w
-			}
-			for _, r := range plan.Starts {
-				j := tr.Job(r.GetJob())
-				w := byID[r.GetWorker()]
-				w.Free = w.Free.Sub(Need(j.Step(0, 0).Spec))
-				w.Runs = append(w.Runs, &ActiveRun{
-					Key: tracker.KeyOf(r), Job: j, Step: j.Step(0, 0), Need: Need(j.Step(0, 0).Spec),
-					Unsaved: time.Second, Remaining: time.Duration(rapid.IntRange(0, 9000).Draw(t, "remaining")) * time.Millisecond,
-				})
-			}
+			stops += len(plan.Stops)
+			applyPlan(t, tr, workers, plan)
 		}
 	})
+	if stops == 0 {
+		t.Fatal("no plan stops a run")
+	}
+}
+
+// submitRandom submits random jobs, some of whose tasks have failed before.
+func submitRandom(t *rapid.T, tr *tracker.Tracker, round int) {
+	for i := range rapid.IntRange(1, 6).Draw(t, "jobs") {
+		s := &messages.Step{
+			Count: int32(rapid.IntRange(1, 12).Draw(t, "count")), Accelerators: int64(rapid.SampledFrom([]int{0, 1, 2, 4, 8, 9}).Draw(t, "accelerators")),
+			Processors: int64(rapid.SampledFrom([]int{1000, 26_000, 64_000}).Draw(t, "processors")), Memory: 1000,
+			Gang: rapid.Bool().Draw(t, "gang"), Compact: rapid.Bool().Draw(t, "compact"), Checkpoints: rapid.Bool().Draw(t, "checkpoints"),
+			Spread: int32(rapid.SampledFrom([]int{0, 0, 1, 2}).Draw(t, "spread")), Label: rapid.SampledFrom([]string{"", "", "a"}).Draw(t, "needs"),
+			Estimate: int64(rapid.IntRange(100, 20_000).Draw(t, "estimate")), Lasting: rapid.IntRange(0, 4).Draw(t, "lasting") == 0,
+		}
+		id := fmt.Sprintf("j%d.%d", round, i)
+		submit(tr, id, int32(rapid.IntRange(0, 2).Draw(t, "priority")), s)
+		fail(tr, id, rapid.IntRange(0, 2).Draw(t, "failures"))
+	}
+}
+
+// applyPlan starts and stops the runs of a plan, and ends some of the others as done.
+func applyPlan(t *rapid.T, tr *tracker.Tracker, workers []*Worker, plan Plan) {
+	tr.Apply(&messages.QueueChange{Starts: plan.Starts})
+	for _, w := range workers {
+		for _, r := range plan.Starts {
+			if r.GetWorker() != w.ID {
+				continue
+			}
+			j := tr.Job(r.GetJob())
+			w.Free = w.Free.Sub(Need(j.Step(0, 0).Spec))
+			w.Runs = append(w.Runs, &ActiveRun{
+				Key: tracker.KeyOf(r), Job: j, Step: j.Step(0, 0), Need: Need(j.Step(0, 0).Spec),
+				Unsaved: time.Second, Remaining: time.Duration(rapid.IntRange(0, 9000).Draw(t, "remaining")) * time.Millisecond,
+			})
+		}
+		w.Runs = slices.DeleteFunc(w.Runs, func(a *ActiveRun) bool {
+			how := tracker.EndStopped
+			if !slices.Contains(plan.Stops, a) {
+				if rapid.IntRange(0, 4).Draw(t, "end") > 0 {
+					return false
+				}
+				how = tracker.EndDone
+			}
+			end := &messages.End{Job: a.Key.Job, Task: a.Key.Task, Number: a.Key.Number, How: how}
+			tr.Apply(&messages.QueueChange{Ends: []*messages.WorkerEnds{{Worker: w.ID, Born: w.Started, Ends: []*messages.End{end}}}})
+			w.Free = w.Free.Add(a.Need)
+			return true
+		})
+	}
 }
 
-// fitsInOneRack reports whether all tasks of a step fit on the workers of one rack that it may use, when these are
-// idle.
+// fitsInOneRack reports whether all tasks of a step fit on the workers of one rack that it may use, when these run nothing but
+// lasting tasks, which never end by themselves.
 func fitsInOneRack(s *tracker.Step, workers []*Worker) bool {
 	slots := map[string]int{}
 	for _, w := range workers {
-		if !w.Usable || w.Probed || w.Suspect && s.Failures(0) == 2 || s.Spec.GetLabel() != "" && len(w.Labels) == 0 {
+		if !w.Usable || w.Evacuated || w.Probed || w.Suspect && s.Failures(0) == 2 || s.Spec.GetLabel() != "" && len(w.Labels) == 0 {
 			continue
 		}
 		limit := len(s.Tasks)
 		if spread := int(s.Spec.GetSpread()); spread > 0 {
 			limit = min(limit, spread)
 		}
-		slots[w.Rack] += w.Capacity.Fits(Need(s.Spec), limit)
+		capacity := w.Capacity
+		for _, a := range w.Runs {
+			if a.Step.Spec.GetLasting() {
+				capacity = capacity.Sub(a.Need)
+			}
+		}
+		slots[w.Rack] += capacity.Fits(Need(s.Spec), limit)
 	}
 	for _, n := range slots {
 		if n >= len(s.Tasks) {
@@ -329,9 +391,15 @@
 	}
 	started, startedOn := map[string]int{}, map[string]int{}
 	racks := map[string]string{} // of the first member, by job
+	seen := map[tracker.TaskKey]bool{}
 	for _, r := range plan.Starts {
 		j, w := tr.Job(r.GetJob()), byID[r.GetWorker()]
 		s := j.Step(0, 0)
+		key := tracker.KeyOf(r).TaskKey
+		if seen[key] || j.Ended() || s.Done || s.Tasks[r.GetTask()].Done {
+			t.Fatalf("%v starts a task twice, or one that is done", r)
+		}
+		seen[key] = true
 		startedOn[w.ID]++
 		if racks[r.GetJob()] == "" {
 			racks[r.GetJob()] = w.Rack
@@ -343,8 +411,10 @@
 		switch {
 		case left.Processors < 0 || left.Memory < 0 || left.Accelerators < 0:
 			t.Fatalf("%v exceeds the free capacity: %+v left on %s", r, left, w.ID)
-		case !w.Usable:
+		case !w.Usable || w.Evacuated:
 			t.Fatalf("%v starts on an unusable worker", r)
+		case r.GetBorn() != w.Started || r.GetNumber() <= s.Tasks[r.GetTask()].Number:
+			t.Fatalf("%v has the incarnation or number of an earlier run", r)
 		case s.Spec.GetLabel() != "" && len(w.Labels) == 0:
 			t.Fatalf("%v starts on a worker without the label", r)
 		case s.Spec.GetSpread() > 0 && counts[r.GetJob()+w.ID] > int(s.Spec.GetSpread()):
@@ -364,10 +434,25 @@
 			t.Fatalf("%d of %d gang members of job %s start", n, len(s.Tasks), id)
 		}
 	}
-	for _, a := range plan.Stops {
-		if a.Job.Work.GetPriority() == 0 {
+	checkStops(t, workers, plan)
+}
+
+func checkStops(t *rapid.T, workers []*Worker, plan Plan) {
+	stopped := map[tracker.RunKey]bool{}
+	for i, a := range plan.Stops {
+		switch {
+		case a.Job.Work.GetPriority() == 0:
 			t.Fatalf("urgent run %v is stopped", a.Key)
+		case a.Step.Spec.GetLasting():
+			t.Fatalf("lasting run %v is stopped", a.Key)
+		case stopped[a.Key]:
+			t.Fatalf("%v is stopped twice", a.Key)
+		case !slices.ContainsFunc(workers, func(w *Worker) bool { return slices.Contains(w.Runs, a) }):
+			t.Fatalf("%v is stopped and does not run", a.Key)
+		case a.Key.Job == plan.StoppedFor[i].Job:
+			t.Fatalf("%v is stopped for its own job", a.Key)
 		}
+		stopped[a.Key] = true
 	}
 }
 
--- a/internal/state/applier/applier_test.go
+++ b/internal/state/applier/applier_test.go
@@ -1,9 +1,12 @@
 package applier
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"os"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -129,8 +132,8 @@
 	is.True(err == nil || errors.Is(err, ErrOutcomeUnknown) || errors.Is(err, ErrNotLeader))
 }
 
-// TestStatesAgree commits events across several snapshots. All replicas must apply all of them and compact
-// their logs.
+// TestStatesAgree commits events across several snapshots. All replicas must apply all of them, reach the same state, which is
+// compared as a whole, and compact their logs.
 func TestStatesAgree(t *testing.T) {
 	is := is.New(t)
 	c := newTestCluster(t, 10)
@@ -152,17 +155,50 @@
 			is.NoErr(ctx.Err())
 		}
 	}
-	for name, a := range c.replicas {
-		for jobs := 0; jobs < 60; {
-			is.NoErr(a.ReadStale(ctx, func(s *scheduler.State) { jobs = len(s.Jobs("o", true)) }))
-			time.Sleep(time.Millisecond)
+	// The deadlines of jobs commit further events, so the states are compared at equal indices.
+	saved, ends := c.states(ctx)
+	for agree := false; !agree; time.Sleep(time.Millisecond) {
+		if ctx.Err() != nil {
+			t.Fatalf("states differ or are incomplete, applied entries: %v", ends)
+		}
+		saved, ends = c.states(context.Background())
+		agree = true
+		for name := range c.replicas {
+			agree = agree && ends[name] == ends["0"] && bytes.Equal(saved[name], saved["0"])
 		}
+	}
+	state, err := scheduler.Restore(saved["0"])
+	is.NoErr(err)
+	is.Equal(len(state.Jobs("o", true)), 60)
+	for name, a := range c.replicas {
 		status, err := a.Status(ctx)
 		is.NoErr(err)
 		if status.LogBytes > 20_000 {
 			t.Errorf("log of %s has %d bytes, was not compacted", name, status.LogBytes)
 		}
+		_, err = os.Stat(filepath.Join(a.opts.Folder, "snapshot"))
+		is.NoErr(err)
+	}
+}
+
+// states returns the state of each replica, encoded, and the index of the last entry that it has applied.
+func (c *testCluster) states(ctx context.Context) (saved map[string][]byte, ends map[string]uint64) {
+	saved, ends = map[string][]byte{}, map[string]uint64{}
+	for name, a := range c.replicas {
+		status, err := a.Status(ctx)
+		if err != nil {
+			continue
+		}
+		ends[name] = status.Applied
+		_ = a.ReadStale(ctx, func(s *scheduler.State) {
+			data, err := s.Save()
+			if err != nil {
+				c.t.Error(err)
+			}
+			saved[name] = data
+		})
 	}
+	return saved, ends
 }
 
 // TestLeaseExpiresDuringCall makes one call take longer than the leader's lease. A read queued behind it must
