--- a/internal/queue/simulator/simulator.go
+++ b/internal/queue/simulator/simulator.go
@@ -181,10 +181,9 @@
 	activeRuns        map[tracker.TaskKey]int
 	finishedTasks     map[tracker.TaskKey]bool // done on a worker
 	acknowledgedTasks map[tracker.TaskKey]bool // done and acknowledged by the leader
-	catalog           *messages.Catalog
-	triggered         []bool    // faults with AfterCrashes that have been scheduled, by index
-	disturbedAt       time.Time // last begin or end of a fault
-	electedAt         time.Time // of the last leader
+	triggered         []bool                   // faults with AfterCrashes that have been scheduled, by index
+	disturbedAt       time.Time                // last begin or end of a fault
+	electedAt         time.Time                // of the last leader
 	lastingWaits      map[tracker.TaskKey]*wait
 	orders            map[string]*order // the last one about each data centre
 	orderList         []*order          // all, in the order in which they were sent
@@ -476,7 +475,6 @@
 		name := fmt.Sprintf("org%d", i)
 		c.Organisations = append(c.Organisations, &messages.Organisation{Name: name, Keys: []string{name}, Accelerators: s.opts.Load.Guaranteed})
 	}
-	s.catalog = c
 	s.state.Apply(&messages.QueueChange{Catalog: c})
 }
 
--- a/internal/queue/simulator/worker.go
+++ b/internal/queue/simulator/worker.go
@@ -16,7 +16,6 @@
 // worker is a simulated worker.
 type worker struct {
 	sim      *Simulator
-	index    int
 	id, rack string
 	place    string // its data centre
 	speed    float64
@@ -70,7 +69,7 @@
 	f := s.opts.Fleet
 	for i := range f.Workers {
 		w := &worker{
-			sim: s, index: i, id: fmt.Sprintf("w%03d", i), rack: fmt.Sprintf("r%d", i/max(f.WorkersPerRack, 1)),
+			sim: s, id: fmt.Sprintf("w%03d", i), rack: fmt.Sprintf("r%d", i/max(f.WorkersPerRack, 1)),
 			speed: f.Speeds[s.random.IntN(len(f.Speeds))], slowdown: 1,
 			fullCapacity: placer.Vector{Processors: f.Processors, Memory: f.Memory, Accelerators: f.Accelerators},
 		}
