--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -80,8 +80,10 @@
 	})
 }
 
-// removableHealth is the number of removable health records from which they are removed. An entry for each one would be many.
-const removableHealth = 256
+// removableHealth is the number of removable health records from which they are removed. Earlier builds refuse the entry, so a
+// return to one is not possible after it; fewer records are not worth that. It is well below the number at which the detector
+// clears its jobs.
+const removableHealth = 1024
 
 // NeedsHealthPruned reports whether enough health records can be removed.
 func (s *State) NeedsHealthPruned() bool {
