placer: failed evictions block fewer units, and trials count for the spread limit

Change: isInfeasible compares both, and reservations for single tasks count like starts for the other units of the step.

TestRackSearchBlocksNoWiderSearch, TestUnitWithinTrialLimitBlocksNoOther and the new cases of TestEvictionRespectsSpread fail on the code before.

--- a/internal/queue/placer/evict.go
+++ b/internal/queue/placer/evict.go
@@ -34,9 +34,21 @@
 	return allocations
 }
 
+// evictionSearch is a unit for which an eviction is searched.
+type evictionSearch struct {
+	unit  *unit
+	racks bool // in single racks, not in the whole pool
+}
+
+// isWholePool reports whether domains are the whole pool of a unit as one domain.
+func (p *pass) isWholePool(u *unit, domains [][]*candidate) bool {
+	return len(domains) == 1 && len(domains[0]) == len(p.pools[u.pool])
+}
+
 // planEviction returns the cheapest eviction for a whole unit, nil if there is none.
 func (p *pass) planEviction(u *unit, domains [][]*candidate) *eviction {
-	if p.isInfeasible(u) {
+	s := evictionSearch{unit: u, racks: u.prefersRack() && !p.isWholePool(u, domains)}
+	if p.isInfeasible(s) {
 		return nil
 	}
 	var best *eviction
@@ -47,7 +59,7 @@
 		}
 	}
 	if best == nil {
-		p.infeasible = append(p.infeasible, u)
+		p.infeasible = append(p.infeasible, s)
 	}
 	return best
 }
@@ -86,19 +98,23 @@
 // isInfeasible reports whether eviction already failed in this pass for a unit that needs no more than this
 // one and may use all workers that this one may use. The set of runs that can be evicted only shrinks during a
 // pass.
-func (p *pass) isInfeasible(u *unit) bool {
-	return slices.ContainsFunc(p.infeasible, func(earlier *unit) bool {
+func (p *pass) isInfeasible(s evictionSearch) bool {
+	u := s.unit
+	return slices.ContainsFunc(p.infeasible, func(failed evictionSearch) bool {
+		earlier := failed.unit
 		return !earlier.excludesMoreThan(u) && (earlier.reclaims() || !u.reclaims()) && earlier.pool == u.pool &&
 			earlier.job.Work.GetPriority() <= u.job.Work.GetPriority() && len(earlier.tasks) <= len(u.tasks) &&
 			u.need.covers(earlier.need) && earlier.step.Spec.GetLabel() == "" &&
-			(u.prefersRack() || !earlier.prefersRack()) && earlier.step.Spec.GetSpread() == 0
+			(s.racks || !failed.racks) && earlier.step.Spec.GetSpread() == 0
 	})
 }
 
-// excludesMoreThan reports whether canRunOn excludes workers for u that it allows for v, because of their health or age.
+// excludesMoreThan reports whether mayUse excludes workers for u that it allows for v, because of their health or age, or of
+// trials.
 func (u *unit) excludesMoreThan(v *unit) bool {
 	return u.needsOldWorker && !v.needsOldWorker || u.startsAlone() && !v.startsAlone() || u.provenSince.After(v.provenSince) ||
-		u.lastAttempt && !v.lastAttempt || !u.incautious && v.incautious || u.step.Spec.GetGang() && !v.step.Spec.GetGang()
+		u.lastAttempt && !v.lastAttempt || !u.incautious && v.incautious || u.step.Spec.GetGang() && !v.step.Spec.GetGang() ||
+		!u.overLimit && v.overLimit || u.isDeciding() && !v.isDeciding()
 }
 
 // stop adds a run to the plan's stops, in favour of a step, and counts its resources as projected capacity.
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -150,14 +150,14 @@
 	demand       map[string]int64               // accelerators by organisation, of urgent jobs that have not ended
 	workerOf     map[*ActiveRun]*candidate
 	costs        map[*ActiveRun]int64 // of evicting a run together with its gang
-	infeasible   []*unit              // units that no eviction could fit
+	infeasible   []evictionSearch     // units that no eviction could fit
 	reservations int
 	reserved     bool                             // capacity is reserved for units that wait for stops
 	trials       map[string]int                   // trials that may still start, by pool
 	old          map[string]int                   // usable workers that have not started lately, by pool
 	tried        map[*tracker.Job]bool            // jobs with a trial
 	running      map[*tracker.Job]bool            // jobs with a run on a worker in contact, or with a start in this pass
-	startsOf     map[*tracker.Step]map[string]int // starts in this pass by worker, of steps with a limit for each worker
+	startsOf     map[*tracker.Step]map[string]int // starts and reservations of single tasks in this pass by worker, of steps with a limit for each worker
 	idle         map[string]bool                  // pools of which less than half is in use, once known
 	doubtful     map[string]bool                  // pools with workers in quarantine, probation or trials
 	evacuated    map[string]bool                  // pools with workers of evacuated data centres
@@ -410,12 +410,7 @@
 	number, checkpoint := u.step.NextRun(task)
 	c.assigned = true
 	p.running[u.job] = true
-	if u.step.Spec.GetSpread() > 0 {
-		if p.startsOf[u.step] == nil {
-			p.startsOf[u.step] = map[string]int{}
-		}
-		p.startsOf[u.step][c.ID]++
-	}
+	p.countStart(u, c)
 	c.free = c.free.Sub(u.need)
 	c.projected = c.projected.Sub(u.need)
 	p.recordNeighbour(u, c)
--- a/internal/queue/placer/placer_test.go
+++ b/internal/queue/placer/placer_test.go
@@ -208,25 +208,76 @@
 	is.Equal(len(NewPlan(input(workers, tr)).Stops), 1)
 }
 
-// TestEvictionRespectsSpread checks that runs are stopped on as many workers as the spread limit of the urgent
-// step requires, though all the cheapest ones are on one worker.
-func TestEvictionRespectsSpread(t *testing.T) {
+// TestRackSearchBlocksNoWiderSearch guards against a compact gang that waits behind a smaller one for which no rack can be
+// cleared, though it fits in no rack itself and evictions across racks make room for it.
+func TestRackSearchBlocksNoWiderSearch(t *testing.T) {
 	is := is.New(t)
 	tr := tracker.New()
-	workers := fleet(2)
-	submit(tr, "cheap", 1, &messages.Step{Count: 2, Accelerators: 4, Checkpoints: true})
-	occupy(tr, "cheap", workers[0], workers[0])
-	submit(tr, "dear", 1, &messages.Step{Count: 2, Accelerators: 4})
-	occupy(tr, "dear", workers[1], workers[1])
-	for _, a := range workers[0].Runs {
-		a.Unsaved = 0
+	workers := fleet(8)
+	submit(tr, "urgent", 0, &messages.Step{Count: 2, Accelerators: 8})
+	occupy(tr, "urgent", workers[0], workers[4])
+	submit(tr, "low", 1, &messages.Step{Count: 6, Accelerators: 8})
+	occupy(tr, "low", slices.Concat(workers[1:4], workers[5:])...)
+	submit(tr, "fits in a rack", 0, &messages.Step{Count: 4, Accelerators: 8, Gang: true, Compact: true})
+	is.Equal(len(NewPlan(input(workers, tr)).Stops), 0)
+	submit(tr, "fits in no rack", 0, &messages.Step{Count: 5, Accelerators: 8, Gang: true, Compact: true})
+	is.Equal(len(NewPlan(input(workers, tr)).Stops), 5)
+}
+
+// TestUnitWithinTrialLimitBlocksNoOther guards against a unit that has waited long enough for trials that decide over jobs, and
+// still evicts nothing beside them because an earlier one may not use their workers.
+func TestUnitWithinTrialLimitBlocksNoOther(t *testing.T) {
+	is := is.New(t)
+	tr := tracker.New()
+	workers := fleet(4)
+	submit(tr, "suspect", 0, &messages.Step{Count: 1, Processors: 1000})
+	crash(tr, "suspect", 0, decidingCrashes, false)
+	occupy(tr, "suspect", workers[0])
+	workers[0].Runs[0].Starting = true
+	submit(tr, "low", 1, &messages.Step{Count: 1, Accelerators: 8})
+	occupy(tr, "low", workers[0])
+	submit(tr, "urgent", 0, &messages.Step{Count: 3, Accelerators: 1})
+	occupy(tr, "urgent", workers[1:]...)
+	submit(tr, "new", 0, &messages.Step{Count: 1, Accelerators: 8})
+	submit(tr, "old", 0, &messages.Step{Count: 1, Accelerators: 8})
+	in := input(workers, tr)
+	in.Waited = func(key StepKey) Wait {
+		if key.Job == "old" {
+			return Wait{Deferred: maxBusyWait, Idle: maxDecidingWait}
+		}
+		return Wait{}
 	}
-	submit(tr, "urgent", 0, &messages.Step{Count: 2, Accelerators: 4, Spread: 1})
-	var stopped []string
-	for _, a := range NewPlan(input(workers, tr)).Stops {
-		stopped = append(stopped, a.Key.Job)
+	plan := NewPlan(in)
+	is.Equal(len(plan.Stops), 1)
+	is.Equal(plan.StoppedFor[0].Job, "old")
+}
+
+// TestEvictionRespectsSpread checks that runs are stopped on as many workers as the spread limit of the urgent
+// step requires, though all the cheapest ones are on one worker. Suspect tasks are placed one by one, and count for each other.
+func TestEvictionRespectsSpread(t *testing.T) {
+	for _, suspects := range []int32{0, 1, 2} {
+		t.Run(fmt.Sprintf("%d suspects", suspects), func(t *testing.T) {
+			is := is.New(t)
+			tr := tracker.New()
+			workers := fleet(2)
+			submit(tr, "cheap", 1, &messages.Step{Count: 2, Accelerators: 4, Checkpoints: true})
+			occupy(tr, "cheap", workers[0], workers[0])
+			submit(tr, "dear", 1, &messages.Step{Count: 2, Accelerators: 4})
+			occupy(tr, "dear", workers[1], workers[1])
+			for _, a := range workers[0].Runs {
+				a.Unsaved = 0
+			}
+			submit(tr, "urgent", 0, &messages.Step{Count: 2, Accelerators: 4, Spread: 1})
+			for task := range suspects {
+				crash(tr, "urgent", task, 1, false)
+			}
+			var stopped []string
+			for _, a := range NewPlan(input(workers, tr)).Stops {
+				stopped = append(stopped, a.Key.Job)
+			}
+			is.Equal(stopped, []string{"cheap", "dear"})
+		})
 	}
-	is.Equal(stopped, []string{"cheap", "dear"})
 }
 
 // TestWaitingGangIsNotStarved checks that a stream of small long tasks does not delay a wide gang: tasks that
--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -86,8 +86,19 @@
 	return &single, candidates
 }
 
-// runsPerWorker counts the runs of the unit's step on each worker, and the starts of other units of the step in this pass. It
-// counts only if the step limits them.
+// countStart counts a start or a reservation of a task of a step that limits them for each worker.
+func (p *pass) countStart(u *unit, c *candidate) {
+	if u.step.Spec.GetSpread() == 0 {
+		return
+	}
+	if p.startsOf[u.step] == nil {
+		p.startsOf[u.step] = map[string]int{}
+	}
+	p.startsOf[u.step][c.ID]++
+}
+
+// runsPerWorker counts the runs of the unit's step on each worker, and the starts and reservations of other units of the step in
+// this pass. It counts only if the step limits them.
 func (p *pass) runsPerWorker(u *unit) map[string]int {
 	if u.step.Spec.GetSpread() == 0 {
 		return map[string]int{}
@@ -158,5 +169,6 @@
 	}
 	p.block(u.key(), obstacle)
 	counts[allocations[0].candidate.ID]++
+	p.countStart(u, allocations[0].candidate)
 	return true
 }
