placer: the work of a pass is limited, and evictions for single tasks are found faster

Change: - The cheapest eviction on each worker is kept from task to task until the worker changes. - A failed search is kept. A later unit that asks for no less looks only at workers whose room has grown since by stops. - The limits of guarantees (excess of an organisation, absent lasting tasks) are counted as runs are stopped, not over all runs for each candidate. - A pass counts the workers and runs it looks at and stops at 8,000,000 (maxVisits): the work is counted and not timed, so a plan still depends on its input alone. Units that are left out have the obstacle `search limit`. The next pass spends at most half of its work on the units before the one at which the last pass left off, so none is left out for ever. The leader keeps this place in memory; a new one begins in order. - The cached slowdown beside other images ends with a stop on the worker. It made the plan depend on which workers had been looked at before.

pass.workers is a number now: the list was never read.

--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -155,6 +155,7 @@
 	hasVerdicts     bool // the tasks that had several crashes when the term began are in verdicts
 	deferrals       map[placer.StepKey]*deferral
 	idleSince       map[placer.StepKey]time.Time // since when steps wait though most of their pool is idle
+	resume          placer.StepKey               // at which the last pass left off, zero if it reached all
 	waits           map[string]*jobWait          // by job
 	waitLog         waitLog
 	outdatedFor     map[placer.StepKey]string // keepers of an earlier build for which gangs wait, as of the last pass
@@ -225,7 +226,7 @@
 	c.allLosses, c.losses, c.widespreadAt = map[string]time.Time{}, map[string]time.Time{}, time.Time{}
 	c.verdicts, c.hasVerdicts = map[tracker.TaskKey]verdict{}, false
 	c.deferrals = map[placer.StepKey]*deferral{}
-	c.idleSince = map[placer.StepKey]time.Time{}
+	c.idleSince, c.resume = map[placer.StepKey]time.Time{}, placer.StepKey{}
 	c.waits = map[string]*jobWait{}
 	c.waitLog = waitLog{}
 	c.outdatedFor = map[placer.StepKey]string{}
--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -186,6 +186,7 @@
 // planStarts returns the runs that the placer starts, and marks those that it preempts for stopping.
 func (c *Coordinator) planStarts(state *tracker.Tracker) []*messages.Run {
 	plan := placer.NewPlan(c.placerInput(state))
+	c.recordResume(plan.Resume)
 	plan.Starts = c.limitStarts(state, plan.Starts) // first, as a step whose start is left out waits on
 	c.recordDeferrals(plan)
 	c.recordBlocked(plan)
@@ -208,6 +209,21 @@
 	return plan.Starts
 }
 
+// recordResume records where the next pass goes on, and logs when passes begin and cease to leave units out.
+func (c *Coordinator) recordResume(key placer.StepKey) {
+	limited, before := key != placer.StepKey{}, c.resume != placer.StepKey{}
+	c.resume = key
+	if limited == before {
+		return
+	}
+	if !limited {
+		c.opts.Log.Info("passes search for all units")
+		return
+	}
+	c.opts.Log.Info("passes leave units out, as the search takes too long", zap.String("next", key.Job), zap.Int32("occurrence", key.Occurrence),
+		zap.Int32("step", key.Step))
+}
+
 // placerInput returns the input of the placer: open jobs, workers and estimates.
 func (c *Coordinator) placerInput(state *tracker.Tracker) *placer.Input {
 	now, wall := c.opts.Now(), c.opts.Wall()
@@ -226,6 +242,7 @@
 		Held:     c.isHeld,
 		Resting:  c.isResting,
 		FailedAt: func(j *tracker.Job) time.Time { return c.failedWorkers.failedAt(now, j.Work.GetId()) },
+		Resume:   c.resume,
 		Waited:   c.waitOf, RackFactor: c.opts.RackFactor, Preemption: c.opts.Preemption, Slowdown: c.slowdown(),
 	}
 	quarantined := map[string]int{} // number of workers by pool
--- a/internal/queue/placer/evict.go
+++ b/internal/queue/placer/evict.go
@@ -34,12 +34,6 @@
 	return allocations
 }
 
-// evictionSearch is a unit for which an eviction is searched.
-type evictionSearch struct {
-	unit  *unit
-	racks bool // in single racks, not in the whole pool
-}
-
 // isWholePool reports whether domains are the whole pool of a unit as one domain.
 func (p *pass) isWholePool(u *unit, domains [][]*candidate) bool {
 	return len(domains) == 1 && len(domains[0]) == len(p.pools[u.pool])
@@ -47,7 +41,7 @@
 
 // planEviction returns the cheapest eviction for a whole unit, nil if there is none.
 func (p *pass) planEviction(u *unit, domains [][]*candidate) *eviction {
-	s := evictionSearch{unit: u, racks: u.prefersRack() && !p.isWholePool(u, domains)}
+	s := p.newSearch(u, domains)
 	if p.isInfeasible(s) {
 		return nil
 	}
@@ -59,7 +53,7 @@
 		}
 	}
 	if best == nil {
-		p.infeasible = append(p.infeasible, s)
+		p.addInfeasible(s)
 	}
 	return best
 }
@@ -95,12 +89,19 @@
 	return best
 }
 
+// addInfeasible records a unit that no eviction could fit.
+func (p *pass) addInfeasible(s search) {
+	if len(p.infeasible) < maxFailures {
+		p.infeasible = append(p.infeasible, s)
+	}
+}
+
 // isInfeasible reports whether eviction already failed in this pass for a unit that needs no more than this
 // one and may use all workers that this one may use. The set of runs that can be evicted only shrinks during a
 // pass.
-func (p *pass) isInfeasible(s evictionSearch) bool {
+func (p *pass) isInfeasible(s search) bool {
 	u := s.unit
-	return slices.ContainsFunc(p.infeasible, func(failed evictionSearch) bool {
+	return slices.ContainsFunc(p.infeasible, func(failed search) bool {
 		earlier := failed.unit
 		return !earlier.excludesMoreThan(u) && (earlier.reclaims() || !u.reclaims()) && earlier.pool == u.pool &&
 			earlier.job.Work.GetPriority() <= u.job.Work.GetPriority() && len(earlier.tasks) <= len(u.tasks) &&
@@ -122,11 +123,13 @@
 	if a.Stopping {
 		return
 	}
+	p.removeProtected(a)
 	a.Stopping = true
 	p.plan.Stops = append(p.plan.Stops, a)
 	p.plan.StoppedFor = append(p.plan.StoppedFor, beneficiary)
 	c := p.workerOf[a]
 	c.projected = c.projected.Add(a.Need)
+	p.raise(c)
 }
 
 // eviction is a set of runs whose stop frees enough capacity in one domain.
@@ -135,8 +138,20 @@
 	cost     int64
 	runs     []*ActiveRun
 	selected map[*ActiveRun]bool
-	free     map[*candidate]Vector
-	options  map[*candidate]*evictionOption // cached per worker until a run on it is selected
+}
+
+// evictionState is a worker in the eviction that is planned.
+type evictionState struct {
+	eviction *eviction       // nil if the worker is in none
+	free     Vector          // once the selected runs have ended
+	option   *evictionOption // cached until a run on the worker is selected, nil if unknown
+}
+
+// forgetOptions drops what is cached about the workers.
+func (e *eviction) forgetOptions() {
+	for _, c := range e.domain {
+		c.state.option = nil
+	}
 }
 
 // evictionOption is the cheapest set of runs on a worker whose stop makes at least one more member fit.
@@ -149,12 +164,13 @@
 // planDomain selects runs to stop in one domain: greedily, the cheapest option for one more member each
 // time.
 func (p *pass) planDomain(u *unit, domain []*candidate) *eviction {
-	e := &eviction{domain: domain, selected: map[*ActiveRun]bool{}, free: map[*candidate]Vector{}, options: map[*candidate]*evictionOption{}}
+	e := &eviction{domain: domain, selected: map[*ActiveRun]bool{}}
+	p.visit(len(domain))
 	fits := 0
 	limit := u.maxPerWorker(len(u.tasks))
 	for _, c := range domain {
 		if u.mayUse(c) {
-			e.free[c] = c.projected
+			c.state = evictionState{eviction: e, free: c.projected}
 			fits += c.projected.Fits(u.need, limit)
 		}
 	}
@@ -181,17 +197,16 @@
 		}
 		e.selected[member] = true
 		if member.Step.Spec.GetLasting() || isUrgent(member.Job) {
-			clear(e.options) // which may hold other tasks of the step or the organisation
+			e.forgetOptions() // which may hold other tasks of the step or the organisation
 		}
 		e.runs = append(e.runs, member)
 		c := p.workerOf[member]
-		free, ok := e.free[c]
-		if !ok {
+		if c.state.eviction != e {
 			continue
 		}
-		delete(e.options, c)
-		e.free[c] = free.Add(member.Need)
-		fits += e.free[c].Fits(u.need, limit) - free.Fits(u.need, limit)
+		free := c.state.free
+		c.state.option, c.state.free = nil, free.Add(member.Need)
+		fits += c.state.free.Fits(u.need, limit) - free.Fits(u.need, limit)
 	}
 	return fits
 }
@@ -199,14 +214,15 @@
 // cheapestOption returns the feasible option with the lowest cost over all workers of the domain, or nil.
 func (p *pass) cheapestOption(u *unit, e *eviction, limit int) *evictionOption {
 	var best *evictionOption
+	p.visit(len(e.domain))
 	for _, c := range e.domain {
-		if _, ok := e.free[c]; !ok {
+		if c.state.eviction != e {
 			continue
 		}
-		o := e.options[c]
+		o := c.state.option
 		if o == nil {
-			o = p.newOption(u, e, c, limit)
-			e.options[c] = o
+			o = p.newOption(u, e, c, c.state.free, limit)
+			c.state.option = o
 		}
 		if o.feasible && (best == nil || o.cost < best.cost) {
 			best = o
@@ -215,9 +231,9 @@
 	return best
 }
 
-func (p *pass) newOption(u *unit, e *eviction, c *candidate, limit int) *evictionOption {
+func (p *pass) newOption(u *unit, e *eviction, c *candidate, free Vector, limit int) *evictionOption {
 	o := &evictionOption{}
-	free := e.free[c]
+	p.visit(1 + visitsPerRun*len(c.Runs))
 	fits := free.Fits(u.need, limit)
 	if fits >= limit {
 		return o
--- a/internal/queue/placer/gang.go
+++ b/internal/queue/placer/gang.go
@@ -23,7 +23,7 @@
 	if p.startGang(u, domains) || p.startRelaxedGang(u) {
 		return
 	}
-	if allocations := p.bestFit(u, domains, func(c *candidate) Vector { return c.projected }); allocations != nil {
+	if allocations := p.searchGang(u, domains, &p.noGangProjected, projectedOf); allocations != nil {
 		// Pending stops will free enough capacity, unless it is reserved for earlier gangs.
 		if !u.usesReserved(allocations) || !p.placeRelaxedGang(u) {
 			p.reserveCapacity(u, allocations)
@@ -62,7 +62,7 @@
 
 // fitGang returns allocations for all members of a gang that may start in this pass, nil if it does not fit.
 func (p *pass) fitGang(u *unit, domains [][]*candidate) []allocation {
-	return p.bestFit(u, domains, func(c *candidate) Vector { return c.available(u) })
+	return p.searchGang(u, domains, &p.noGangRoom, func(c *candidate) Vector { return c.available(u) })
 }
 
 // available returns the capacity that the unit may use on the worker in this pass. A unit that has waited long enough in an
@@ -99,11 +99,11 @@
 	if !u.prefersRack() {
 		return [][]*candidate{pool}
 	}
+	p.visit(len(pool))
 	var racks [][]*candidate
-	prefix := u.pool + "\x00"
-	for _, key := range slices.Sorted(maps.Keys(p.racks)) {
-		if len(key) > len(prefix) && key[:len(prefix)] == prefix && u.fitsBesideLasting(p.racks[key]) {
-			racks = append(racks, p.racks[key])
+	for _, rack := range p.racksOf(u.pool) {
+		if u.fitsBesideLasting(rack) {
+			racks = append(racks, rack)
 		}
 	}
 	if len(racks) == 0 {
@@ -112,6 +112,25 @@
 	return racks
 }
 
+// racksOf returns the racks of a pool in the order of their names, without workers of no rack.
+func (p *pass) racksOf(pool string) [][]*candidate {
+	racks, known := p.sortedRacks[pool]
+	if known {
+		return racks
+	}
+	prefix := pool + "\x00"
+	for _, key := range slices.Sorted(maps.Keys(p.racks)) {
+		if len(key) > len(prefix) && key[:len(prefix)] == prefix {
+			racks = append(racks, p.racks[key])
+		}
+	}
+	if p.sortedRacks == nil {
+		p.sortedRacks = map[string][][]*candidate{}
+	}
+	p.sortedRacks[pool] = racks
+	return racks
+}
+
 // fitsBesideLasting reports whether a gang fits on a set of workers once all runs there have ended but those of lasting
 // tasks, which never end by themselves.
 func (u *unit) fitsBesideLasting(candidates []*candidate) bool {
@@ -125,16 +144,27 @@
 }
 
 // withoutEndingRuns returns the capacity that lasting tasks leave.
-func (w *Worker) withoutEndingRuns() Vector {
-	v := w.Capacity
-	for _, a := range w.Runs {
+func (c *candidate) withoutEndingRuns() Vector {
+	if c.besideLasting.known && c.besideLasting.stops == c.stops {
+		return c.besideLasting.capacity
+	}
+	v := c.Capacity
+	for _, a := range c.Runs {
 		if a.Step.Spec.GetLasting() && !a.Stopping {
 			v = v.Sub(a.Need)
 		}
 	}
+	c.besideLasting = besideLasting{v, c.stops, true}
 	return v
 }
 
+// besideLasting caches the capacity that lasting tasks leave on a worker. It holds until another run there is stopped.
+type besideLasting struct {
+	capacity Vector
+	stops    int
+	known    bool
+}
+
 // maxPerWorker returns how many of n tasks may run on one worker.
 func (u *unit) maxPerWorker(n int) int {
 	if spread := int(u.step.Spec.GetSpread()); spread > 0 {
@@ -149,10 +179,12 @@
 	var best []allocation
 	bestRemaining, bestSlowdown := int64(-1), 1.0
 	for _, d := range domains {
+		p.visit(len(d))
 		allocations, ok := u.pack(d, free)
 		if !ok {
 			continue
 		}
+		p.visit(visitsPerSort * len(d))
 		remaining := int64(0)
 		for _, c := range d {
 			if !c.Quarantined && !c.closed {
@@ -201,16 +233,21 @@
 // packAll allocates all members in one domain, at most limit on a worker.
 func (u *unit) packAll(domain []*candidate, free func(*candidate) Vector, limit int) ([]allocation, bool) {
 	var allocations []allocation
+	room := 0
 	for _, c := range domain {
 		if !u.mayUse(c) {
 			continue
 		}
 		if n := free(c).Fits(u.need, limit); n > 0 {
 			allocations = append(allocations, allocation{c, n})
+			room += n
 		}
 	}
+	if room < len(u.tasks) {
+		return nil, false
+	}
 	rack := u.step.Spec.GetRack()
-	slices.SortStableFunc(allocations, func(a, b allocation) int {
+	compare := func(a, b allocation) int {
 		return cmp.Or(
 			compareBool(a.candidate.Suspect, b.candidate.Suspect), compareBool(a.candidate.closed, b.candidate.closed),
 			compareBool(rack != "" && a.candidate.Rack != rack, rack != "" && b.candidate.Rack != rack),
@@ -218,7 +255,11 @@
 			u.compareSlowdowns(a.candidate, b.candidate),
 			cmp.Compare(free(a.candidate).Weight(), free(b.candidate).Weight()),
 		)
-	})
+	}
+	if len(u.tasks) == 1 {
+		return []allocation{{slices.MinFunc(allocations, compare).candidate, 1}}, true
+	}
+	slices.SortStableFunc(allocations, compare)
 	remaining := len(u.tasks)
 	for i := range allocations {
 		allocations[i].members = min(allocations[i].members, remaining)
@@ -244,7 +285,7 @@
 	var best []allocation
 	bestAt := time.Duration(-1)
 	for _, d := range domains {
-		allocations, at := u.forecast(d)
+		allocations, at := p.forecast(u, d)
 		if allocations != nil && (bestAt < 0 || at < bestAt) {
 			best, bestAt = allocations, at
 		}
@@ -262,7 +303,7 @@
 
 // forecast returns the allocations in which all members of a gang are estimated to fit earliest, and the time
 // until then.
-func (u *unit) forecast(domain []*candidate) ([]allocation, time.Duration) {
+func (p *pass) forecast(u *unit, domain []*candidate) ([]allocation, time.Duration) {
 	type release struct {
 		at        time.Duration
 		candidate *candidate
@@ -281,6 +322,7 @@
 			}
 		}
 	}
+	p.visit(len(domain) + visitsPerRelease*len(releases))
 	slices.SortStableFunc(releases, func(a, b release) int { return cmp.Compare(a.at, b.at) })
 	fits := 0
 	for _, c := range domain {
--- a/internal/queue/placer/neighbour.go
+++ b/internal/queue/placer/neighbour.go
@@ -21,10 +21,10 @@
 	apart     bool                // the worker selected last is another one than if no images interfered
 }
 
-// neighbourSlowdown is a cached slowdown, 0 for none. It holds until another task starts on the worker.
+// neighbourSlowdown is a cached slowdown, 0 for none. It holds until another task starts on the worker, or a run there is stopped.
 type neighbourSlowdown struct {
-	begun int
-	value float64
+	begun, stops int
+	value        float64
 }
 
 // newNeighbours returns the cache for a unit, nil if no images interfere.
@@ -32,7 +32,7 @@
 	if p.input.Slowdown == nil || s.Spec.GetImage() == "" {
 		return nil
 	}
-	n := &neighbours{step: s, slowdown: p.input.Slowdown, workers: len(p.workers)}
+	n := &neighbours{step: s, slowdown: p.input.Slowdown, workers: p.workers}
 	n.beside = n.ask(&Worker{Runs: []*ActiveRun{{Step: s}}})
 	return n
 }
@@ -65,7 +65,7 @@
 		n.slowdowns = make([]neighbourSlowdown, n.workers) // only for units that fit somewhere
 	}
 	known := &n.slowdowns[c.index]
-	if known.value > 0 && known.begun == len(c.begun) {
+	if known.value > 0 && known.begun == len(c.begun) && known.stops == c.stops {
 		return known.value
 	}
 	w := c.Worker
@@ -74,7 +74,7 @@
 		v.Runs = slices.DeleteFunc(slices.Concat(c.Runs, c.begun), isStopping)
 		w = &v
 	}
-	*known = neighbourSlowdown{len(c.begun), n.ask(w)}
+	*known = neighbourSlowdown{len(c.begun), c.stops, n.ask(w)}
 	return known.value
 }
 
--- a/internal/queue/placer/obstacle.go
+++ b/internal/queue/placer/obstacle.go
@@ -21,6 +21,7 @@
 	Resting          Obstacle = "resting"           // the next start of a lasting task is delayed
 	Evacuated        Obstacle = "evacuated"         // only workers of evacuated data centres have the capacity for it
 	PlanFull         Obstacle = "plan full"         // the pass has started as many tasks as fit into one change
+	SearchLimit      Obstacle = "search limit"      // the pass has searched for room as long as it may
 )
 
 // Blocked is a step of which no task started in a pass, though the turn of one has come, or a lasting step of which any task
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -81,6 +81,8 @@
 	FailedAt func(*tracker.Job) time.Time
 	// Waited returns how long a step has waited.
 	Waited func(StepKey) Wait
+	// Resume is the step at which the last pass left off, zero if it reached all.
+	Resume StepKey
 	// RackFactor is the run time of a compact gang across racks as a multiple of that in a single rack.
 	RackFactor float64
 	// Preemption is what stops cost. While its Restore is 0, a stop costs the unsaved work only.
@@ -104,6 +106,8 @@
 	Blocked []Blocked
 	// Obstacles are the last obstacles to units by step, also of steps that have started in part or as a whole.
 	Obstacles map[StepKey]Obstacle
+	// Resume is the step at which the next pass goes on, zero if this one has reached all.
+	Resume StepKey
 	// Apart is the number of starts that would be on another worker if no images interfered.
 	Apart int
 }
@@ -141,16 +145,17 @@
 type pass struct {
 	input        *Input
 	plan         Plan
-	workers      []*candidate
+	workers      int                     // number of all workers
 	racks        map[string][]*candidate // by pool and rack
 	pools        map[string][]*candidate
 	gangs        map[*tracker.Step][]*ActiveRun // running members of each gang
 	lasting      map[*tracker.Step][]*ActiveRun // of steps that limit how many of their tasks are away
-	urgentRuns   map[string][]*ActiveRun        // by organisation
+	urgentUse    map[string]int64               // accelerators by organisation, of urgent runs that are not being stopped
+	away         map[*tracker.Step]int          // tasks that are not at work, of the steps in lasting, once counted
 	demand       map[string]int64               // accelerators by organisation, of urgent jobs that have not ended
 	workerOf     map[*ActiveRun]*candidate
 	costs        map[*ActiveRun]int64 // of evicting a run together with its gang
-	infeasible   []evictionSearch     // units that no eviction could fit
+	infeasible   []search             // units that no eviction could fit
 	reservations int
 	reserved     bool                             // capacity is reserved for units that wait for stops
 	trials       map[string]int                   // trials that may still start, by pool
@@ -162,6 +167,7 @@
 	doubtful     map[string]bool                  // pools with workers in quarantine, probation or trials
 	evacuated    map[string]bool                  // pools with workers of evacuated data centres
 	obstacles    map[StepKey]Obstacle
+	searchState
 }
 
 // maxStarts limits the starts of a plan, so that they fit into one change. A gang that exceeds it starts nevertheless, as a
@@ -186,6 +192,11 @@
 	// begun are the runs with images that start in this pass, kept only while images interfere.
 	begun []*ActiveRun
 	index int // in the list of all workers
+	stops int // of runs on it in this pass
+	// raised is the length of pass.raised after the last of them.
+	raised        int
+	besideLasting besideLasting
+	state         evictionState
 }
 
 // close keeps the worker from later units of the pass that can wait.
@@ -198,17 +209,19 @@
 func (c *candidate) hosts(r *messages.Run) bool { return r.GetWorker() == c.ID }
 
 // NewPlan runs one pass and returns its plan.
-func NewPlan(in *Input) Plan {
+func NewPlan(in *Input) Plan { return newPlan(in, searchState{maxVisits: maxVisits}) }
+
+func newPlan(in *Input, state searchState) Plan {
 	p := &pass{
 		input: in, racks: map[string][]*candidate{}, pools: map[string][]*candidate{},
 		gangs: map[*tracker.Step][]*ActiveRun{}, workerOf: map[*ActiveRun]*candidate{}, costs: map[*ActiveRun]int64{},
 		trials: map[string]int{}, old: map[string]int{}, tried: map[*tracker.Job]bool{}, running: map[*tracker.Job]bool{}, idle: map[string]bool{},
-		startsOf: map[*tracker.Step]map[string]int{}, lasting: map[*tracker.Step][]*ActiveRun{}, urgentRuns: map[string][]*ActiveRun{},
-		doubtful: map[string]bool{}, evacuated: map[string]bool{}, obstacles: map[StepKey]Obstacle{},
+		startsOf: map[*tracker.Step]map[string]int{}, lasting: map[*tracker.Step][]*ActiveRun{}, urgentUse: map[string]int64{}, away: map[*tracker.Step]int{},
+		doubtful: map[string]bool{}, evacuated: map[string]bool{}, obstacles: map[StepKey]Obstacle{}, searchState: state,
 	}
 	p.planTrials()
 	for _, w := range in.Workers {
-		c := &candidate{Worker: w, free: w.Free, projected: w.Free, starting: w.hasStarts(), loss: -1, index: len(p.workers)}
+		c := &candidate{Worker: w, free: w.Free, projected: w.Free, starting: w.hasStarts(), loss: -1, index: p.workers}
 		for _, a := range w.Runs {
 			p.workerOf[a] = c
 			p.running[a.Job] = p.running[a.Job] || !w.Silent
@@ -220,7 +233,8 @@
 				c.projected = c.projected.Add(a.Need)
 			}
 		}
-		p.workers = append(p.workers, c)
+		p.workers++
+		p.maxRuns, p.maxAccelerators = max(p.maxRuns, len(w.Runs)), max(p.maxAccelerators, w.Capacity.Accelerators)
 		p.evacuated[w.Pool] = p.evacuated[w.Pool] || w.Evacuated
 		if w.hasTrial() {
 			p.close(c)
@@ -232,13 +246,7 @@
 			p.racks[w.Pool+"\x00"+w.Rack] = append(p.racks[w.Pool+"\x00"+w.Rack], c)
 		}
 	}
-	for _, u := range p.units() {
-		if len(p.plan.Starts) >= maxStarts {
-			p.block(u.key(), PlanFull)
-			continue
-		}
-		p.place(u)
-	}
+	p.placeAll(p.units())
 	p.listBlocked()
 	p.plan.Obstacles = p.obstacles
 	return p.plan
--- a/internal/queue/placer/preemption.go
+++ b/internal/queue/placer/preemption.go
@@ -38,22 +38,38 @@
 // later than a stop would take, and returns it. It returns nil if there is none, if the unit has waited long enough, as the
 // estimate of a stuck run stays short for ever, or if a stop after such a wait could make it late.
 func (p *pass) reserveEnds(u *unit, domains [][]*candidate) []allocation {
-	stop := p.input.Preemption.Stop
-	limit := min(endWaitFactor*stop, maxEndWait)
-	switch {
-	case !p.input.Preemption.Enabled(), p.input.Waited(u.key()).Deferred >= limit:
-		return nil
-	case u.objective > 0 && u.age+u.estimate+limit+stop > u.objective:
+	if !p.mayAwaitEnds(u) {
 		return nil
 	}
-	allocations := p.bestFit(u, domains, func(c *candidate) Vector { return c.projectedAfter(stop) })
+	allocations := p.bestFit(u, domains, p.projectedAfterStop)
 	if allocations == nil {
 		return nil
 	}
 	p.reserveCapacity(u, allocations)
+	p.awaitEnds(u)
+	return allocations
+}
+
+// mayAwaitEnds reports whether the unit may wait for runs to end by themselves instead of stopping some.
+func (p *pass) mayAwaitEnds(u *unit) bool {
+	stop := p.input.Preemption.Stop
+	limit := min(endWaitFactor*stop, maxEndWait)
+	if !p.input.Preemption.Enabled() || p.input.Waited(u.key()).Deferred >= limit {
+		return false
+	}
+	return u.objective <= 0 || u.age+u.estimate+limit+stop <= u.objective
+}
+
+// awaitEnds records that the unit waits for runs to end by themselves.
+func (p *pass) awaitEnds(u *unit) {
 	p.plan.Deferred = append(p.plan.Deferred, Deferral{Key: u.key(), Preferred: PrefersEnds})
 	p.block(u.key(), EndsPending)
-	return allocations
+}
+
+// projectedAfterStop returns the projected capacity after the time that a stop takes.
+func (p *pass) projectedAfterStop(c *candidate) Vector {
+	p.visit(1 + len(c.Runs))
+	return c.projectedAfter(p.input.Preemption.Stop)
 }
 
 // projectedAfter returns the projected capacity once the runs have ended that are expected to within the limit.
--- a/internal/queue/placer/preference.go
+++ b/internal/queue/placer/preference.go
@@ -216,6 +216,7 @@
 		tasks = len(u.tasks)
 	}
 	fits := 0
+	p.visit(len(p.pools[u.pool]))
 	for _, c := range p.pools[u.pool] {
 		if u.mayUse(c) {
 			fits += c.available(u).Fits(u.need, u.maxPerWorker(2*tasks))
--- a/internal/queue/placer/reclaim.go
+++ b/internal/queue/placer/reclaim.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
 )
 
 // reclaimPenalty ranks runs that are evicted only for a guarantee behind all others.
@@ -45,10 +47,13 @@
 // hasExcess reports whether the urgent runs of an organisation still use more than its guarantee without those that are being
 // stopped. What it is guaranteed stays with it, though it has asked for more.
 func (p *pass) hasExcess(organisation string, e *eviction, chosen []*ActiveRun) bool {
-	used := int64(0)
-	for _, a := range p.urgentRuns[organisation] {
-		if !a.Stopping && !e.selected[a] && !slices.Contains(chosen, a) {
-			used += a.Need.Accelerators
+	used := p.urgentUse[organisation]
+	p.visit(len(e.runs))
+	for _, list := range [...][]*ActiveRun{e.runs, chosen} {
+		for _, a := range list {
+			if isUrgent(a.Job) && a.Job.Work.GetOrganisation() == organisation {
+				used -= a.Need.Accelerators
+			}
 		}
 	}
 	return used > p.input.Guarantee(organisation)
@@ -61,15 +66,16 @@
 	if gang && slices.ContainsFunc(chosen, func(other *ActiveRun) bool { return other.Step == a.Step }) {
 		return true // the gang is stopped as a whole in any case
 	}
-	away := 0
-	for i := range a.Step.Tasks {
-		if a.Step.Tasks[i].Active == 0 {
-			away++
-		}
+	away := p.countAway(a.Step)
+	if p.isAway(a) {
+		away--
 	}
-	for _, other := range p.lasting[a.Step] {
-		if other != a && (other.Stopping || other.Starting || e.selected[other] || p.workerOf[other].Silent || slices.Contains(chosen, other)) {
-			away++
+	p.visit(len(e.runs))
+	for _, list := range [...][]*ActiveRun{e.runs, chosen} {
+		for _, other := range list {
+			if other.Step == a.Step && !p.isAway(other) {
+				away++
+			}
 		}
 	}
 	if gang {
@@ -78,10 +84,55 @@
 	return away < limit
 }
 
+// isAway reports whether a lasting run is not at work, or will soon not be.
+func (p *pass) isAway(a *ActiveRun) bool {
+	return a.Stopping || a.Starting || p.workerOf[a].Silent
+}
+
+// countAway returns how many tasks of a lasting step are not at work.
+func (p *pass) countAway(s *tracker.Step) int {
+	away, known := p.away[s]
+	if known {
+		return away
+	}
+	p.visit(len(s.Tasks) + len(p.lasting[s]))
+	for i := range s.Tasks {
+		if s.Tasks[i].Active == 0 {
+			away++
+		}
+	}
+	for _, a := range p.lasting[s] {
+		if p.isAway(a) {
+			away++
+		}
+	}
+	p.away[s] = away
+	return away
+}
+
+// removeProtected notes that a run is about to be stopped. The evictions for single tasks that are known stay valid while mayTake
+// allows all runs on any one worker, both before and after the stop.
+func (p *pass) removeProtected(a *ActiveRun) {
+	if isUrgent(a.Job) {
+		org := a.Job.Work.GetOrganisation()
+		p.urgentUse[org] -= a.Need.Accelerators
+		if p.urgentUse[org] <= p.input.Guarantee(org)+p.maxAccelerators {
+			p.protectedStops++
+		}
+	}
+	if !a.Step.Spec.GetLasting() || a.Step.Spec.GetAbsent() == 0 || p.isAway(a) {
+		return
+	}
+	p.away[a.Step] = p.countAway(a.Step) + 1
+	if a.Step.Spec.GetGang() || p.away[a.Step]+p.maxRuns >= int(a.Step.Spec.GetAbsent()) {
+		p.protectedStops++
+	}
+}
+
 // addProtected notes an active run that is evicted for guarantees alone.
 func (p *pass) addProtected(a *ActiveRun) {
-	if isUrgent(a.Job) {
-		p.urgentRuns[a.Job.Work.GetOrganisation()] = append(p.urgentRuns[a.Job.Work.GetOrganisation()], a)
+	if isUrgent(a.Job) && !a.Stopping {
+		p.urgentUse[a.Job.Work.GetOrganisation()] += a.Need.Accelerators
 	}
 	if !a.Step.Spec.GetLasting() || a.Step.Spec.GetAbsent() == 0 {
 		return
--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -14,6 +14,10 @@
 		if len(p.plan.Starts) >= maxStarts {
 			return
 		}
+		if p.isSpent() {
+			p.block(u.key(), SearchLimit)
+			return
+		}
 		c := p.selectWorker(u, counts)
 		switch {
 		case c != nil:
@@ -39,9 +43,8 @@
 	if !u.urgent || p.reservations == 0 {
 		return false
 	}
-	single, candidates := p.singleTask(u, counts)
-	allocations, ok := single.pack(candidates, func(c *candidate) Vector { return c.projected })
-	return ok && single.usesReserved(allocations)
+	c := p.packTask(u, counts, &p.noProjected, projectedOf)
+	return c != nil && u.isExcludedFrom(c)
 }
 
 // placeRelaxedTasks places tasks of a unit without preferences for which it has waited long enough. It reports false if
@@ -69,21 +72,30 @@
 
 // canEvictForTask reports whether evictions can make room for one task of an urgent unit.
 func (p *pass) canEvictForTask(u *unit, counts map[string]int) bool {
-	single, candidates := p.singleTask(u, counts)
-	return u.urgent && p.planEviction(single, [][]*candidate{candidates}) != nil
+	if !u.urgent || p.isInfeasible(search{unit: u.single()}) {
+		return false
+	}
+	return p.packTask(u, counts, &p.noProjected, projectedOf) != nil || p.planTaskEviction(u.single(), counts) != nil
 }
 
-// singleTask returns a unit of one of the tasks, and the workers that it may use.
-func (p *pass) singleTask(u *unit, counts map[string]int) (*unit, []*candidate) {
-	single := *u
-	single.tasks = u.tasks[:1]
-	var candidates []*candidate
-	for _, c := range p.pools[u.pool] {
-		if u.canStartOn(c, counts) {
-			candidates = append(candidates, c)
+// single returns a unit of one of the tasks.
+func (u *unit) single() *unit {
+	v := *u
+	v.tasks = u.tasks[:1]
+	return &v
+}
+
+func projectedOf(c *candidate) Vector { return c.projected }
+
+// packTask returns the worker on which one task of the unit is packed, nil if it fits on none.
+func (p *pass) packTask(u *unit, counts map[string]int, f *failures, free func(*candidate) Vector) *candidate {
+	return p.searchTask(u, counts, f, func(candidates []*candidate) *candidate {
+		allocations, ok := u.single().pack(candidates, free)
+		if !ok {
+			return nil
 		}
-	}
-	return &single, candidates
+		return allocations[0].candidate
+	})
 }
 
 // countStart counts a start or a reservation of a task of a step that limits them for each worker.
@@ -107,6 +119,7 @@
 	if counts == nil {
 		counts = map[string]int{}
 	}
+	p.visit(2 * len(p.pools[u.pool]))
 	for _, c := range p.pools[u.pool] {
 		for _, a := range c.Runs {
 			if a.Step == u.step {
@@ -137,38 +150,45 @@
 			cmp.Compare(a.free.Weight(), b.free.Weight()),
 		)
 	}
-	var best, regardless *candidate
-	for _, c := range p.pools[u.pool] {
-		if !u.canStartOn(c, counts) || c.available(u).Fits(u.need, 1) == 0 {
-			continue
-		}
-		if best == nil || compare(c, best, u.compareSlowdowns(c, best)) < 0 {
-			best = c
-		}
-		if u.neighbours != nil && (regardless == nil || compare(c, regardless, 0) < 0) {
-			regardless = c
+	return p.searchTask(u, counts, &p.noRoom, func(candidates []*candidate) *candidate {
+		var best, regardless *candidate
+		for _, c := range candidates {
+			if c.available(u).Fits(u.need, 1) == 0 {
+				continue
+			}
+			if best == nil || compare(c, best, u.compareSlowdowns(c, best)) < 0 {
+				best = c
+			}
+			if u.neighbours != nil && (regardless == nil || compare(c, regardless, 0) < 0) {
+				regardless = c
+			}
 		}
-	}
-	u.recordChoice(best, regardless)
-	return best
+		u.recordChoice(best, regardless)
+		return best
+	})
 }
 
 // evictForTask reserves capacity for one urgent task, evicting runs if necessary. It reports false if that is
 // not possible.
 func (p *pass) evictForTask(u *unit, counts map[string]int) bool {
-	single, candidates := p.singleTask(u, counts)
-	domains := [][]*candidate{candidates}
+	single := u.single()
 	obstacle := StopsPending
-	allocations, ok := single.pack(candidates, func(c *candidate) Vector { return c.projected })
-	if ok {
-		p.reserveCapacity(single, allocations)
-	} else if allocations = p.reserveEnds(single, domains); allocations != nil {
-		obstacle = EndsPending
-	} else if allocations = p.evict(single, domains); allocations == nil {
+	c := p.packTask(single, counts, &p.noProjected, projectedOf)
+	if c == nil && p.mayAwaitEnds(single) {
+		if c = p.packTask(single, counts, &p.noEnds, p.projectedAfterStop); c != nil {
+			p.awaitEnds(single)
+			obstacle = EndsPending
+		}
+	}
+	if c == nil {
+		c = p.evictTask(single, counts)
+	}
+	if c == nil {
 		return false
 	}
+	p.reserveCapacity(single, []allocation{{c, 1}})
 	p.block(u.key(), obstacle)
-	counts[allocations[0].candidate.ID]++
-	p.countStart(u, allocations[0].candidate)
+	counts[c.ID]++
+	p.countStart(u, c)
 	return true
 }
--- a/internal/queue/placer/trial.go
+++ b/internal/queue/placer/trial.go
@@ -227,6 +227,7 @@
 	atOnce := u.isDeciding() && p.isOverdue(u) // it does not wait for starts on the worker
 	var best *candidate
 	var bestLoss int64
+	p.visit(len(p.pools[u.pool]))
 	for _, c := range p.pools[u.pool] {
 		if !u.canStartOn(c, counts) || c.available(u).Fits(u.need, 1) == 0 || atOnce && (c.assigned || c.starting) {
 			continue
