--- a/internal/job/allocator/place.go
+++ b/internal/job/allocator/place.go
@@ -154,7 +154,6 @@
 
 // subgang is the part of a gang that is placed in one cell.
 type subgang struct {
-	tasks int
 	level int
 	runs  []int // slots used on each worker of the cell, in order
 }
@@ -195,7 +194,7 @@
 	}
 	if n <= perWorker {
 		level := levelFor(n * q.Slots)
-		return subgang{tasks: n, level: level, runs: []int{n * q.Slots}}, true
+		return subgang{level: level, runs: []int{n * q.Slots}}, true
 	}
 	workers := (n + perWorker - 1) / perWorker
 	level := int(f.geometry.WorkerLevel()) + levelFor(workers)
@@ -206,7 +205,7 @@
 	if q.Adjacency == SameWorker || level > int(limit) {
 		return subgang{}, false
 	}
-	sg := subgang{tasks: n, level: level}
+	sg := subgang{level: level}
 	for n > 0 {
 		k := min(n, perWorker)
 		sg.runs = append(sg.runs, k*q.Slots)
