placer: looking up the interference of images counts as work of a pass

Cause: with images that interfere, each unit looks up what it and the runs on each worker do to each other. That was not counted, so a pass with 10,000 waiting jobs of single tasks took 1.1 s of processor time with 350 workers and 3.9 s with 6,600, over its targets of 0.5 and 2 s.

Change: each run that is looked up counts as three workers.

--- a/internal/queue/placer/neighbour.go
+++ b/internal/queue/placer/neighbour.go
@@ -17,6 +17,7 @@
 	beside    float64             // of a task beside another one of the unit
 	slowdowns []neighbourSlowdown // by index of the worker
 	workers   int                 // number of all workers
+	visit     func(int)           // counts the work
 	seen      bool                // there is a worker with interference, or the tasks of the unit interfere
 	apart     bool                // the worker selected last is another one than if no images interfered
 }
@@ -32,13 +33,14 @@
 	if p.input.Slowdown == nil || s.Spec.GetImage() == "" {
 		return nil
 	}
-	n := &neighbours{step: s, slowdown: p.input.Slowdown, workers: p.workers}
+	n := &neighbours{step: s, slowdown: p.input.Slowdown, workers: p.workers, visit: p.visit}
 	n.beside = n.ask(&Worker{Runs: []*ActiveRun{{Step: s}}})
 	return n
 }
 
 // ask returns the slowdown on a worker, 1 if it is not significant.
 func (n *neighbours) ask(w *Worker) float64 {
+	n.visit(visitsPerNeighbour * (1 + len(w.Runs)))
 	value := n.slowdown(n.step, w)
 	if value < minSlowdown {
 		return 1
--- a/internal/queue/placer/search.go
+++ b/internal/queue/placer/search.go
@@ -12,9 +12,10 @@
 
 // The work of what is done with a worker or a run, as a multiple of the work to look at a worker.
 const (
-	visitsPerRun     = 4 // to consider a run for an eviction
-	visitsPerRelease = 8 // to consider the end of a run for a reservation
-	visitsPerSort    = 3 // to put a worker in order
+	visitsPerRun       = 4 // to consider a run for an eviction
+	visitsPerRelease   = 8 // to consider the end of a run for a reservation
+	visitsPerNeighbour = 3 // to look up how a run interferes
+	visitsPerSort      = 3 // to put a worker in order
 )
 
 // visit counts the work of a search.
