--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -10,11 +10,17 @@
 
 // placeCounted is placeTasks with the number of the step's runs on each worker, those that start in this pass included.
 func (p *pass) placeCounted(u *unit, counts map[string]int) {
+	var last *candidate // on which the previous task has started
 	for i, task := range u.tasks {
 		if len(p.plan.Starts) >= maxStarts {
 			return
 		}
-		c := p.selectWorker(u, counts)
+		if p.isSpent() {
+			p.block(u.key(), SearchLimit)
+			return
+		}
+		c := p.selectNextWorker(u, counts, last)
+		last = c
 		switch {
 		case c != nil:
 			if u.neighbours != nil && u.neighbours.apart {
@@ -39,9 +45,8 @@
 	if !u.urgent || p.reservations == 0 {
 		return false
 	}
-	single, candidates := p.singleTask(u, counts)
-	allocations, ok := single.pack(candidates, func(c *candidate) Vector { return c.projected })
-	return ok && single.usesReserved(allocations)
+	c := p.packTask(u, counts, &p.noProjected, projectedOf)
+	return c != nil && u.isExcludedFrom(c)
 }
 
 // placeRelaxedTasks places tasks of a unit without preferences for which it has waited long enough. It reports false if
@@ -69,25 +74,45 @@
 
 // canEvictForTask reports whether evictions can make room for one task of an urgent unit.
 func (p *pass) canEvictForTask(u *unit, counts map[string]int) bool {
-	single, candidates := p.singleTask(u, counts)
-	return u.urgent && p.planEviction(single, [][]*candidate{candidates}) != nil
+	if !u.urgent || p.isInfeasible(search{unit: u.single()}) {
+		return false
+	}
+	return p.packTask(u, counts, &p.noProjected, projectedOf) != nil || p.planTaskEviction(u.single(), counts) != nil
 }
 
-// singleTask returns a unit of one of the tasks, and the workers that it may use.
-func (p *pass) singleTask(u *unit, counts map[string]int) (*unit, []*candidate) {
-	single := *u
-	single.tasks = u.tasks[:1]
-	var candidates []*candidate
-	for _, c := range p.pools[u.pool] {
-		if u.canStartOn(c, counts) {
-			candidates = append(candidates, c)
+// single returns a unit of one of the tasks.
+func (u *unit) single() *unit {
+	v := *u
+	v.tasks = u.tasks[:1]
+	return &v
+}
+
+func projectedOf(c *candidate) Vector { return c.projected }
+
+// packTask returns the worker on which one task of the unit is packed, nil if it fits on none.
+func (p *pass) packTask(u *unit, counts map[string]int, f *failures, free func(*candidate) Vector) *candidate {
+	return p.searchTask(u, counts, f, func(candidates []*candidate) *candidate {
+		allocations, ok := u.single().pack(candidates, free)
+		if !ok {
+			return nil
 		}
+		return allocations[0].candidate
+	})
+}
+
+// countStart counts a start or a reservation of a task of a step that limits them for each worker.
+func (p *pass) countStart(u *unit, c *candidate) {
+	if u.step.Spec.GetSpread() == 0 {
+		return
+	}
+	if p.startsOf[u.step] == nil {
+		p.startsOf[u.step] = map[string]int{}
 	}
-	return &single, candidates
+	p.startsOf[u.step][c.ID]++
 }
 
-// runsPerWorker counts the runs of the unit's step on each worker, and the starts of other units of the step in this pass. It
-// counts only if the step limits them.
+// runsPerWorker counts the runs of the unit's step on each worker, and the starts and reservations of other units of the step in
+// this pass. It counts only if the step limits them.
 func (p *pass) runsPerWorker(u *unit) map[string]int {
 	if u.step.Spec.GetSpread() == 0 {
 		return map[string]int{}
@@ -96,6 +121,7 @@
 	if counts == nil {
 		counts = map[string]int{}
 	}
+	p.visit(2 * len(p.pools[u.pool]))
 	for _, c := range p.pools[u.pool] {
 		for _, a := range c.Runs {
 			if a.Step == u.step {
@@ -126,37 +152,55 @@
 			cmp.Compare(a.free.Weight(), b.free.Weight()),
 		)
 	}
-	var best, regardless *candidate
-	for _, c := range p.pools[u.pool] {
-		if !u.canStartOn(c, counts) || c.available(u).Fits(u.need, 1) == 0 {
-			continue
-		}
-		if best == nil || compare(c, best, u.compareSlowdowns(c, best)) < 0 {
-			best = c
-		}
-		if u.neighbours != nil && (regardless == nil || compare(c, regardless, 0) < 0) {
-			regardless = c
+	return p.searchTask(u, counts, &p.noRoom, func(candidates []*candidate) *candidate {
+		var best, regardless *candidate
+		for _, c := range candidates {
+			if c.available(u).Fits(u.need, 1) == 0 {
+				continue
+			}
+			if best == nil || compare(c, best, u.compareSlowdowns(c, best)) < 0 {
+				best = c
+			}
+			if u.neighbours != nil && (regardless == nil || compare(c, regardless, 0) < 0) {
+				regardless = c
+			}
 		}
+		u.recordChoice(best, regardless)
+		return best
+	})
+}
+
+// selectNextWorker is selectWorker after a task of the unit has started on a worker. The worker had the least free capacity, and
+// has still less, so it is selected again if the next task fits there.
+func (p *pass) selectNextWorker(u *unit, counts map[string]int, last *candidate) *candidate {
+	if last != nil && u.neighbours == nil && !p.exhaustive && u.canStartOn(last, counts) && last.available(u).Fits(u.need, 1) > 0 {
+		p.visit(1)
+		return last
 	}
-	u.recordChoice(best, regardless)
-	return best
+	return p.selectWorker(u, counts)
 }
 
 // evictForTask reserves capacity for one urgent task, evicting runs if necessary. It reports false if that is
 // not possible.
 func (p *pass) evictForTask(u *unit, counts map[string]int) bool {
-	single, candidates := p.singleTask(u, counts)
-	domains := [][]*candidate{candidates}
+	single := u.single()
 	obstacle := StopsPending
-	allocations, ok := single.pack(candidates, func(c *candidate) Vector { return c.projected })
-	if ok {
-		p.reserveCapacity(single, allocations)
-	} else if allocations = p.reserveEnds(single, domains); allocations != nil {
-		obstacle = EndsPending
-	} else if allocations = p.evict(single, domains); allocations == nil {
+	c := p.packTask(single, counts, &p.noProjected, projectedOf)
+	if c == nil && p.mayAwaitEnds(single) {
+		if c = p.packTask(single, counts, &p.noEnds, p.projectedAfterStop); c != nil {
+			p.awaitEnds(single)
+			obstacle = EndsPending
+		}
+	}
+	if c == nil {
+		c = p.evictTask(single, counts)
+	}
+	if c == nil {
 		return false
 	}
+	p.reserveCapacity(single, []allocation{{c, 1}})
 	p.block(u.key(), obstacle)
-	counts[allocations[0].candidate.ID]++
+	counts[c.ID]++
+	p.countStart(u, c)
 	return true
 }
