coordinator: crash waves neither hold tasks for long nor restart their waits

While a part of the workers crashes every 0.8 s, jobs had nothing running for up to 20 s beside idle workers. A task with several crashes waits for 1.5 s without a loss, which never came, so it was held for 6 s after three crashes and 18 s after four. A task that waits for trials began its 1.5 s anew with each pass in which half of the pool was in use, which the waves bring about, and with each start that came to nothing.

While a quarter of the workers is being lost, three crashes hold a task for 2 s as two do; the last trial still waits for up to 18 s, as a task that crashes its workers must not be started more often. Lasting tasks, which are never given up, are held for 2 s. Busy passes and starts interrupt the wait beside idle workers; it begins anew after 3 s without it or once a run was at work. A crash that does not count no longer makes a lasting task one that may be given up.

--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -154,8 +154,8 @@
 	verdicts        map[tracker.TaskKey]verdict
 	hasVerdicts     bool // the tasks that had several crashes when the term began are in verdicts
 	deferrals       map[placer.StepKey]*deferral
-	idleSince       map[placer.StepKey]time.Time // since when steps wait though most of their pool is idle
-	waits           map[string]*jobWait          // by job
+	idleWaits       map[placer.StepKey]idleWait // of steps that wait though most of their pool is idle
+	waits           map[string]*jobWait         // by job
 	waitLog         waitLog
 	outdatedFor     map[placer.StepKey]string // keepers of an earlier build for which gangs wait, as of the last pass
 	restarts        map[tracker.TaskKey]restart
@@ -225,7 +225,7 @@
 	c.allLosses, c.losses, c.widespreadAt = map[string]time.Time{}, map[string]time.Time{}, time.Time{}
 	c.verdicts, c.hasVerdicts = map[tracker.TaskKey]verdict{}, false
 	c.deferrals = map[placer.StepKey]*deferral{}
-	c.idleSince = map[placer.StepKey]time.Time{}
+	c.idleWaits = map[placer.StepKey]idleWait{}
 	c.waits = map[string]*jobWait{}
 	c.waitLog = waitLog{}
 	c.outdatedFor = map[placer.StepKey]string{}
--- a/internal/queue/coordinator/crash.go
+++ b/internal/queue/coordinator/crash.go
@@ -166,11 +166,12 @@
 // being lost, an innocent task may crash any number of times, so no such crash is the last one that is needed; the task
 // waits as after a further crash.
 func (c *Coordinator) counts(state *tracker.Tracker, key tracker.RunKey) bool {
-	t := &state.Job(key.Job).Step(key.Occurrence, key.Step).Tasks[key.Task]
+	s := state.Job(key.Job).Step(key.Occurrence, key.Step)
+	t := &s.Tasks[key.Task]
 	if !t.IsOnLastTrial() || !c.wasWidespread(c.opts.Now()) {
 		return true
 	}
-	c.verdicts[key.TaskKey] = verdict{crashes: len(t.Crashes), since: c.opts.Now()}
+	c.verdicts[key.TaskKey] = verdict{crashes: len(t.Crashes), since: c.opts.Now(), lasting: s.Spec.GetLasting()}
 	return false
 }
 
@@ -277,7 +278,9 @@
 }
 
 // isHeld reports whether a suspect task must not start: it is about to be given up, or workers are being lost, as while an
-// operator restarts one after the other, and a trial would say nothing. A task with one crash does not wait.
+// operator restarts one after the other, and a trial would say nothing. A task with one crash does not wait. While a large part
+// of the workers is being lost, a longer wait makes a crash no better evidence, so a third crash makes it no longer. Only the last
+// trial, which settles whether the job is given up, does. A lasting task is never given up.
 func (c *Coordinator) isHeld(key tracker.TaskKey, t *tracker.Task) bool {
 	now, v := c.opts.Now(), c.verdicts[key]
 	switch {
@@ -286,7 +289,11 @@
 	case !v.lasting && t.CrashesWorkers() && (now.Sub(v.since) < verdictDelay || !c.isTriedAgain(v, t)):
 		return true
 	}
-	return now.Sub(c.lossAt) < quietPeriod && now.Sub(v.since) < holdTime(len(t.Crashes))
+	limit := holdTime(len(t.Crashes))
+	if v.lasting || !t.IsOnLastTrial() && c.wasWidespread(now) {
+		limit = minHoldTime
+	}
+	return now.Sub(c.lossAt) < quietPeriod && now.Sub(v.since) < limit
 }
 
 // holdTime returns how long a task with several crashes waits at most until workers are no longer being lost.
--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -188,7 +188,7 @@
 	plan := placer.NewPlan(c.placerInput(state))
 	plan.Starts = c.limitStarts(state, plan.Starts) // first, as a step whose start is left out waits on
 	c.recordDeferrals(plan)
-	c.recordBlocked(plan)
+	c.recordBlocked(state, plan)
 	for _, a := range plan.Stops {
 		c.stopping[a.Key] = true
 		c.wakeWorker(a.Job.Step(a.Key.Occurrence, a.Key.Step).Tasks[a.Key.Task].Worker)
--- a/internal/queue/coordinator/deferral.go
+++ b/internal/queue/coordinator/deferral.go
@@ -23,8 +23,8 @@
 	if d := c.deferrals[key]; d != nil {
 		w.Deferred = now.Sub(d.since)
 	}
-	if since, ok := c.idleSince[key]; ok {
-		w.Idle = now.Sub(since)
+	if i, ok := c.idleWaits[key]; ok {
+		w.Idle = i.length(now)
 	}
 	return w
 }
--- a/internal/queue/coordinator/explain_test.go
+++ b/internal/queue/coordinator/explain_test.go
@@ -163,7 +163,7 @@
 		t.Fatal(err)
 	}
 	text := fmt.Sprintf("%x %d %v %v %v %v %v %v %v %v %v %v %v %v", saved, f.index, f.proposed, f.progress, f.committedStarts, f.stopping, f.verdicts,
-		f.deferrals, f.idleSince, f.waits, f.restarts, f.seenAt, f.endedAt, f.begun)
+		f.deferrals, f.idleWaits, f.waits, f.restarts, f.seenAt, f.endedAt, f.begun)
 	text += fmt.Sprintf(" %v %v %v %v wake %d", f.failedWorkers, f.lossAt, f.interference.updatedAt, len(f.state.Open()), len(f.wake))
 	for id, w := range f.workers {
 		text += fmt.Sprintf(" %s: %v %v %v %v %d", id, w.startOrders, w.withheld, w.listed, w.health, w.sequence)
--- a/internal/queue/coordinator/waiting.go
+++ b/internal/queue/coordinator/waiting.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/placer"
+	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
 )
 
 const (
@@ -15,6 +16,8 @@
 	// maxWaitLines bounds the lines about waiting jobs in a waitLinePeriod.
 	maxWaitLines   = 20
 	waitLinePeriod = time.Second
+	// maxInterruption is how long a step may not wait beside idle workers until its wait there begins anew.
+	maxInterruption = 3 * time.Second
 )
 
 // jobWait is the time for which a job has had nothing running, though the turn of a task has come and its pool is mostly
@@ -39,23 +42,74 @@
 	return l.lines <= maxWaitLines
 }
 
-// recordBlocked updates since when steps wait beside idle workers.
-func (c *Coordinator) recordBlocked(plan placer.Plan) {
+// idleWait is the time for which a step has waited beside idle workers since one of its runs was last seen at work. Passes in
+// between in which half of the pool is in use, and starts that come to nothing, interrupt the wait but do not end it: while
+// workers crash again and again, both recur before the wait is over.
+type idleWait struct {
+	total       time.Duration // up to the last pass
+	interrupted time.Duration // for which the step has not waited beside idle workers, up to the last pass
+	at          time.Time     // last pass
+	waits       bool          // the step waited beside idle workers in that pass
+}
+
+// update returns the wait after a pass. waits is whether the step waits beside idle workers in it.
+func (w idleWait) update(now time.Time, waits bool) idleWait {
+	if elapsed := now.Sub(w.at); w.waits {
+		w.total, w.interrupted = w.total+elapsed, 0
+	} else {
+		w.interrupted += elapsed
+	}
+	w.at, w.waits = now, waits
+	return w
+}
+
+// length returns the length of the wait.
+func (w idleWait) length(now time.Time) time.Duration {
+	if !w.waits {
+		return w.total
+	}
+	return w.total + now.Sub(w.at)
+}
+
+// recordBlocked updates how long steps have waited beside idle workers.
+func (c *Coordinator) recordBlocked(state *tracker.Tracker, plan placer.Plan) {
 	now := c.opts.Now()
-	waiting := make(map[placer.StepKey]time.Time, len(c.idleSince))
+	waiting := make(map[placer.StepKey]bool, len(plan.Blocked))
 	for _, b := range plan.Blocked {
 		if !b.Idle {
 			continue
 		}
-		waiting[b.Key] = now
-		if since, ok := c.idleSince[b.Key]; ok {
-			waiting[b.Key] = since
+		waiting[b.Key] = true
+		if _, ok := c.idleWaits[b.Key]; !ok {
+			c.idleWaits[b.Key] = idleWait{at: now}
+		}
+	}
+	for key, w := range c.idleWaits {
+		w = w.update(now, waiting[key])
+		if c.idleWaits[key] = w; !w.waits && (w.interrupted >= maxInterruption || c.hasRunAtWork(state, key)) {
+			delete(c.idleWaits, key)
 		}
 	}
-	c.idleSince = waiting
 	c.logBlocked(plan)
 }
 
+// hasRunAtWork reports whether a step is done, or a run of it has been seen at work for some time. For the key of a lasting task
+// only the runs of that task count.
+func (c *Coordinator) hasRunAtWork(state *tracker.Tracker, key placer.StepKey) bool {
+	j := state.Job(key.Job)
+	if j == nil || j.Ended() || j.Step(key.Occurrence, key.Step).Done {
+		return true
+	}
+	for i, t := range j.Step(key.Occurrence, key.Step).Tasks {
+		task := tracker.TaskKey{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: int32(i)}
+		counts := t.Active > 0 && (key.Trial == 0 || key.Trial == task.Task+1)
+		if counts && c.progress[tracker.RunKey{TaskKey: task, Number: t.Number}].hasSurvived() {
+			return true
+		}
+	}
+	return false
+}
+
 // logBlocked logs which jobs have nothing running beside idle workers, and why.
 func (c *Coordinator) logBlocked(plan placer.Plan) {
 	now := c.opts.Now()
--- a/internal/queue/simulator/simulator.go
+++ b/internal/queue/simulator/simulator.go
@@ -151,6 +151,8 @@
 	Faults []Fault
 	// Interference is the model of images that slow each other down.
 	Interference Interference
+	// ContinuousWaits means that crashes and restarts of workers do not start the times of waits anew.
+	ContinuousWaits bool
 	// DrainTime is how long the simulation continues after the end of the arrivals, 0 for drainTime.
 	DrainTime time.Duration
 	// Preemption is passed to the leader.
@@ -495,7 +497,9 @@
 }
 
 func (s *Simulator) startFault(f Fault) {
-	s.disturb()
+	if f.Kind != Crash || !s.opts.ContinuousWaits {
+		s.disturb()
+	}
 	switch f.Kind {
 	case LeaderChange:
 		s.endLeadership()
--- a/internal/queue/simulator/waiting.go
+++ b/internal/queue/simulator/waiting.go
@@ -13,6 +13,10 @@
 	waitCheckInterval = 50 * time.Millisecond // between two checks of the waiting jobs
 	maxIdleTime       = 3 * time.Second       // for which a job may have nothing running beside idle workers
 	maxLastingGap     = 6 * time.Second       // from the last run of a lasting task to the begin of that time
+	maxPause          = 2 * time.Second       // between two parts of a wait that add up, for ContinuousWaits
+
+	lastTrialCrashes = 4                // crashes of a task after which one more may give its job up
+	lastTrialHold    = 18 * time.Second // for which such a task may be held
 )
 
 // maxLeaseError is by how much longer a leader takes a lease to last than it was granted for.
@@ -20,8 +24,10 @@
 
 // wait is the time for which a job, or a lasting task, has had nothing running though it could run.
 type wait struct {
-	since    time.Time // zero if it does not wait
-	lastRun  time.Time // end of the last run
+	since    time.Time     // zero if it does not wait
+	lastRun  time.Time     // end of the last run
+	total    time.Duration // for which it has waited since its last run, for ContinuousWaits
+	paused   time.Duration // for which it could not run, since it last waited
 	reported bool
 }
 
@@ -47,9 +53,11 @@
 		waits := idle && j.running == 0 && !s.hasUnknownRuns(state) && slices.ContainsFunc(state.Steps(), func(step tracker.Step) bool {
 			return hasTurn(state, &step) && s.hasRoomTwice(&step, free)
 		})
-		if s.observeWait(&j.wait, waits, maxIdleTime) {
+		limit := s.waitLimit(state)
+		total := s.observeTotal(&j.wait, waits, state.Active() > 0, limit)
+		if s.observeWait(&j.wait, waits, limit) || total {
 			s.recordViolation("job %s of %s has had nothing running for %v beside idle workers, %d steps of up to %d tasks, gang %v, up to %d crashes of a task",
-				j.id, j.queue.Name, maxIdleTime, len(j.work.GetSteps()), widest(j.work), j.queue.Gang, mostCrashes(state))
+				j.id, j.queue.Name, limit, len(j.work.GetSteps()), widest(j.work), j.queue.Gang, mostCrashes(state))
 		}
 	}
 }
@@ -92,6 +100,34 @@
 	return true
 }
 
+// observeTotal updates the sum of a job's waits since the last start of one of its tasks was decided: it is interrupted, but does
+// not begin anew, while half of the capacity or more is in use for less than maxPause. It reports whether the sum has just become
+// longer than the limit.
+func (s *Simulator) observeTotal(w *wait, waits, started bool, limit time.Duration) bool {
+	switch {
+	case waits:
+		w.total, w.paused = w.total+waitCheckInterval, 0
+	case started || w.paused >= maxPause:
+		w.total = 0
+	default:
+		w.paused += waitCheckInterval
+	}
+	if !s.opts.ContinuousWaits || w.reported || w.total <= limit {
+		return false
+	}
+	w.reported = true
+	return true
+}
+
+// waitLimit returns for how long a job may have nothing running. While workers crash without an end, a task that must not be
+// started again if one more worker is lost is held for longer than others.
+func (s *Simulator) waitLimit(j *tracker.Job) time.Duration {
+	if s.opts.ContinuousWaits && mostCrashes(j) >= lastTrialCrashes {
+		return maxIdleTime + lastTrialHold
+	}
+	return maxIdleTime
+}
+
 // recordRunBegin and recordRunEnd update the waits of a job and, if it lasts, of a task.
 func (s *Simulator) recordRunBegin(r *run) {
 	r.job.running++
--- a/internal/queue/simulator/worker.go
+++ b/internal/queue/simulator/worker.go
@@ -83,7 +83,7 @@
 
 // start begins a new incarnation.
 func (w *worker) start() {
-	w.sim.disturb()
+	w.disturbByCrash()
 	w.up = true
 	w.incarnation++
 	w.started = w.sim.now.UnixMilli()
@@ -397,6 +397,13 @@
 	}
 }
 
+// disturbByCrash records that the worker exits, or starts.
+func (w *worker) disturbByCrash() {
+	if !w.sim.opts.ContinuousWaits {
+		w.sim.disturb()
+	}
+}
+
 // startFault applies a fault to the worker.
 func (w *worker) startFault(f Fault) {
 	switch f.Kind {
@@ -431,7 +438,7 @@
 	if !w.up {
 		return
 	}
-	w.sim.disturb()
+	w.disturbByCrash()
 	w.up = false
 	for _, key := range slices.SortedFunc(maps.Keys(w.runs), tracker.CompareKeys) {
 		lost := w.runs[key]
@@ -467,7 +474,11 @@
 
 // endFault removes a fault from the worker.
 func (w *worker) endFault(f Fault) {
-	w.sim.disturb()
+	if f.Kind == Crash {
+		w.disturbByCrash()
+	} else {
+		w.sim.disturb()
+	}
 	switch f.Kind {
 	case Crash:
 		w.crashed--
