coordinator: a lost incarnation is judged by what is known of it

A pass that runs while the report of a worker's next incarnation is being committed finds the previous one lost, too. It was judged as a worker that this leader never knew: starts that were never ordered counted as crashes in the log lines and metrics, the loss extended the hold of suspect tasks, and deadly lasting tasks rested twice as long. The pass now uses the kept previous incarnation.

TestUnsentStartIsNoCrash fails before.

--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -64,7 +64,7 @@
 			zap.Time("lease", expiry), zap.Bool("replaced", replaced))
 		w := c.workers[id]
 		if w != nil && w.born != born {
-			w = nil
+			w = w.previousAt(born)
 		}
 		ends := c.checkpointEnds(state, id, born, checkpointLimit)
 		checkpointLimit -= checkpointBytes(ends)
