--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -94,7 +94,7 @@
 			zap.Time("lease", expiry), zap.Bool("replaced", replaced))
 		w := c.workers[id]
 		if w != nil && w.born != born {
-			w = nil
+			w = w.previousAt(born)
 		}
 		ends := c.checkpointEnds(state, id, born, checkpointLimit)
 		checkpointLimit -= checkpointBytes(ends)
@@ -219,7 +219,7 @@
 	c.recordResume(plan.Resume)
 	plan.Starts = c.limitStarts(state, plan.Starts) // first, as a step whose start is left out waits on
 	c.recordDeferrals(plan)
-	c.recordBlocked(plan)
+	c.recordBlocked(state, plan)
 	for _, a := range plan.Stops {
 		c.stopping[a.Key] = true
 		c.wakeWorker(a.Job.Step(a.Key.Occurrence, a.Key.Step).Tasks[a.Key.Task].Worker)
