scheduler, executor: reasons for requeued and stopped jobs are in plain terms

"its room was taken back for", "its room went to a guarantee" and "its lease ran out" are now "its slots were reclaimed for", "its reserved slots were given to a guarantee" and "its lease expired". No code compares reasons. Keepers of two builds store different texts for the same requeue while both run, which no decision depends on. TestReasonsOfEarlierBuilds restores the old texts.

--- a/internal/job/scheduler/codec_test.go
+++ b/internal/job/scheduler/codec_test.go
@@ -152,3 +152,26 @@
 	is.Equal(len(s.health.Workers), 1)
 	is.Equal(len(s.health.Jobs), 0)
 }
+
+// TestReasonsOfEarlierBuilds guards against a snapshot that can't be read, or a reason that is lost, because the text of reasons has
+// changed since the snapshot was written.
+func TestReasonsOfEarlierBuilds(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000, 0).UTC()
+	s := New()
+	s.Step(now, ApplyManifest{Text: []byte(`{"version": 1, "places": [{"name": "p", "service": "s", "racks": 1, "workers": 1, "slots": 8,
+		"processors": 8, "memory": 8}], "organisations": [{"name": "o", "token": "` + fmt.Sprintf("%064d", 0) + `"}]}`)})
+	submit := Submit{Org: "o", Key: "k"}
+	submit.Job.Service = "s"
+	s.Step(now, submit)
+	j := s.jobs[JobID("o", "k")]
+	is.True(j != nil)
+	for _, reason := range []string{"its room was taken back for other", "its room went to a guarantee"} {
+		j.Reason = reason
+		data, err := s.Save()
+		is.NoErr(err)
+		restored, err := Restore(data)
+		is.NoErr(err)
+		is.Equal(restored.jobs[j.ID].Reason, reason)
+	}
+}
--- a/internal/job/scheduler/schedule.go
+++ b/internal/job/scheduler/schedule.go
@@ -213,7 +213,7 @@
 	j.Grant = 0
 	s.recountUsage(j.Org)
 	if j.Phase == Reclaiming {
-		s.requeue(j, "its room went to a guarantee")
+		s.requeue(j, "its reserved slots were given to a guarantee")
 	}
 }
 
@@ -240,7 +240,7 @@
 	if j == nil {
 		return
 	}
-	reason := "its room was taken back for " + by.Org
+	reason := "its slots were reclaimed for " + by.Org
 	switch j.Phase {
 	case Holding:
 		s.withdraw(j)
--- a/internal/worker/executor/machine.go
+++ b/internal/worker/executor/machine.go
@@ -276,7 +276,7 @@
 			delete(m.tasks, job)
 			m.released[job] = max(m.released[job], t.attempt)
 		case t.state == running && !now.Before(t.expiry):
-			ended = append(ended, *m.finish(now, t, t.ack(scheduler.AckStopped, "its lease ran out")))
+			ended = append(ended, *m.finish(now, t, t.ack(scheduler.AckStopped, "its lease expired")))
 		case t.state == running && !now.Before(t.endsAt):
 			ended = append(ended, *m.finish(now, t, m.result(t)))
 		case t.state == finished && len(m.tasks) > maxFinished:
