--- a/internal/config/provider/provider.go
+++ b/internal/config/provider/provider.go
@@ -1,4 +1,4 @@
-// Package provider holds a daemon's copy of the manifest in effect and reports whether the copy is fresh enough
+// Package provider holds a daemon's copy of the manifest in force and reports whether the copy is fresh enough
 // to base decisions on. It holds no other logic.
 package provider
 
@@ -13,7 +13,7 @@
 )
 
 // MaxStaleness is how long a daemon may use its copy after the last contact with a leader. It is shorter than the
-// time within which a change must be in effect everywhere.
+// time within which a change must be in force everywhere.
 const MaxStaleness = 5 * time.Second
 
 // Provider holds the copy of one daemon.
@@ -27,7 +27,7 @@
 	return &Provider{isFresh: isFresh}
 }
 
-// Install replaces the copy if the manifest has a later version, and returns the version in effect afterwards.
+// Install replaces the copy if the manifest has a later version, and returns the version in force afterwards.
 // An earlier or equal version is ignored, so the version never decreases.
 func (p *Provider) Install(text []byte) (version uint64, err error) {
 	m, err := parser.ParseManifest("manifest", text)
--- a/internal/console/client/client.go
+++ b/internal/console/client/client.go
@@ -211,7 +211,7 @@
 	return reply.Jobs, err
 }
 
-// Apply applies a manifest and returns the version in effect.
+// Apply applies a manifest and returns the version in force.
 func (c *Client) Apply(ctx context.Context, text []byte) (uint64, error) {
 	var reply struct {
 		Version uint64 `json:"version"`
--- a/internal/queue/simulator/capacity.go
+++ b/internal/queue/simulator/capacity.go
@@ -17,7 +17,7 @@
 	until    time.Time
 }
 
-// resize sets the capacity by the faults in effect. Runs that no longer fit continue.
+// resize sets the capacity by the active faults. Runs that no longer fit continue.
 func (w *worker) resize() {
 	factor := 1.0
 	for _, f := range w.capacityFactors {
--- a/internal/queue/simulator/worker.go
+++ b/internal/queue/simulator/worker.go
@@ -40,7 +40,7 @@
 
 	capacity        placer.Vector // as reported
 	fullCapacity    placer.Vector // without faults
-	capacityFactors []float64     // of the faults in effect
+	capacityFactors []float64     // of the active faults
 	pastCapacities  []pastCapacity
 	grown           bool      // the capacity has grown since the last report
 	growthReported  time.Time // when a grown capacity was first reported, zero if a run has started since
--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -79,7 +79,7 @@
 	storage     *persister.Persister
 	node        *replicator.Node
 	state       *scheduler.State
-	members     *messages.Members // in effect at the last applied entry
+	members     *messages.Members // in force at the last applied entry
 	applied     uint64
 	lastTime    time.Time
 	tickPending bool            // a Tick is proposed but not yet applied
--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -51,7 +51,7 @@
 type Snapshot struct {
 	Index   uint64
 	Term    uint64
-	Members *messages.Members // in effect at Index
+	Members *messages.Members // in force at Index
 	Data    []byte
 }
 
--- a/internal/wire/messages/queue.twirp.go
+++ b/internal/wire/messages/queue.twirp.go
@@ -37,10 +37,10 @@
 	// Look returns the phase of a job, or the number of waiting jobs of a queue.
 	Look(context.Context, *Lookup) (*Verdict, error)
 
-	// Install replaces the catalog in effect.
+	// Install replaces the catalog in force.
 	Install(context.Context, *Catalog) (*Verdict, error)
 
-	// Fetch returns the catalog in effect.
+	// Fetch returns the catalog in force.
 	Fetch(context.Context, *Lookup) (*Catalog, error)
 
 	// Report processes a worker's report and returns its orders.
