--- a/spec/gang.pml
+++ b/spec/gang.pml
@@ -2,7 +2,7 @@
  * One non-idempotent job that is a gang of two workers, over two attempts. The decisions are
  * one process, as every keeper runs them over the same log. A message that was sent may arrive
  * at any later time, any number of times or never; one from a leader that has been replaced is
- * such a late message. A worker can be cut off; its lease then runs out, it stops its part and
+ * such a late message. A worker can be cut off; its lease then expires, it stops its part and
  * takes a new incarnation.
  *
  * Properties: the job starts in one attempt at most; an answer "notrun" is true for ever; no
@@ -25,11 +25,11 @@
 
 /* workers */
 byte incarnation[W];
-bool held[A * W], runs[A * W], ended[A * W], buried[A * W];
+bool held[A * W], runs[A * W], ended[A * W], closed[A * W];
 bool ran[A];
 byte lease[W];
 bool cut[W];
-byte alone[W]; /* ticks that a part has run while another member was cut off */
+byte aloneTicks[W]; /* ticks that a part has run while another member was cut off */
 
 /* decisions */
 mtype phase = waiting;
@@ -37,7 +37,7 @@
 byte attempt; /* index of the next attempt */
 byte used;    /* index of the current one */
 byte member[A * W]; /* incarnation addressed */
-bool lost[W], over[W], maybe[W];
+bool lost[W], partEnded[W], mayHaveRun[W];
 bool cancelled;
 
 #define REACHES(a, w) (!cut[w] && member[IX(a, w)] == incarnation[w])
@@ -51,8 +51,8 @@
 		member[IX(used, 0)] = incarnation[0];
 		member[IX(used, 1)] = incarnation[1];
 		lost[0] = false; lost[1] = false;
-		over[0] = false; over[1] = false;
-		maybe[0] = false; maybe[1] = false;
+		partEnded[0] = false; partEnded[1] = false;
+		mayHaveRun[0] = false; mayHaveRun[1] = false;
 		mHold[IX(used, 0)] = true;
 		mHold[IX(used, 1)] = true;
 	}
@@ -74,7 +74,7 @@
 	}
 }
 
-inline giveUp() {
+inline withdraw() {
 	atomic {
 		phase == holding && (rRefused[IX(used, 0)] || rRefused[IX(used, 1)] || cut[0] || cut[1]) ->
 		mRelease[IX(used, 0)] = true;
@@ -110,7 +110,7 @@
 
 inline declareLost(w) {
 	atomic {
-		(phase == running || phase == stopping) && cut[w] && !over[w] &&
+		(phase == running || phase == stopping) && cut[w] && !partEnded[w] &&
 #ifdef MUTANT_LOST_EARLY
 		true
 #else
@@ -119,19 +119,19 @@
 		->
 		assert(!runs[IX(used, w)]); /* its part has ended */
 		lost[w] = true;
-		over[w] = true;
-		maybe[w] = true;
+		partEnded[w] = true;
+		mayHaveRun[w] = true;
 		mStop[IX(used, 0)] = true;
 		mStop[IX(used, 1)] = true;
 		phase = stopping;
 	}
 }
 
-inline hear(w) {
+inline recordEnd(w) {
 	atomic {
-		(phase == running || phase == stopping) && !over[w] && (rStopped[IX(used, w)] || rDone[IX(used, w)] || rRefused[IX(used, w)]) ->
-		over[w] = true;
-		maybe[w] = !rRefused[IX(used, w)];
+		(phase == running || phase == stopping) && !partEnded[w] && (rStopped[IX(used, w)] || rDone[IX(used, w)] || rRefused[IX(used, w)]) ->
+		partEnded[w] = true;
+		mayHaveRun[w] = !rRefused[IX(used, w)];
 		if
 		:: !rDone[IX(used, w)] && phase == running ->
 			mStop[IX(used, 0)] = true;
@@ -144,15 +144,15 @@
 
 inline conclude() {
 	atomic {
-		(phase == running || phase == stopping) && over[0] && over[1] ->
+		(phase == running || phase == stopping) && partEnded[0] && partEnded[1] ->
 		if
 		:: rDone[IX(used, 0)] && rDone[IX(used, 1)] -> answer = done; phase = answered
 		:: else ->
 			if
-#ifdef MUTANT_RETRY_UNSURE
+#ifdef MUTANT_RETRY_UNKNOWN
 			:: true -> phase = waiting
 #else
-			:: maybe[0] || maybe[1] ->
+			:: mayHaveRun[0] || mayHaveRun[1] ->
 				phase = answered;
 				if
 				:: lost[0] || lost[1] -> answer = unknown
@@ -174,21 +174,21 @@
 	do
 	:: place()
 	:: start()
-	:: giveUp()
+	:: withdraw()
 	:: cancel()
 	:: declareLost(0)
 	:: declareLost(1)
-	:: hear(0)
-	:: hear(1)
+	:: recordEnd(0)
+	:: recordEnd(1)
 	:: conclude()
 	od
 }
 
-inline obeyHold(a, w) {
+inline applyHold(a, w) {
 	atomic {
 		mHold[IX(a, w)] && REACHES(a, w) && !held[IX(a, w)] && !runs[IX(a, w)] && !ended[IX(a, w)] ->
 		if
-		:: buried[IX(a, w)] -> rRefused[IX(a, w)] = true
+		:: closed[IX(a, w)] -> rRefused[IX(a, w)] = true
 		:: else -> held[IX(a, w)] = true; rHeld[IX(a, w)] = true
 		fi
 	}
@@ -197,40 +197,40 @@
 inline refuse(a, w) {
 	atomic {
 		mHold[IX(a, w)] && REACHES(a, w) && !held[IX(a, w)] && !runs[IX(a, w)] && !ended[IX(a, w)] ->
-		buried[IX(a, w)] = true;
+		closed[IX(a, w)] = true;
 		rRefused[IX(a, w)] = true
 	}
 }
 
-inline obeyStart(a, w) {
+inline applyStart(a, w) {
 	atomic {
 		mStart[IX(a, w)] && REACHES(a, w) && !runs[IX(a, w)] && !ended[IX(a, w)] ->
 		if
 #ifdef MUTANT_START_WITHOUT_HOLD
 		:: true ->
 #else
-		:: held[IX(a, w)] && !buried[IX(a, w)] ->
+		:: held[IX(a, w)] && !closed[IX(a, w)] ->
 #endif
 			held[IX(a, w)] = false;
 			runs[IX(a, w)] = true;
 			lease[w] = LEASE;
-			alone[w] = 0;
+			aloneTicks[w] = 0;
 			ran[a] = true;
 			assert(!(ran[0] && ran[1]));   /* at most once */
 			assert(answer != notrun)       /* notrun is true */
-		:: else -> buried[IX(a, w)] = true; rRefused[IX(a, w)] = true
+		:: else -> closed[IX(a, w)] = true; rRefused[IX(a, w)] = true
 		fi
 	}
 }
 
-inline obeyStop(a, w) {
+inline applyStop(a, w) {
 	atomic {
 		(mStop[IX(a, w)] || mRelease[IX(a, w)]) && REACHES(a, w) ->
 		if
 		:: runs[IX(a, w)] && mStop[IX(a, w)] -> runs[IX(a, w)] = false; ended[IX(a, w)] = true; rStopped[IX(a, w)] = true
 		:: !runs[IX(a, w)] && !ended[IX(a, w)] ->
 			held[IX(a, w)] = false;
-			buried[IX(a, w)] = true;
+			closed[IX(a, w)] = true;
 			if
 			:: mStop[IX(a, w)] -> rRefused[IX(a, w)] = true
 			:: else
@@ -265,25 +265,25 @@
 	}
 }
 
-inline hold_lapses(a, w) {
-	atomic { held[IX(a, w)] && !cut[w] -> held[IX(a, w)] = false; buried[IX(a, w)] = true }
+inline expireHold(a, w) {
+	atomic { held[IX(a, w)] && !cut[w] -> held[IX(a, w)] = false; closed[IX(a, w)] = true }
 }
 
 proctype worker(byte w) {
 	do
-	:: obeyHold(0, w)
-	:: obeyHold(1, w)
+	:: applyHold(0, w)
+	:: applyHold(1, w)
 	:: refuse(0, w)
 	:: refuse(1, w)
-	:: obeyStart(0, w)
-	:: obeyStart(1, w)
-	:: obeyStop(0, w)
-	:: obeyStop(1, w)
+	:: applyStart(0, w)
+	:: applyStart(1, w)
+	:: applyStop(0, w)
+	:: applyStop(1, w)
 	:: finish(0, w)
 	:: finish(1, w)
 	:: expire(w)
-	:: hold_lapses(0, w)
-	:: hold_lapses(1, w)
+	:: expireHold(0, w)
+	:: expireHold(1, w)
 	od
 }
 
@@ -297,8 +297,8 @@
 		do
 		:: w < W ->
 			if
-			:: RUNNING(w) && (cut[0] || cut[1]) -> alone[w]++
-			:: else -> alone[w] = 0
+			:: RUNNING(w) && (cut[0] || cut[1]) -> aloneTicks[w]++
+			:: else -> aloneTicks[w] = 0
 			fi;
 			if
 #ifdef MUTANT_RENEW_ALONE
@@ -326,7 +326,7 @@
 				:: else
 				fi
 			fi;
-			assert(alone[w] < LEASE || !RUNNING(w)); /* no part outlives the lease */
+			assert(aloneTicks[w] < LEASE || !RUNNING(w)); /* no part outlives the lease */
 			w++
 		:: else -> break
 		od;
--- a/spec/members.pml
+++ b/spec/members.pml
@@ -161,11 +161,11 @@
 /* The reasons to replace a voter: its disk is known to be lost, or it stops or is silent. */
 #define LOST (wiped && back)
 #ifdef MUTANT_SILENCE_ALONE
-#define GOING (silent)
+#define LEAVING (silent)
 #else
-#define GOING (leaving || silent)
+#define LEAVING (leaving || silent)
 #endif
-#define DOUBT(m) ((IN(1, m) && LOST) || (IN(0, m) && GOING))
+#define REMOVABLE(m) ((IN(1, m) && LOST) || (IN(0, m) && LEAVING))
 #define PROMOTABLE(v, n) (CAUGHTUP(v, n) && !IN(v, VOTERS(n)))
 
 /* promote makes a voter of a learner that is caught up, as repairer.changeVoter does. */
@@ -175,7 +175,7 @@
 #ifdef MUTANT_REMOVE_FIRST
 		COUNT(VOTERS(n)) < 3
 #else
-		(DOUBT(VOTERS(n)) || COUNT(VOTERS(n)) < 3)
+		(REMOVABLE(VOTERS(n)) || COUNT(VOTERS(n)) < 3)
 #endif
 		-> append(n, VOTERS(n) | (1 << v))
 	}
@@ -183,7 +183,7 @@
 
 /* dropLost removes the voter whose disk is lost: first of all if there is one voter more than wanted, or if no learner can be
  * promoted. */
-inline dropLost(n) {
+inline removeLost(n) {
 	atomic {
 		READY(n) && IN(1, VOTERS(n)) && LOST && (COUNT(VOTERS(n)) > 3 || (COUNT(VOTERS(n)) == 3 && !PROMOTABLE(3, n)))
 		-> append(n, VOTERS(n) & 29)
@@ -191,9 +191,9 @@
 }
 
 /* dropGoing removes the voter that stops or is silent, which may be the leader itself. */
-inline dropGoing(n) {
+inline removeLeaving(n) {
 	atomic {
-		READY(n) && IN(0, VOTERS(n)) && GOING && !(IN(1, VOTERS(n)) && LOST) &&
+		READY(n) && IN(0, VOTERS(n)) && LEAVING && !(IN(1, VOTERS(n)) && LOST) &&
 #ifdef MUTANT_REMOVE_FIRST
 		COUNT(VOTERS(n)) >= 3
 #else
@@ -205,13 +205,13 @@
 
 /* swap replaces a voter in one entry. The majorities of both memberships need not meet. */
 inline swap(n) {
-	atomic { READY(n) && PROMOTABLE(3, n) && IN(0, VOTERS(n)) && GOING && n != 0 -> append(n, (VOTERS(n) & 30) | 8) }
+	atomic { READY(n) && PROMOTABLE(3, n) && IN(0, VOTERS(n)) && LEAVING && n != 0 -> append(n, (VOTERS(n) & 30) | 8) }
 }
 
 /* REPLACED is whether a committed membership does without 0. */
 #define REPLACED (!IN(0, CHOSEN))
-/* WHOLE is whether three voters have their disks, as far as 1 is concerned. */
-#define WHOLE (!IN(1, CHOSEN) && COUNT(CHOSEN) == 3)
+/* REPAIRED is whether three voters have their disks, as far as 1 is concerned. */
+#define REPAIRED (!IN(1, CHOSEN) && COUNT(CHOSEN) == 3)
 /* SUCCEEDED is whether the successor of 0 has had its time to catch up. */
 #define SUCCEEDED (chosenLen > 0 && size[3] >= chosenLen)
 
@@ -221,9 +221,9 @@
 	:: atomic {
 		!ended &&
 #ifdef MUTANT_SILENCE_ALONE
-		SUCCEEDED && (!wiped || WHOLE)
+		SUCCEEDED && (!wiped || REPAIRED)
 #else
-		((leaving && REPLACED) || (!leaving && SUCCEEDED && (!wiped || WHOLE)))
+		((leaving && REPLACED) || (!leaving && SUCCEEDED && (!wiped || REPAIRED)))
 #endif
 		->
 		ended = true;
@@ -274,8 +274,8 @@
 #else
 	:: promote(n, 3)
 	:: promote(n, 4)
-	:: dropGoing(n)
-	:: dropLost(n)
+	:: removeLeaving(n)
+	:: removeLost(n)
 #endif
 	od
 }
