coordinator: ends after the loss of a worker's runs are credible

The incarnation of a worker is removed from the state with the loss of its runs, and with it the number of the last committed end. A worker that had reported more than 2^20 ends and came back listed higher numbers than a first report may have, so all its reports with ends were ignored until it restarted. The leader now remembers the last number that it acknowledged, for as long as it knows the worker. A leader elected in between does not know it, and still ignores such reports.

TestEndsAfterLossAreCredible fails before.

--- a/internal/queue/coordinator/credible.go
+++ b/internal/queue/coordinator/credible.go
@@ -17,5 +17,8 @@
 		return false
 	}
 	committed := committedSequence(state, r)
+	if w != nil && w.born == r.GetBorn() {
+		committed = max(committed, w.acknowledged) // the state forgets the incarnation with the loss of its runs
+	}
 	return !slices.ContainsFunc(r.GetEnds(), func(e *messages.NumberedEnd) bool { return e.GetSequence() > committed+maxGap })
 }
--- a/internal/queue/coordinator/ended_test.go
+++ b/internal/queue/coordinator/ended_test.go
@@ -98,3 +98,29 @@
 	f.Pass(ctx)
 	is.Equal(left(), 0)
 }
+
+// TestEndsAfterLossAreCredible guards against a worker whose reports are ignored for good: it has reported more ends than a first
+// report may number, its runs are given up while it is out of contact, and the committed number goes with its incarnation.
+func TestEndsAfterLossAreCredible(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	f := newFixture()
+	f.startRun(t)
+	f.report(t, 3, func(r *messages.FleetReport) {
+		doneOnFirst(1)(r)
+		r.Ends[0].Sequence = maxGap
+	})
+	is.Equal(f.state.Job("a").Phase, tracker.Completed)
+	is.Equal(f.submit(t, "/q/b", "k1"), StatusOK)
+	f.Pass(ctx)
+	is.Equal(len(f.report(t, 4, nil).GetStarts()), 1)
+	f.now = f.now.Add(20 * time.Second)
+	f.Pass(ctx) // the loss of the worker
+	_, known := f.state.Incarnation("w")
+	is.True(!known)
+	o := f.report(t, 5, func(r *messages.FleetReport) {
+		r.Ends = []*messages.NumberedEnd{{Sequence: maxGap + 1, End: &messages.End{Job: "b", Number: 1, How: tracker.EndDone}}}
+	})
+	is.Equal(o.GetAcknowledged(), uint64(maxGap+1))
+	is.Equal(f.state.Job("b").Phase, tracker.Completed)
+}
--- a/internal/queue/coordinator/orders.go
+++ b/internal/queue/coordinator/orders.go
@@ -21,6 +21,7 @@
 	}
 	if incarnation, ok := state.Incarnation(w.id); ok && incarnation.Started == w.born {
 		o.Acknowledged = incarnation.Sequence
+		w.acknowledged = incarnation.Sequence
 	}
 	runs := state.RunsOn(w.id)
 	lease := c.leaseFor(state, runs)
--- a/internal/queue/coordinator/worker.go
+++ b/internal/queue/coordinator/worker.go
@@ -18,6 +18,7 @@
 	address       string
 	born          int64
 	sequence      uint64
+	acknowledged  uint64 // number of the last end that a response of this leader acknowledged
 	pool          string
 	rack          string
 	place         string    // its data centre
