placer: last trials start alone while there is a worker for each

A task with four crashes is given up after one more. Its trial started beside trials of other jobs once its step had waited for 2.25 s, and the time for which it is held after a crash counts: trials of several jobs that were released in one pass started on one worker, and an innocent task shared the blame. A last trial now starts on a worker on which nothing else starts, and nothing starts beside it, however long units have waited, while the pool has a worker for each such trial. With more of them the wait of 2.25 s ends as before, as jobs would otherwise have nothing running for 3 s (TestJobsStartAfterChangeOfLeader, 90 jobs on 24 workers). Lasting tasks have no last trial.

TestDecidingTrialsStartAlone with four crashes fails without the change.

--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -58,6 +58,11 @@
 	return a.isTrial() && len(a.Step.Tasks[a.Key.Task].Crashes) >= decidingCrashes
 }
 
+// isLastTrial reports whether the run is a trial after which its task is not tried again.
+func (a *ActiveRun) isLastTrial() bool {
+	return a.isTrial() && len(a.Step.Tasks[a.Key.Task].Crashes) >= lastCrashes && !a.Step.Spec.GetLasting()
+}
+
 // Input holds the data for one pass.
 type Input struct {
 	Workers []*Worker
@@ -130,6 +135,7 @@
 	anyReserved    bool // it no longer waits for workers that are not reserved
 	incautious     bool // it no longer waits for workers that nothing speaks against
 	overLimit      bool // it no longer waits for trials that decide over a job, its own or those of others
+	startsApart    bool // it is a last trial, which starts alone all the same
 	estimate       time.Duration
 	objective      time.Duration
 	age            time.Duration
@@ -178,6 +184,7 @@
 	assigned  bool  // a task was started on it in this pass
 	closed    bool  // a trial is under way or about to start on it; nothing else starts on it without need
 	sealed    bool  // the same, and what started on it would share the blame that the trial is to settle
+	lastTrial bool  // the same for a last trial, also for units that have waited long
 	starting  bool  // a run is starting on it
 	loss      int64 // cost of the work that its crash would lose, negative until it is computed
 	// reservedIn is the estimated time until a waiting gang starts here. Later units may use the worker only
@@ -225,6 +232,7 @@
 		if w.hasTrial() {
 			p.close(c)
 			c.sealed = slices.ContainsFunc(w.Runs, (*ActiveRun).isDecidingTrial)
+			c.lastTrial = slices.ContainsFunc(w.Runs, (*ActiveRun).isLastTrial)
 		}
 		if w.accepts() {
 			p.doubtful[w.Pool] = p.doubtful[w.Pool] || w.Quarantined || w.Probed
@@ -232,7 +240,9 @@
 			p.racks[w.Pool+"\x00"+w.Rack] = append(p.racks[w.Pool+"\x00"+w.Rack], c)
 		}
 	}
-	for _, u := range p.units() {
+	units := p.units()
+	p.planLastTrials(units)
+	for _, u := range units {
 		if len(p.plan.Starts) >= maxStarts {
 			p.block(u.key(), PlanFull)
 			continue
@@ -377,7 +387,7 @@
 
 // mayUse reports whether the unit may use the worker in this pass, regardless of free capacity.
 func (u *unit) mayUse(c *candidate) bool {
-	if c.sealed && !u.overLimit || c.closed && (!u.incautious || u.isDeciding()) || u.startsAlone() && (c.assigned || c.starting) {
+	if c.lastTrial || c.sealed && !u.overLimit || c.closed && (!u.incautious || u.isDeciding()) || u.startsAlone() && (c.assigned || c.starting) {
 		return false
 	}
 	return u.canRunOn(c.Worker)
--- a/internal/queue/placer/trial.go
+++ b/internal/queue/placer/trial.go
@@ -22,10 +22,40 @@
 	decidingCrashes = 3
 	// maxDecidingWait is how long units wait for that in a pool that is mostly idle.
 	maxDecidingWait = 2250 * time.Millisecond
+	// lastCrashes is the number of crashes from which the next one is the last. A trial beside other starts decides nothing
+	// then, so it starts alone however long units have waited, while the pool has a worker for each such trial.
+	lastCrashes = 4
 )
 
 // isDeciding reports whether the job may be given up after the trial of the unit, which therefore starts alone.
-func (u *unit) isDeciding() bool { return u.crashes >= decidingCrashes && !u.overLimit }
+func (u *unit) isDeciding() bool {
+	return u.crashes >= decidingCrashes && !u.overLimit || u.startsApart
+}
+
+// isLastTrial reports whether the unit is not tried again after one more crash. A lasting task always is.
+func (u *unit) isLastTrial() bool { return u.crashes >= lastCrashes && !u.step.Spec.GetLasting() }
+
+// planLastTrials decides for each pool whether last trials start alone however long units have waited. With more of them than
+// workers their jobs would have nothing running for too long.
+func (p *pass) planLastTrials(units []*unit) {
+	count := map[string]int{}
+	for _, u := range units {
+		if u.isLastTrial() {
+			count[u.pool]++
+		}
+	}
+	for _, c := range p.workers {
+		if c.lastTrial {
+			count[c.Pool]++
+		}
+	}
+	for _, u := range units {
+		u.startsApart = u.isLastTrial() && count[u.pool] <= len(p.pools[u.pool])
+	}
+	for _, c := range p.workers {
+		c.lastTrial = c.lastTrial && count[c.Pool] <= len(p.pools[c.Pool])
+	}
+}
 
 // hasTrial reports whether a suspect task is starting on the worker. Nothing else may start there meanwhile, so that a
 // crash of the worker has one explanation and costs little.
@@ -164,7 +194,7 @@
 	} else {
 		if overdue && !u.isDeciding() || !c.assigned && !c.starting {
 			p.start(u, u.tasks[0], c)
-			c.sealed = u.isDeciding()
+			c.sealed, c.lastTrial = u.isDeciding(), u.startsApart
 		} else {
 			p.block(u.key(), StartsPending)
 		}
@@ -182,7 +212,7 @@
 	for _, c := range p.pools[u.pool] {
 		if slices.ContainsFunc(p.plan.Starts[before:], c.hosts) {
 			p.close(c)
-			c.sealed = u.isDeciding()
+			c.sealed, c.lastTrial = u.isDeciding(), u.startsApart
 		}
 	}
 }
--- a/internal/queue/placer/trial_test.go
+++ b/internal/queue/placer/trial_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -344,21 +345,33 @@
 }
 
 // TestDecidingTrialsStartAlone guards against innocent tasks that are given up for crashes of others: after three crashes a
-// task starts on a worker of its own, also if it no longer waits for other trials, and nothing starts beside it.
+// task starts on a worker of its own, also if it no longer waits for other trials, and nothing starts beside it. After four
+// crashes this holds however long it and others have waited, while there is a worker for each such trial.
 func TestDecidingTrialsStartAlone(t *testing.T) {
-	for _, gang := range []bool{false, true} {
-		t.Run(fmt.Sprintf("gang %v", gang), func(t *testing.T) {
+	for _, c := range []struct {
+		gang    bool
+		crashes int
+		jobs    int
+		waited  time.Duration
+		workers int // with starts, at least
+	}{
+		{false, 3, 12, maxDecidingWait - 1, 6},
+		{true, 3, 12, maxDecidingWait - 1, 6},
+		{false, 4, 4, 2 * maxDecidingWait, 5},
+		{true, 4, 4, 2 * maxDecidingWait, 8},
+	} {
+		t.Run(fmt.Sprintf("gang %v, %d crashes", c.gang, c.crashes), func(t *testing.T) {
 			is := is.New(t)
 			tr := tracker.New()
-			for i := range 12 {
+			for i := range c.jobs {
 				id := fmt.Sprintf("suspect%d", i)
-				submit(tr, id, 1, &messages.Step{Count: 2, Processors: 1000, Gang: gang, Spread: 1})
-				crash(tr, id, 0, 3, false)
-				crash(tr, id, 1, 3, false)
+				submit(tr, id, 1, &messages.Step{Count: 2, Processors: 1000, Gang: c.gang, Spread: 1})
+				crash(tr, id, 0, c.crashes, false)
+				crash(tr, id, 1, c.crashes, false)
 			}
 			submit(tr, "later", 2, &messages.Step{Count: 40, Processors: 1000})
 			in := input(fleet(8), tr)
-			in.Waited = func(StepKey) Wait { return Wait{Deferred: maxBusyWait, Idle: maxDecidingWait - 1} }
+			in.Waited = func(StepKey) Wait { return Wait{Deferred: maxBusyWait, Idle: c.waited} }
 			jobs := map[string]map[string]bool{}
 			for _, r := range NewPlan(in).Starts {
 				if jobs[r.GetWorker()] == nil {
@@ -366,7 +379,7 @@
 				}
 				jobs[r.GetWorker()][r.GetJob()] = true
 			}
-			is.True(len(jobs) >= 6)
+			is.True(len(jobs) >= c.workers)
 			for _, started := range jobs {
 				is.Equal(len(started), 1)
 			}
