coordinator: a crash beside a suspect task of another job is not the last one

Traced in one of its runs beside load: a task of the job had started five times on workers on which tasks that crash their workers were starting too, the last two times beside the trials of tasks with three and four crashes. None of the five crashes spoke against it alone, nor any of the crashes of those two tasks, and five crashes of any kind end a job.

The fifth crash no longer counts if a task of another job that had crashed a worker before was starting there too. The task is tried again, alone where the pool has a worker for each such trial.

The verdict after such a crash also lost the note that the task lasts, so that a lasting job was given up (TestSharedCrashKeepsLastingTask).

--- a/internal/queue/coordinator/crash.go
+++ b/internal/queue/coordinator/crash.go
@@ -132,7 +132,7 @@
 	var list []*messages.Crash
 	for _, key := range starting {
 		alone := one && c.committedStarts[key]
-		counted := alone || c.counts(state, key)
+		counted := alone || c.counts(state, key, starting)
 		c.delayDeadly(state, key.TaskKey, alone)
 		if counted {
 			list = append(list, &messages.Crash{
@@ -163,14 +163,18 @@
 }
 
 // counts reports whether a crash that others may explain is evidence against a task. While a large part of the workers is
-// being lost, an innocent task may crash any number of times, so no such crash is the last one that is needed; the task
-// waits as after a further crash.
-func (c *Coordinator) counts(state *tracker.Tracker, key tracker.RunKey) bool {
-	t := &state.Job(key.Job).Step(key.Occurrence, key.Step).Tasks[key.Task]
-	if !t.IsOnLastTrial() || !c.wasWidespread(c.opts.Now()) {
+// being lost, or where a suspect task of another job was starting too, an innocent task may crash any number of times, so no
+// such crash is the last one that is needed; the task waits as after a further crash.
+func (c *Coordinator) counts(state *tracker.Tracker, key tracker.RunKey, starting []tracker.RunKey) bool {
+	s := state.Job(key.Job).Step(key.Occurrence, key.Step)
+	t := &s.Tasks[key.Task]
+	shared := slices.ContainsFunc(starting, func(other tracker.RunKey) bool {
+		return other.Job != key.Job && state.Job(other.Job).Step(other.Occurrence, other.Step).Tasks[other.Task].IsSuspect()
+	})
+	if !t.IsOnLastTrial() || !shared && !c.wasWidespread(c.opts.Now()) {
 		return true
 	}
-	c.verdicts[key.TaskKey] = verdict{crashes: len(t.Crashes), since: c.opts.Now()}
+	c.verdicts[key.TaskKey] = verdict{crashes: len(t.Crashes), since: c.opts.Now(), lasting: s.Spec.GetLasting()}
 	return false
 }
 
