simulator: loads of a few large organisations

All loads gave each organisation the same share, so that an order among organisations had little to decide, and none exceeded the capacity for long.

--- a/internal/queue/simulator/job.go
+++ b/internal/queue/simulator/job.go
@@ -70,10 +70,20 @@
 	return min(limit, math.Exp(math.Log(mean)-sigma*sigma/2+sigma*s.random.NormFloat64()))
 }
 
+// drawOrganisation draws the organisation of a job.
+func (s *Simulator) drawOrganisation() string {
+	l := &s.opts.Load
+	n := max(l.Organisations, 1)
+	if l.LargeShare > 0 && s.random.Float64() < l.LargeShare {
+		n = l.LargeOrganisations
+	}
+	return fmt.Sprintf("org%d", s.random.IntN(n))
+}
+
 // drawJob draws a random job of a queue.
 func (s *Simulator) drawJob(q *Queue) *job {
 	j := &job{
-		id: fmt.Sprintf("%016x", s.random.Uint64()), queue: q, org: fmt.Sprintf("org%d", s.random.IntN(max(s.opts.Load.Organisations, 1))),
+		id: fmt.Sprintf("%016x", s.random.Uint64()), queue: q, org: s.drawOrganisation(),
 		alwaysFails: s.random.Float64() < q.AlwaysFailing, willCancel: s.random.Float64() < q.Cancelled, startedTasks: map[tracker.TaskKey]bool{},
 		work: &messages.Work{Body: "body"},
 	}
--- a/internal/queue/simulator/load_test.go
+++ b/internal/queue/simulator/load_test.go
@@ -36,6 +36,8 @@
 	{"racks-quarter", quarterOfRacks, 1, nil, nil},
 	{"racks-quarter-busy", quarterOfRacks, 1.3, nil, nil},
 	{"racks-quarter-burst", quarterOfRacks, 1, []Burst{{Queue: 1, Start: 8 * time.Second, Duration: 6 * time.Second, Factor: 2}}, nil},
+	{"racks-quarter-large", largeOrganisations, 1.3, nil, nil},
+	{"racks-quarter-overload", largeOrganisations, 1.8, nil, nil},
 	{"racks-waves", Racks, 1, nil, nil},
 	{"racks-busy", Racks, 1.3, nil, nil},
 	{"racks-urgent-burst", Racks, 1, []Burst{{Queue: 1, Start: 8 * time.Second, Duration: 6 * time.Second, Factor: 2}}, nil},
@@ -48,6 +50,13 @@
 	return fleet, load
 }
 
+// largeOrganisations is quarterOfRacks with most of the load from three of the ten organisations.
+func largeOrganisations(scale float64) (Fleet, Load) {
+	fleet, load := quarterOfRacks(scale)
+	load.LargeOrganisations, load.LargeShare = 3, 0.6
+	return fleet, load
+}
+
 // measure runs a load with several seeds. It returns the summed results and the share of jobs served.
 func measure(name string, seeds int, preemption placer.Preemption) (sum Result, served float64) {
 	for _, l := range loads {
--- a/internal/queue/simulator/simulator.go
+++ b/internal/queue/simulator/simulator.go
@@ -62,6 +62,9 @@
 	WavePeriod     time.Duration // of the arrival rates, 0 for constant rates
 	WaveDepth      float64       // amplitude of the waves as a share of the mean rate
 	CancelledReads float64       // share of reads of the replicated state whose caller cancels them
+	// LargeShare of the jobs is of the first LargeOrganisations alone, the rest of all organisations.
+	LargeShare         float64
+	LargeOrganisations int
 }
 
 // Burst multiplies the arrival rate of one queue for some time.
