--- a/internal/queue/placer/search.go
+++ b/internal/queue/placer/search.go
@@ -6,8 +6,8 @@
 )
 
 // maxVisits limits the work of a pass: how many workers, and runs on them, it looks at while it searches for room. Without a
-// limit the leader would decide nothing else for as long as a large queue takes. It is counted and not timed, so that a plan
-// depends on the input alone.
+// limit the leader would decide nothing else for as long as a large queue takes: 0.5 s with 350 workers and 2 s with 6600 are
+// the most that it may. It is counted and not timed, so that a plan depends on the input alone.
 const maxVisits = 8_000_000
 
 // The work of what is done with a worker or a run, as a multiple of the work to look at a worker.
