placer: last trials wait for a quiet worker for a limited time

Since a last trial starts only on a worker on which nothing else is starting, however long it has waited. Where a run is starting on each worker at any time, as with short tasks on few workers, it never started. Now it no longer insists after 20.25 s, the longest hold before it (18 s, which counts as a wait) and the wait of other deciding trials. TestLastTrialOnBusyWorkers starts 0 tasks before, 1 now.

--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -60,7 +60,7 @@
 
 // isLastTrial reports whether the run is a trial after which its task is not tried again.
 func (a *ActiveRun) isLastTrial() bool {
-	return a.isTrial() && len(a.Step.Tasks[a.Key.Task].Crashes) >= lastCrashes && !a.Step.Spec.GetLasting()
+	return a.isTrial() && len(a.Step.Tasks[a.Key.Task].Crashes) >= tracker.LastTrialCrashes && !a.Step.Spec.GetLasting()
 }
 
 // Input holds the data for one pass.
--- a/internal/queue/placer/trial.go
+++ b/internal/queue/placer/trial.go
@@ -22,9 +22,9 @@
 	decidingCrashes = 3
 	// maxDecidingWait is how long units wait for that in a pool that is mostly idle.
 	maxDecidingWait = 2250 * time.Millisecond
-	// lastCrashes is the number of crashes from which the next one is the last. A trial beside other starts decides nothing
-	// then, so it starts alone however long units have waited, while the pool has a worker for each such trial.
-	lastCrashes = 4
+	// maxApartWait is how long last trials wait for a worker on which nothing is starting, as on busy workers there may never be
+	// one. It covers the longest hold before such a trial, 18 s, which counts as a wait, and maxDecidingWait.
+	maxApartWait = 20250 * time.Millisecond
 )
 
 // isDeciding reports whether the job may be given up after the trial of the unit, which therefore starts alone.
@@ -32,11 +32,14 @@
 	return u.crashes >= decidingCrashes && !u.overLimit || u.startsApart
 }
 
-// isLastTrial reports whether the unit is not tried again after one more crash. A lasting task always is.
-func (u *unit) isLastTrial() bool { return u.crashes >= lastCrashes && !u.step.Spec.GetLasting() }
+// isLastTrial reports whether the unit is not tried again after one more crash. A lasting task always is. A last trial beside
+// other starts decides nothing, so it starts alone, also if units no longer wait for other trials.
+func (u *unit) isLastTrial() bool {
+	return u.crashes >= tracker.LastTrialCrashes && !u.step.Spec.GetLasting()
+}
 
-// planLastTrials decides for each pool whether last trials start alone however long units have waited. With more of them than
-// workers their jobs would have nothing running for too long.
+// planLastTrials decides which last trials start alone. With more of them in a pool than workers their jobs would have nothing
+// running for too long.
 func (p *pass) planLastTrials(units []*unit) {
 	count := map[string]int{}
 	for _, u := range units {
@@ -48,7 +51,7 @@
 		count[c.Pool]++
 	}
 	for _, u := range units {
-		u.startsApart = u.isLastTrial() && count[u.pool] <= len(p.pools[u.pool])
+		u.startsApart = u.isLastTrial() && count[u.pool] <= len(p.pools[u.pool]) && p.input.Waited(u.key()).Idle < maxApartWait
 	}
 	for _, c := range p.lastTrials {
 		c.lastTrial = count[c.Pool] <= len(p.pools[c.Pool])
--- a/internal/queue/placer/trial_test.go
+++ b/internal/queue/placer/trial_test.go
@@ -405,3 +405,25 @@
 		is.Equal(slices.Compact(slices.Clone(list)), list) // no worker twice
 	}
 }
+
+// TestLastTrialOnBusyWorkers guards against a last trial that never starts, as a run is starting on each worker at any time.
+func TestLastTrialOnBusyWorkers(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		idle   time.Duration
+		starts int
+	}{{maxApartWait - 1, 0}, {maxApartWait, 1}} {
+		tr := tracker.New()
+		workers := fleet(3)
+		submit(tr, "short", 1, &messages.Step{Count: 3, Processors: 1000})
+		occupy(tr, "short", workers...)
+		for _, w := range workers {
+			w.Runs[0].Starting = true
+		}
+		submit(tr, "suspect", 1, &messages.Step{Count: 1, Processors: 1000})
+		crash(tr, "suspect", 0, tracker.LastTrialCrashes, false)
+		in := input(workers, tr)
+		in.Waited = func(StepKey) Wait { return Wait{Deferred: maxBusyWait, Idle: c.idle} }
+		is.Equal(len(NewPlan(in).Starts), c.starts)
+	}
+}
--- a/internal/queue/tracker/job.go
+++ b/internal/queue/tracker/job.go
@@ -73,6 +73,9 @@
 	maxCrashes      = 5
 )
 
+// LastTrialCrashes is the number of crashes of any kind from which one more exhausts a task.
+const LastTrialCrashes = maxCrashes - 1
+
 // IsSuspect reports whether a run of the task may have crashed its worker.
 func (t *Task) IsSuspect() bool { return len(t.Crashes) > 0 }
 
@@ -85,7 +88,7 @@
 func (t *Task) IsExhausted() bool { return len(t.Crashes) >= maxCrashes }
 
 // IsOnLastTrial reports whether one more crash of any kind exhausts the task.
-func (t *Task) IsOnLastTrial() bool { return len(t.Crashes) == maxCrashes-1 }
+func (t *Task) IsOnLastTrial() bool { return len(t.Crashes) == LastTrialCrashes }
 
 // IsLikelyCause reports whether enough crashes have no other explanation than the task.
 func (t *Task) IsLikelyCause() bool { return t.AloneCrashes() >= minAloneCrashes }
