--- a/internal/queue/coordinator/crash.go
+++ b/internal/queue/coordinator/crash.go
@@ -282,8 +282,8 @@
 
 // isHeld reports whether a suspect task must not start: it is about to be given up, or workers are being lost, as while an
 // operator restarts one after the other, and a trial would say nothing. A task with one crash does not wait. While a large part
-// of the workers is being lost, a longer wait makes a crash no better evidence, so a third crash makes it no longer. Only the last
-// trial, which settles whether the job is given up, does. A lasting task is never given up.
+// of the workers is being lost, a longer wait makes a crash no better evidence, so a third crash makes it no longer. Only last
+// trials, which settle whether the job is given up, wait longer. A lasting task is never given up.
 func (c *Coordinator) isHeld(key tracker.TaskKey, t *tracker.Task) bool {
 	now, v := c.opts.Now(), c.verdicts[key]
 	switch {
@@ -293,7 +293,7 @@
 		return true
 	}
 	limit := holdTime(len(t.Crashes))
-	if v.lasting || !t.IsOnLastTrial() && c.wasWidespread(now) {
+	if v.lasting || len(t.Crashes) < tracker.LastTrialCrashes && c.wasWidespread(now) {
 		limit = minHoldTime
 	}
 	return now.Sub(c.lossAt) < quietPeriod && now.Sub(v.since) < limit
--- a/internal/queue/coordinator/waiting.go
+++ b/internal/queue/coordinator/waiting.go
@@ -110,7 +110,7 @@
 	if j == nil {
 		return false
 	}
-	return slices.ContainsFunc(j.Step(key.Occurrence, key.Step).Tasks, func(t tracker.Task) bool { return len(t.Crashes) > 0 })
+	return slices.ContainsFunc(j.Step(key.Occurrence, key.Step).Tasks, func(t tracker.Task) bool { return t.IsSuspect() })
 }
 
 // hasRunAtWork reports whether a step is done, or a run of it has been seen at work for some time. For the key of a lasting task
