--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -159,6 +159,7 @@
 	waits           map[string]*jobWait         // by job
 	waitLog         waitLog
 	outdatedFor     map[placer.StepKey]string // keepers of an earlier build for which gangs wait, as of the last pass
+	goneCheckedAt   time.Time                 // when incarnations of workers that have gone were last searched
 	restarts        map[tracker.TaskKey]restart
 	seenAt          map[string]time.Time // when this leader first saw a job
 	endedAt         map[string]time.Time // when this leader first saw a job as ended
@@ -230,6 +231,7 @@
 	c.waits = map[string]*jobWait{}
 	c.waitLog = waitLog{}
 	c.outdatedFor = map[placer.StepKey]string{}
+	c.goneCheckedAt = time.Time{}
 	c.restarts = map[tracker.TaskKey]restart{}
 	c.seenAt = map[string]time.Time{}
 	c.endedAt = map[string]time.Time{}
--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -45,16 +45,22 @@
 	return change
 }
 
-// maxRemovedIncarnations bounds the size of the entry that removes the incarnations of workers that have gone.
-const maxRemovedIncarnations = 256
+const (
+	// maxRemovedIncarnations bounds the size of the entry that removes the incarnations of workers that have gone.
+	maxRemovedIncarnations = 256
+	// goneCheckInterval is the time between two searches for them, each of which looks at all workers.
+	goneCheckInterval = time.Second
+)
 
 // goneIncarnations returns the ends of committed incarnations whose workers have no runs and have not reported for
 // workerRetention. An incarnation is committed with the first end that it reports, also if it was removed before with its last
 // runs and the report came late. A worker that returns lists its ends again, which has no effect on runs that have ended.
 func (c *Coordinator) goneIncarnations(state *tracker.Tracker) []*messages.WorkerEnds {
-	if c.opts.Now().Sub(c.termStart) <= workerRetention {
-		return nil // the workers may not have found this leader yet
+	now := c.opts.Now()
+	if now.Sub(c.termStart) <= workerRetention || now.Sub(c.goneCheckedAt) < goneCheckInterval {
+		return nil // in the first minute workers may not have found this leader yet
 	}
+	c.goneCheckedAt = now
 	var list []*messages.WorkerEnds
 	state.EachIncarnation(func(id string, incarnation tracker.Incarnation) {
 		// The ends of a worker with more of them would not be credible if it returned.
--- a/internal/queue/coordinator/ended_test.go
+++ b/internal/queue/coordinator/ended_test.go
@@ -96,6 +96,9 @@
 	f.Pass(ctx)
 	is.Equal(left(), 1)
 	f.Pass(ctx)
+	is.Equal(left(), 1) // not all workers are searched in each pass
+	f.now = f.now.Add(goneCheckInterval)
+	f.Pass(ctx)
 	is.Equal(left(), 0)
 }
 
