runner: the removal of health records is logged

After this entry an operator can't return to a build that refuses it, and no line said that it was committed. 'health records are removed' names the records and the format.

--- a/internal/daemon/runner/replica.go
+++ b/internal/daemon/runner/replica.go
@@ -211,10 +211,10 @@
 	var orders []scheduler.Order
 	var lost []scheduler.WorkerLost
 	var leaderTerm uint64
-	var prune bool
+	var removable int
 	err := p.applier.Read(ctx, func(term uint64, s *scheduler.State) {
 		leaderTerm = term
-		prune = s.NeedsHealthPruned()
+		removable = s.RemovableHealth()
 		orders = s.Outstanding()
 		lost = p.server.Lost(term, s)
 	})
@@ -229,21 +229,23 @@
 			return
 		}
 	}
-	if prune {
-		p.pruneHealth(ctx, leaderTerm)
+	if removable > 0 {
+		p.pruneHealth(ctx, leaderTerm, removable)
 	}
 }
 
 // pruneHealth removes health records that are no longer needed, unless a member of the group may be of a build that refuses
 // the entry.
-func (p *replica) pruneHealth(ctx context.Context, term uint64) {
+func (p *replica) pruneHealth(ctx context.Context, term uint64, records int) {
 	s, err := p.status(ctx)
 	if err != nil || !p.server.AllApply(term, slices.Concat(s.Members.GetVoters(), s.Members.GetLearners())) {
 		return
 	}
 	if _, err := p.applier.ProposeIn(ctx, term, scheduler.PruneHealth{}); err != nil {
 		p.log.Debug("commit of removed health records failed", zap.Error(err))
+		return
 	}
+	p.log.Info("health records are removed", zap.Int("records", records), zap.Int("format", scheduler.EntryFormat))
 }
 
 func (p *replica) status(ctx context.Context) (applier.Status, error) {
--- a/internal/job/scheduler/codec_test.go
+++ b/internal/job/scheduler/codec_test.go
@@ -55,6 +55,30 @@
 	is.Equal(err.Error(), `decode entry "dance": unknown kind`)
 }
 
+// recode returns an event after its encoding, which must have a format, and decoding.
+func recode(t *testing.T, e Event, format int) Event {
+	t.Helper()
+	is := is.New(t)
+	now := time.Unix(1_000, 0).UTC()
+	data, err := Encode(now, e)
+	is.NoErr(err)
+	is.Equal(formatOf(t, data), format)
+	at, decoded, err := Decode(data)
+	is.NoErr(err)
+	is.Equal(at, now)
+	return decoded
+}
+
+// formatOf returns the format of an entry or of a snapshot.
+func formatOf(t *testing.T, data []byte) int {
+	t.Helper()
+	var head struct {
+		Format int `json:"format"`
+	}
+	is.New(t).NoErr(json.Unmarshal(data, &head))
+	return head.Format
+}
+
 // TestEvacuationsHaveTheirOwnFormat guards against an earlier build that applies an entry, or restores a snapshot, without the
 // evacuations in it: such a keeper would start tasks where the others start none. What holds no evacuation stays as
 // earlier builds read it.
@@ -64,20 +88,7 @@
 	change := func(over bool) ChangeQueues {
 		return ChangeQueues{Change: &messages.QueueChange{Time: 7000, Evacuations: []*messages.EvacuationOrder{{Place: "north", Over: over, By: "op"}}}}
 	}
-	formatOf := func(data []byte) int {
-		var head struct {
-			Format int `json:"format"`
-		}
-		is.NoErr(json.Unmarshal(data, &head))
-		return head.Format
-	}
-	data, err := Encode(now, change(false))
-	is.NoErr(err)
-	is.Equal(formatOf(data), 2)
-	at, event, err := Decode(data)
-	is.NoErr(err)
-	is.Equal(at, now)
-	is.True(proto.Equal(event.(ChangeQueues).Change, change(false).Change))
+	is.True(proto.Equal(recode(t, change(false), 2).(ChangeQueues).Change, change(false).Change))
 	plain, err := Encode(now, ChangeQueues{Change: &messages.QueueChange{Cancels: []string{"j"}}})
 	is.NoErr(err)
 	is.Equal(plain[0], byte(queueEntryTag))
@@ -90,7 +101,7 @@
 		s.Step(now, c.event)
 		saved, err := s.Save()
 		is.NoErr(err)
-		is.Equal(formatOf(saved), c.format)
+		is.Equal(formatOf(t, saved), c.format)
 		restored, err := Restore(saved)
 		is.NoErr(err)
 		is.Equal(restored.Queues().IsEvacuated("north"), c.format == 2)
@@ -103,34 +114,16 @@
 // its checkpoint.
 func TestInheritedCheckpointsAreRefusedByEarlierBuilds(t *testing.T) {
 	is := is.New(t)
-	now := time.Unix(1_000, 0).UTC()
 	change := &messages.QueueChange{Starts: []*messages.Run{{Job: "j", Number: 2, Inherits: true}}}
-	data, err := Encode(now, ChangeQueues{Change: change})
-	is.NoErr(err)
-	var env envelope
-	is.NoErr(json.Unmarshal(data, &env))
-	is.Equal(env.Format, extendedEntryFormat)
-	at, e, err := Decode(data)
-	is.NoErr(err)
-	is.Equal(at, now)
-	is.True(proto.Equal(e.(ChangeQueues).Change, change))
+	is.True(proto.Equal(recode(t, ChangeQueues{Change: change}, 2).(ChangeQueues).Change, change))
 }
 
 // TestRemovedHealthIsRefusedByEarlierBuilds guards against keepers whose health records differ: those of an earlier build keep
 // the records that this entry removes.
 func TestRemovedHealthIsRefusedByEarlierBuilds(t *testing.T) {
 	is := is.New(t)
-	now := time.Unix(1_000, 0).UTC()
-	data, err := Encode(now, PruneHealth{})
-	is.NoErr(err)
-	var env envelope
-	is.NoErr(json.Unmarshal(data, &env))
-	is.Equal(env.Format, healthEntryFormat)
-	at, e, err := Decode(data)
-	is.NoErr(err)
-	is.Equal(at, now)
-	is.Equal(e, PruneHealth{})
-	_, _, err = Decode([]byte(`{"format": 2, "kind": "health"}`))
+	is.Equal(recode(t, PruneHealth{}, 3), PruneHealth{})
+	_, _, err := Decode([]byte(`{"format": 2, "kind": "health"}`))
 	is.Equal(err.Error(), `decode entry "health": unknown kind`)
 }
 
@@ -142,13 +135,13 @@
 	s := New()
 	s.Step(now, Announce{Worker: WorkerInfo{Name: "here", Place: "p", Service: "s", Incarnation: 1, Slots: 8}})
 	s.health.RecordFailure(now, "here", "left")
-	is.True(!s.NeedsHealthPruned())
+	is.Equal(s.RemovableHealth(), 0)
 	for i := range removableHealth {
 		s.health.RecordFailure(now, fmt.Sprint("gone", i), "poison")
 	}
-	is.True(s.NeedsHealthPruned())
+	is.True(s.RemovableHealth() >= removableHealth)
 	s.Step(now, PruneHealth{})
-	is.True(!s.NeedsHealthPruned())
+	is.Equal(s.RemovableHealth(), 0)
 	is.Equal(len(s.health.Workers), 1)
 	is.Equal(len(s.health.Jobs), 0)
 }
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -85,9 +85,12 @@
 // clears its jobs.
 const removableHealth = 1024
 
-// NeedsHealthPruned reports whether enough health records can be removed.
-func (s *State) NeedsHealthPruned() bool {
-	return s.health.Removable(s.hasJoined, s.hasEnded) >= removableHealth
+// RemovableHealth returns how many health records can be removed, 0 if they are too few for an entry.
+func (s *State) RemovableHealth() int {
+	if n := s.health.Removable(s.hasJoined, s.hasEnded); n >= removableHealth {
+		return n
+	}
+	return 0
 }
 
 func (s *State) hasJoined(worker string) bool { return s.workers[worker] != nil }
