coordinator: a new leader counts recent starts of workers as losses

Cause: the fifth crash is not counted while a large part of the workers is being lost. A new leader knows no losses from before its term, and misses those of workers that had not reported to it, so a crash in the first seconds of a term counted as if no other worker had been lost.

TestLossesAroundChangeOfLeader/widespread fails before. The package's other tests of deadly tasks and of changes of the leader pass.

--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -151,6 +151,7 @@
 	allLosses       map[string]time.Time // of workers that no task alone explains, by machine, within widespreadPeriod before the last one
 	losses          map[string]time.Time // of workers that were starting nothing, by machine, within widespreadPeriod before the last one
 	widespreadAt    time.Time            // when these were last a large part of the workers, zero for never
+	restartedAt     time.Time            // last start of a large part of the workers around the start of the term, zero for none
 	verdicts        map[tracker.TaskKey]verdict
 	hasVerdicts     bool // the tasks that had several crashes when the term began are in verdicts
 	deferrals       map[placer.StepKey]*deferral
@@ -224,7 +225,8 @@
 	c.failedWorkers = failedWorkers{}
 	c.stopping = map[tracker.RunKey]bool{}
 	c.unexplainedAt, c.lossAt = time.Time{}, time.Time{}
-	c.allLosses, c.losses, c.widespreadAt = map[string]time.Time{}, map[string]time.Time{}, time.Time{}
+	c.allLosses, c.losses = map[string]time.Time{}, map[string]time.Time{}
+	c.widespreadAt, c.restartedAt = time.Time{}, time.Time{}
 	c.verdicts, c.hasVerdicts = map[tracker.TaskKey]verdict{}, false
 	c.deferrals = map[placer.StepKey]*deferral{}
 	c.idleWaits, c.resume = map[placer.StepKey]idleWait{}, placer.StepKey{}
--- a/internal/queue/coordinator/crash.go
+++ b/internal/queue/coordinator/crash.go
@@ -159,7 +159,30 @@
 
 // wasWidespread reports whether a large part of the workers was being lost without an explanation around the given time.
 func (c *Coordinator) wasWidespread(at time.Time) bool {
-	return !c.widespreadAt.IsZero() && at.Sub(c.widespreadAt) < widespreadPeriod
+	return !c.widespreadAt.IsZero() && at.Sub(c.widespreadAt) < widespreadPeriod ||
+		!c.restartedAt.IsZero() && at.Sub(c.restartedAt) < widespreadPeriod
+}
+
+// observeRestarts notes whether a large part of the workers has started around the start of the term. A new leader does not know
+// the losses that earlier leaders have seen, and misses those of workers that had not reported to it.
+func (c *Coordinator) observeRestarts() {
+	if c.opts.Now().Sub(c.termStart) >= widespreadPeriod {
+		return
+	}
+	restarts, last := map[string]time.Time{}, time.Time{}
+	for id, w := range c.workers {
+		start := w.lastContact.Add(-w.age())
+		if w.clock == 0 || c.termStart.Sub(start) >= widespreadPeriod {
+			continue // it has no clock, or has been up since long before
+		}
+		restarts[machineOf(id, w)] = start
+		if start.After(last) {
+			last = start
+		}
+	}
+	if c.isWidespread(restarts) {
+		c.restartedAt = last
+	}
 }
 
 // counts reports whether a crash that others may explain is evidence against a task. While a large part of the workers is
--- a/internal/queue/coordinator/shared_crash_test.go
+++ b/internal/queue/coordinator/shared_crash_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/bluebellgauge/bluebellgauge/internal/queue/tracker"
 	"github.com/bluebellgauge/bluebellgauge/internal/wire/messages"
@@ -70,3 +71,46 @@
 	f.passAfterVerdict()
 	f.is.Equal(f.state.Job("a").Phase, tracker.Running)
 }
+
+// TestLossesAroundChangeOfLeader guards against an innocent job that is given up since a new leader does not know that a large part of
+// the workers was lost together with the one under its last trial.
+func TestLossesAroundChangeOfLeader(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		others int // that restart with the worker of the trial
+		clock  bool
+		want   tracker.Phase
+	}{
+		{"widespread", 3, true, tracker.Running},
+		{"one other", 1, true, tracker.Failed},
+		{"none", 0, true, tracker.Failed},
+		{"workers without clocks", 3, false, tracker.Failed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			others := []string{"b", "c", "d", "e"} // a crash under one of them as well is no proof
+			f := newCrashFixture(t, append(others, "a")...)
+			for i := range tracker.LastTrialCrashes {
+				f.crashUnder(t, fmt.Sprintf("w%d", i), "a", others[i])
+			}
+			f.state.Apply(&messages.QueueChange{Starts: []*messages.Run{{
+				Job: "a", Number: tracker.LastTrialCrashes + 1, Worker: "v0", Born: f.now.Add(-time.Minute).UnixMilli(), Started: f.now.UnixMilli(),
+			}}})
+			f.leaderTerm++
+			for i := range 9 {
+				born := f.now.Add(-time.Minute)
+				if i <= c.others {
+					born = f.now.Add(-survivalTime)
+				}
+				f.reportFrom(t, fmt.Sprintf("v%d", i), born, func(r *messages.FleetReport) {
+					r.Processors = 0 // nothing starts
+					if !c.clock {
+						r.Clock = 0
+					}
+				})
+			}
+			f.is.Equal(len(f.crashesOf("a")), tracker.LastTrialCrashes+1)
+			f.passAfterVerdict()
+			f.is.Equal(f.state.Job("a").Phase, c.want)
+		})
+	}
+}
