--- a/internal/queue/coordinator/crash.go
+++ b/internal/queue/coordinator/crash.go
@@ -163,28 +163,44 @@
 		!c.restartedAt.IsZero() && at.Sub(c.restartedAt) < widespreadPeriod
 }
 
-// observeRestarts notes whether a large part of the workers has started around the start of the term. A new leader does not know
-// the losses that earlier leaders have seen, and misses those of workers that had not reported to it.
-func (c *Coordinator) observeRestarts() {
-	if c.opts.Now().Sub(c.termStart) >= widespreadPeriod {
+// observeRestarts notes whether a large part of the workers has started around the start of the term, beside those that tasks may
+// have crashed. A new leader does not know the losses that earlier leaders have seen, and misses those of workers that had not
+// reported to it.
+func (c *Coordinator) observeRestarts(state *tracker.Tracker) {
+	sinceTerm := c.opts.Now().Sub(c.termStart)
+	if sinceTerm >= widespreadPeriod {
 		return
 	}
-	restarts, last := map[string]time.Time{}, time.Time{}
-	for id, w := range c.workers {
+	restarts, last := 0, time.Time{}
+	for _, w := range c.workers {
 		start := w.lastContact.Add(-w.age())
 		if w.clock == 0 || c.termStart.Sub(start) >= widespreadPeriod {
 			continue // it has no clock, or has been up since long before
 		}
-		restarts[machineOf(id, w)] = start
+		restarts++
 		if start.After(last) {
 			last = start
 		}
 	}
-	if c.isWidespread(restarts) {
+	restarts -= crashedWorkers(state, c.opts.Wall().Add(-sinceTerm-widespreadPeriod))
+	if restarts >= minWidespread && restarts*widespreadDivisor >= len(c.workers) {
 		c.restartedAt = last
 	}
 }
 
+// crashedWorkers returns the number of workers that have been lost as they started runs, since the given time.
+func crashedWorkers(state *tracker.Tracker, since time.Time) int {
+	workers := map[string]bool{}
+	state.EachSuspect(func(_ tracker.TaskKey, _ *tracker.Job, t *tracker.Task) {
+		for _, crash := range t.Crashes {
+			if crash.Time >= since.UnixMilli() {
+				workers[crash.Worker] = true
+			}
+		}
+	})
+	return len(workers)
+}
+
 // counts reports whether a crash that others may explain is evidence against a task. While a large part of the workers is
 // being lost, or where a suspect task of another job was starting too, an innocent task may crash any number of times, so no
 // such crash is the last one that is needed; the task waits as after a further crash.
--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -26,7 +26,7 @@
 	c.updateInterference()
 	change.Ends = append(c.expiredWorkers(state), c.unsentStarts(state)...)
 	change.Forgets = c.expiredJobs(state)
-	c.observeRestarts()
+	c.observeRestarts(state)
 	change.Failures = c.giveUps(state)
 	change.Cancels = change.Failures
 	change.Survivals = c.survivals(state)
--- a/internal/queue/coordinator/shared_crash_test.go
+++ b/internal/queue/coordinator/shared_crash_test.go
@@ -92,6 +92,7 @@
 			for i := range tracker.LastTrialCrashes {
 				f.crashUnder(t, fmt.Sprintf("w%d", i), "a", others[i])
 			}
+			f.now = f.now.Add(2 * widespreadPeriod)
 			f.state.Apply(&messages.QueueChange{Starts: []*messages.Run{{
 				Job: "a", Number: tracker.LastTrialCrashes + 1, Worker: "v0", Born: f.now.Add(-time.Minute).UnixMilli(), Started: f.now.UnixMilli(),
 			}}})
