coordinator: a repeated submission is compared by its key, too

Cause: resolveRepeated took a repeated submission for the accepted one if its content was the same.

Change: jobs hold a digest of the key that they were submitted with, and another key is refused as before. Jobs of earlier builds have no digest and are compared by their content alone.

Result: TestRepeatedCallWithAnotherKey fails before and passes now.

--- a/internal/queue/coordinator/call.go
+++ b/internal/queue/coordinator/call.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"path"
@@ -90,8 +92,8 @@
 var errPending = errors.New("an earlier attempt of the submission is not committed yet")
 
 // resolveRepeated corrects the refusal of a call of which an earlier attempt was accepted: the catalog may have changed
-// since. pending is true while the outcome of the earlier attempt is open. Another call for the same job is refused by the
-// catalog in force.
+// since. pending is true while the outcome of the earlier attempt is open. Another call for the same job, or with another key, is
+// refused by the catalog in force.
 func (c *Coordinator) resolveRepeated(state *tracker.Tracker, s *messages.Submission, refusal *messages.Verdict) (v *messages.Verdict, pending bool) {
 	if !s.GetRepeated() {
 		return refusal, false
@@ -100,12 +102,21 @@
 	if _, rest, ok := state.Queue(s.GetHost(), s.GetPath()); ok {
 		id = rest
 	}
-	if j := state.Job(id); j != nil && isSameWork(j.Work, s.GetWork()) {
+	if j := state.Job(id); j != nil && isSameWork(j.Work, s.GetWork()) && (j.Work.GetCaller() == 0 || j.Work.GetCaller() == digestOf(s.GetKey())) {
 		return &messages.Verdict{Status: StatusOK, Reason: "known already"}, false
 	}
 	return refusal, state.Job(id) == nil && c.proposed[id]
 }
 
+// digestOf returns a digest of a caller's key, 0 for none.
+func digestOf(key string) uint64 {
+	if key == "" {
+		return 0
+	}
+	sum := sha256.Sum256([]byte(key))
+	return binary.BigEndian.Uint64(sum[:])
+}
+
 // isSameWork reports whether an accepted job is the one that a caller submits.
 func isSameWork(accepted, submitted *messages.Work) bool {
 	return accepted.GetBody() == submitted.GetBody() && accepted.GetFirst() == submitted.GetFirst() && accepted.GetInterval() == submitted.GetInterval() &&
@@ -137,7 +148,7 @@
 	work.Id, work.Queue, work.Organisation = id, q.GetName(), org.GetName()
 	work.Pool, work.Priority, work.Attempts = q.GetPool(), q.GetPriority(), q.GetAttempts()
 	work.Objective = objective(q, work).Milliseconds()
-	work.Accepted = c.opts.Wall().UnixMilli()
+	work.Accepted, work.Caller = c.opts.Wall().UnixMilli(), digestOf(s.GetKey())
 	if refusal := c.refuseTooLarge(work); refusal != nil {
 		return refusal, nil
 	}
--- a/internal/queue/coordinator/repeated_test.go
+++ b/internal/queue/coordinator/repeated_test.go
@@ -57,6 +57,24 @@
 	}
 }
 
+// TestRepeatedCallWithAnotherKey guards against a caller without a valid key that is answered as if it had submitted a job that
+// another caller has submitted with the same content.
+func TestRepeatedCallWithAnotherKey(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	is.Equal(f.submit(t, "/q/a", "k1"), StatusOK)
+	s := &messages.Submission{Host: "h", Path: "/q/a", Key: "k9", Repeated: true, Work: &messages.Work{
+		Body: "body", Steps: []*messages.Step{{Count: 1, Processors: 1000, Estimate: 1000}},
+	}}
+	v, err := f.Submit(context.Background(), s)
+	is.NoErr(err)
+	is.Equal(v.GetStatus(), StatusNoKey)
+	f.state.Job("a").Work.Caller = 0 // as accepted by an earlier build
+	v, err = f.Submit(context.Background(), s)
+	is.NoErr(err)
+	is.Equal(v.GetStatus(), StatusOK)
+}
+
 // TestRepeatedCallAwaitsEarlierAttempt guards against a refusal while an earlier attempt of the same call is being
 // committed, and may run.
 func TestRepeatedCallAwaitsEarlierAttempt(t *testing.T) {
