--- a/internal/queue/coordinator/crash.go
+++ b/internal/queue/coordinator/crash.go
@@ -183,9 +183,13 @@
 		}
 	}
 	restarts -= crashedWorkers(state, c.opts.Wall().Add(-sinceTerm-widespreadPeriod))
-	if restarts >= minWidespread && restarts*widespreadDivisor >= len(c.workers) {
-		c.restartedAt = last
+	if restarts < minWidespread || restarts*widespreadDivisor < len(c.workers) {
+		return
+	}
+	if c.restartedAt.IsZero() {
+		c.opts.Log.Info("many workers have started around the change of the leader", zap.Int("starts", restarts), zap.Int("workers", len(c.workers)))
 	}
+	c.restartedAt = last
 }
 
 // crashedWorkers returns the number of workers that have been lost as they started runs, since the given time.
