coordinator: log where the time of ended jobs has gone, and the use of pools

Late jobs of the least urgent queue could not be traced to stops, to reserved room or to the order of units: no line said how long tasks had waited for what, or who used the pool meanwhile.

The logic is unchanged.

--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -158,7 +158,11 @@
 	idleWaits       map[placer.StepKey]idleWait // of steps that wait though most of their pool is idle
 	resume          placer.StepKey              // at which the last pass left off, zero if it reached all
 	waits           map[string]*jobWait         // by job
-	waitLog         waitLog
+	waitLog         lineLimit
+	accounts        map[string]*account // by job
+	accountedAt     time.Time           // of the last sample
+	usageLoggedAt   time.Time
+	endLog          lineLimit
 	outdatedFor     map[placer.StepKey]string // keepers of an earlier build for which gangs wait, as of the last pass
 	goneCheckedAt   time.Time                 // when incarnations of workers that have gone were last searched
 	restarts        map[tracker.TaskKey]restart
@@ -231,7 +235,9 @@
 	c.deferrals = map[placer.StepKey]*deferral{}
 	c.idleWaits, c.resume = map[placer.StepKey]idleWait{}, placer.StepKey{}
 	c.waits = map[string]*jobWait{}
-	c.waitLog = waitLog{}
+	c.waitLog, c.endLog = lineLimit{}, lineLimit{}
+	c.accounts = map[string]*account{}
+	c.accountedAt, c.usageLoggedAt = time.Time{}, time.Time{}
 	c.outdatedFor = map[placer.StepKey]string{}
 	c.goneCheckedAt = time.Time{}
 	c.restarts = map[tracker.TaskKey]restart{}
--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -208,6 +208,7 @@
 		at, seen := c.endedAt[id]
 		if !seen {
 			c.endedAt[id] = now
+			c.logEnded(j)
 			return
 		}
 		if j.Active() == 0 && now.Sub(at) > c.opts.Timing.Retention {
@@ -222,7 +223,9 @@
 
 // planStarts returns the runs that the placer starts, and marks those that it preempts for stopping.
 func (c *Coordinator) planStarts(state *tracker.Tracker) []*messages.Run {
-	plan := placer.NewPlan(c.placerInput(state))
+	in := c.placerInput(state)
+	plan := placer.NewPlan(in)
+	c.recordAccounts(in, plan)
 	c.recordResume(plan.Resume)
 	plan.Starts = c.limitStarts(state, plan.Starts) // first, as a step whose start is left out waits on
 	c.recordDeferrals(plan)
@@ -230,6 +233,7 @@
 	for _, a := range plan.Stops {
 		c.stopping[a.Key] = true
 		c.endIdleWait(a.Key)
+		c.recordStop(a)
 		c.wakeWorker(a.Job.Step(a.Key.Occurrence, a.Key.Step).Tasks[a.Key.Task].Worker)
 		c.opts.Log.Info("run is stopped for urgent work", zap.String("request", a.Key.Job), zap.Int32("occurrence", a.Key.Occurrence), zap.Int32("step", a.Key.Step),
 			zap.Int32("task", a.Key.Task), zap.Uint32("run", a.Key.Number), zap.Duration("unsaved", a.Unsaved), zap.Duration("remaining", a.Remaining),
--- a/internal/queue/coordinator/interference.go
+++ b/internal/queue/coordinator/interference.go
@@ -18,7 +18,7 @@
 type interference struct {
 	profiler  *profiler.Profiler
 	updatedAt time.Time
-	log       waitLog
+	log       lineLimit
 }
 
 func (c *Coordinator) resetInterference() {
@@ -63,7 +63,7 @@
 	}
 	c.interference.updatedAt = now
 	for _, v := range c.interference.profiler.Update(now) {
-		if !c.interference.log.allows(now) {
+		if !c.interference.log.allows(now, maxWaitLines) {
 			break
 		}
 		text := "images no longer interfere"
--- a/internal/queue/coordinator/waiting.go
+++ b/internal/queue/coordinator/waiting.go
@@ -14,9 +14,9 @@
 const (
 	// minLoggedWait is how long a job has nothing running beside idle workers until that is logged.
 	minLoggedWait = time.Second
-	// maxWaitLines bounds the lines about waiting jobs in a waitLinePeriod.
-	maxWaitLines   = 20
-	waitLinePeriod = time.Second
+	// maxWaitLines bounds the lines about waiting jobs in a linePeriod.
+	maxWaitLines = 20
+	linePeriod   = time.Second
 	// maxInterruption is how long a step may not wait beside idle workers until its wait there begins anew.
 	maxInterruption = 3 * time.Second
 )
@@ -28,19 +28,19 @@
 	obstacle placer.Obstacle // last logged, "" for none
 }
 
-// waitLog bounds the lines about waiting jobs.
-type waitLog struct {
+// lineLimit bounds the lines of one kind in a linePeriod.
+type lineLimit struct {
 	start time.Time // of the current period
 	lines int
 }
 
-// allows reports whether one more line may be logged.
-func (l *waitLog) allows(now time.Time) bool {
-	if now.Sub(l.start) >= waitLinePeriod {
+// allows reports whether one more line may be logged if at most limit may be.
+func (l *lineLimit) allows(now time.Time, limit int) bool {
+	if now.Sub(l.start) >= linePeriod {
 		l.start, l.lines = now, 0
 	}
 	l.lines++
-	return l.lines <= maxWaitLines
+	return l.lines <= limit
 }
 
 // idleWait is the time for which a step has waited beside idle workers since one of its runs was last seen at work. Passes in
@@ -145,7 +145,7 @@
 			c.waits[b.Key.Job] = &jobWait{since: now}
 			continue
 		}
-		if waited := now.Sub(w.since); waited >= minLoggedWait && w.obstacle != b.Obstacle && c.waitLog.allows(now) {
+		if waited := now.Sub(w.since); waited >= minLoggedWait && w.obstacle != b.Obstacle && c.waitLog.allows(now, maxWaitLines) {
 			w.obstacle = b.Obstacle
 			c.opts.Log.Info("job waits beside idle workers", zap.String("request", b.Key.Job), zap.Int32("occurrence", b.Key.Occurrence),
 				zap.Int32("step", b.Key.Step), zap.String("obstacle", string(b.Obstacle)), zap.Duration("waited", waited))
@@ -155,7 +155,7 @@
 		if blocked[job] {
 			return false
 		}
-		if w.obstacle != "" && c.waitLog.allows(now) {
+		if w.obstacle != "" && c.waitLog.allows(now, maxWaitLines) {
 			c.opts.Log.Info("job no longer waits beside idle workers", zap.String("request", job), zap.Duration("waited", now.Sub(w.since)))
 		}
 		return true
