placer: reservations of waiting gangs leave most of a pool to other work

Cause: up to six waiting gangs reserved workers, whatever the size of the pool. Each took the workers that it was expected to get first, so six gangs held the whole pool of 48 workers for tasks that would end in time. Single tasks of lower priority found no room ("no capacity" and "preferred workers" in "job ended"), and what they ran in between was stopped for urgent work.

The first waiting gang of a pool still reserves; the next ones only while at most a quarter of the pool is reserved. It bounds what stands idle in pools of any size, and changes little where six gangs are a small part of the pool.

--- a/internal/queue/placer/gang.go
+++ b/internal/queue/placer/gang.go
@@ -13,8 +13,12 @@
 	members   int
 }
 
-// maxReservations limits the number of waiting gangs per pass that reserve workers.
-const maxReservations = 6
+const (
+	// maxForecasts limits the number of waiting gangs per pass for which workers to reserve are searched.
+	maxForecasts = 6
+	// reservableDivisor limits the workers of a pool that are reserved for more than one gang to one part in so many.
+	reservableDivisor = 4
+)
 
 // placeGang starts all members of a gang or none. If the gang does not fit, it evicts runs for an urgent gang
 // and otherwise reserves workers.
@@ -41,7 +45,8 @@
 	if p.placeRelaxedGang(u) {
 		return
 	}
-	if p.reservations < maxReservations {
+	if p.forecasts < maxForecasts {
+		p.forecasts++
 		p.reserveWorkers(u, domains)
 	}
 }
@@ -293,10 +298,10 @@
 			best, bestAt = allocations, at
 		}
 	}
-	if best == nil {
+	if best == nil || !p.mayReserve(u.pool, len(best)) {
 		return
 	}
-	p.reservations++
+	p.reservedWorkers[u.pool] += len(best)
 	for _, a := range best {
 		if a.candidate.reservedIn == 0 || bestAt < a.candidate.reservedIn {
 			a.candidate.reservedIn = max(bestAt, 1)
@@ -304,6 +309,14 @@
 	}
 }
 
+// mayReserve reports whether a waiting gang may reserve n workers of a pool. Without a reservation a stream of single tasks could
+// keep the first gang from ever starting, but reserved workers are idle for all that would not end in time: reservations for the
+// gangs behind it must not take the pool from queues of lower priority.
+func (p *pass) mayReserve(pool string, n int) bool {
+	reserved := p.reservedWorkers[pool]
+	return reserved == 0 || reservableDivisor*(reserved+n) <= len(p.pools[pool])
+}
+
 // forecast returns the allocations in which all members of a gang are estimated to fit earliest, and the time
 // until then.
 func (p *pass) forecast(u *unit, domain []*candidate) ([]allocation, time.Duration) {
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -149,31 +149,32 @@
 
 // pass holds the working state of one pass.
 type pass struct {
-	input        *Input
-	plan         Plan
-	workers      int                     // number of all workers
-	racks        map[string][]*candidate // by pool and rack
-	pools        map[string][]*candidate
-	gangs        map[*tracker.Step][]*ActiveRun // running members of each gang
-	lasting      map[*tracker.Step][]*ActiveRun // of steps that limit how many of their tasks are away
-	urgentUse    map[string]int64               // accelerators by organisation, of urgent runs that are not being stopped
-	away         map[*tracker.Step]int          // tasks that are not at work, of the steps in lasting, once counted
-	demand       map[string]int64               // accelerators by organisation, of urgent jobs that have not ended
-	workerOf     map[*ActiveRun]*candidate
-	costs        map[*ActiveRun]int64 // of evicting a run together with its gang
-	infeasible   []search             // units that no eviction could fit
-	reservations int
-	reserved     bool                             // capacity is reserved for units that wait for stops
-	trials       map[string]int                   // trials that may still start, by pool
-	lastTrials   []*candidate                     // with last trials of earlier passes
-	old          map[string]int                   // usable workers that have not started lately, by pool
-	tried        map[*tracker.Job]bool            // jobs with a trial
-	running      map[*tracker.Job]bool            // jobs with a run on a worker in contact, or with a start in this pass
-	startsOf     map[*tracker.Step]map[string]int // starts and reservations of single tasks in this pass by worker, of steps with a limit for each worker
-	idle         map[string]bool                  // pools of which less than half is in use, once known
-	doubtful     map[string]bool                  // pools with workers in quarantine, probation or trials
-	evacuated    map[string]bool                  // pools with workers of evacuated data centres
-	obstacles    map[StepKey]Obstacle
+	input           *Input
+	plan            Plan
+	workers         int                     // number of all workers
+	racks           map[string][]*candidate // by pool and rack
+	pools           map[string][]*candidate
+	gangs           map[*tracker.Step][]*ActiveRun // running members of each gang
+	lasting         map[*tracker.Step][]*ActiveRun // of steps that limit how many of their tasks are away
+	urgentUse       map[string]int64               // accelerators by organisation, of urgent runs that are not being stopped
+	away            map[*tracker.Step]int          // tasks that are not at work, of the steps in lasting, once counted
+	demand          map[string]int64               // accelerators by organisation, of urgent jobs that have not ended
+	workerOf        map[*ActiveRun]*candidate
+	costs           map[*ActiveRun]int64             // of evicting a run together with its gang
+	infeasible      []search                         // units that no eviction could fit
+	forecasts       int                              // of when a waiting gang could start
+	reservedWorkers map[string]int                   // for waiting gangs, by pool
+	reserved        bool                             // capacity is reserved for units that wait for stops
+	trials          map[string]int                   // trials that may still start, by pool
+	lastTrials      []*candidate                     // with last trials of earlier passes
+	old             map[string]int                   // usable workers that have not started lately, by pool
+	tried           map[*tracker.Job]bool            // jobs with a trial
+	running         map[*tracker.Job]bool            // jobs with a run on a worker in contact, or with a start in this pass
+	startsOf        map[*tracker.Step]map[string]int // starts and reservations of single tasks in this pass by worker, of steps with a limit for each worker
+	idle            map[string]bool                  // pools of which less than half is in use, once known
+	doubtful        map[string]bool                  // pools with workers in quarantine, probation or trials
+	evacuated       map[string]bool                  // pools with workers of evacuated data centres
+	obstacles       map[StepKey]Obstacle
 	searchState
 }
 
@@ -225,7 +226,7 @@
 		gangs: map[*tracker.Step][]*ActiveRun{}, workerOf: map[*ActiveRun]*candidate{}, costs: map[*ActiveRun]int64{},
 		trials: map[string]int{}, old: map[string]int{}, tried: map[*tracker.Job]bool{}, running: map[*tracker.Job]bool{}, idle: map[string]bool{},
 		startsOf: map[*tracker.Step]map[string]int{}, lasting: map[*tracker.Step][]*ActiveRun{}, urgentUse: map[string]int64{}, away: map[*tracker.Step]int{},
-		doubtful: map[string]bool{}, evacuated: map[string]bool{}, obstacles: map[StepKey]Obstacle{}, searchState: state,
+		reservedWorkers: map[string]int{}, doubtful: map[string]bool{}, evacuated: map[string]bool{}, obstacles: map[StepKey]Obstacle{}, searchState: state,
 	}
 	p.planTrials()
 	for _, w := range in.Workers {
--- a/internal/queue/placer/preference.go
+++ b/internal/queue/placer/preference.go
@@ -108,7 +108,7 @@
 	if p.isCautious(u) {
 		list = append(list, preference{"sound workers", maxBusyWait, (*unit).withoutCaution})
 	}
-	if (p.reservations > 0 || p.reserved) && !u.anyReserved && p.isIdle(u) {
+	if (len(p.reservedWorkers) > 0 || p.reserved) && !u.anyReserved && p.isIdle(u) {
 		list = append(list, preference{"workers not reserved for gangs", 0, (*unit).withoutReservations})
 	}
 	if u.step.Spec.GetGang() && u.prefersRack() {
--- a/internal/queue/placer/task.go
+++ b/internal/queue/placer/task.go
@@ -42,7 +42,7 @@
 
 // waitsForReserved reports whether an urgent task would wait for a worker that is reserved for an earlier gang.
 func (p *pass) waitsForReserved(u *unit, counts map[string]int) bool {
-	if !u.urgent || p.reservations == 0 {
+	if !u.urgent || len(p.reservedWorkers) == 0 {
 		return false
 	}
 	c := p.packTask(u, counts, &p.noProjected, projectedOf)
