coordinator: a repeated call counts as that of an accepted job only if it began before the acceptance

Cause: the leader answers a marked attempt as accepted whatever the catalog says, if the job is known with the same content and key. It could not tell an attempt of the same call from another call of the same caller for a job accepted seconds before, one attempt of which was left open.

Entries send the age of the call. An entry of an earlier build sends no age and is treated as before.

--- a/internal/entry/forwarder/queues.go
+++ b/internal/entry/forwarder/queues.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"time"
 
 	"github.com/twitchtv/twirp"
 
@@ -36,9 +37,12 @@
 // Submit sends a job to the leader and retries until the context ends. The error is ErrNoLeader if the
 // outcome is unknown.
 func (f *Forwarder) Submit(ctx context.Context, s *messages.Submission) (*messages.Verdict, error) {
-	sent := false
+	sent, start := false, time.Now()
 	return call(ctx, f, request{methodSubmit, s, callTimeout}, func(ctx context.Context, a netip.AddrPort) (*messages.Verdict, error) {
-		attempt := &messages.Submission{Host: s.GetHost(), Path: s.GetPath(), Key: s.GetKey(), Work: s.GetWork(), Repeated: sent || s.GetRepeated()}
+		attempt := &messages.Submission{
+			Host: s.GetHost(), Path: s.GetPath(), Key: s.GetKey(), Work: s.GetWork(), Repeated: sent || s.GetRepeated(),
+			Age: max(s.GetAge()+time.Since(start).Milliseconds(), 1),
+		}
 		v, err := f.queues(a).Submit(ctx, attempt)
 		sent = sent || err != nil && isOutcomeOpen(err)
 		return v, err
--- a/internal/entry/forwarder/unanswered_test.go
+++ b/internal/entry/forwarder/unanswered_test.go
@@ -260,11 +260,12 @@
 // submitStub does not answer the first attempt of a submission in time.
 type submitStub struct {
 	messages.Queues
-	repeated []bool // of each attempt
+	repeated []bool  // of each attempt
+	ages     []int64 // milliseconds, of each attempt
 }
 
 func (k *submitStub) Submit(ctx context.Context, s *messages.Submission) (*messages.Verdict, error) {
-	k.repeated = append(k.repeated, s.GetRepeated())
+	k.repeated, k.ages = append(k.repeated, s.GetRepeated()), append(k.ages, s.GetAge())
 	if len(k.repeated) == 1 {
 		<-ctx.Done()
 	}
@@ -284,4 +285,5 @@
 	_, err := f.Submit(ctx, &messages.Submission{Path: "/q/a"})
 	is.NoErr(err)
 	is.Equal(stub.repeated, []bool{false, true})
+	is.True(stub.ages[1] >= callTimeout.Milliseconds()) // the first attempt was not answered in time
 }
--- a/internal/queue/coordinator/call.go
+++ b/internal/queue/coordinator/call.go
@@ -91,6 +91,19 @@
 // errPending is the reason for which a repeated submission gets no verdict yet.
 var errPending = errors.New("an earlier attempt of the submission is not committed yet")
 
+// callSlack bounds the difference between the clocks of the leader that accepted a job and of the one that is asked again.
+const callSlack = 2 * time.Second
+
+// mayBeOfCall reports whether a job may have been accepted by an earlier attempt of the call, and not by a call before it. An
+// entry of an earlier build does not say when the call began.
+func (c *Coordinator) mayBeOfCall(j *tracker.Job, s *messages.Submission) bool {
+	if s.GetAge() == 0 || j.Work.GetAccepted() == 0 {
+		return true
+	}
+	begun := c.opts.Wall().Add(-time.Duration(s.GetAge()) * time.Millisecond)
+	return time.UnixMilli(j.Work.GetAccepted()).After(begun.Add(-callSlack))
+}
+
 // resolveRepeated corrects the refusal of a call of which an earlier attempt was accepted: the catalog may have changed
 // since. pending is true while the outcome of the earlier attempt is open. Another call for the same job, or with another key, is
 // refused by the catalog in force.
@@ -102,7 +115,7 @@
 	if _, rest, ok := state.Queue(s.GetHost(), s.GetPath()); ok {
 		id = rest
 	}
-	if j := state.Job(id); j != nil && isSameWork(j.Work, s.GetWork()) && (j.Work.GetCaller() == 0 || j.Work.GetCaller() == digestOf(s.GetKey())) {
+	if j := state.Job(id); j != nil && isSameWork(j.Work, s.GetWork()) && c.mayBeOfCall(j, s) && (j.Work.GetCaller() == 0 || j.Work.GetCaller() == digestOf(s.GetKey())) {
 		return &messages.Verdict{Status: StatusOK, Reason: "known already"}, false
 	}
 	return refusal, state.Job(id) == nil && c.proposed[id]
--- a/internal/queue/coordinator/repeated_test.go
+++ b/internal/queue/coordinator/repeated_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -102,3 +103,31 @@
 	is.Equal(v.GetStatus(), StatusOK)
 	is.Equal(f.state.Job("a").Phase, tracker.Pending)
 }
+
+// TestRepeatedCallAfterEarlierCall guards against a call with a withdrawn key that is answered as accepted, as one of its attempts was
+// left open and an earlier call had submitted the job (CONFIG: a version older than one already obeyed).
+func TestRepeatedCallAfterEarlierCall(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		age  time.Duration
+		want string
+	}{
+		{"began after the acceptance", 100 * time.Millisecond, StatusNoKey},
+		{"began before the acceptance", 5100 * time.Millisecond, StatusOK},
+		{"of an entry of an earlier build", 0, StatusOK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			is.Equal(f.submit(t, "/q/a", "k1"), StatusOK)
+			f.now = f.now.Add(5 * time.Second)
+			f.change(func(c *messages.Catalog) { c.Organisations = nil })
+			v, err := f.Submit(context.Background(), &messages.Submission{
+				Host: "h", Path: "/q/a", Key: "k1", Repeated: true, Age: c.age.Milliseconds(),
+				Work: &messages.Work{Body: "body", Steps: []*messages.Step{{Count: 1, Processors: 1000, Estimate: 1000}}},
+			})
+			is.NoErr(err)
+			is.Equal(v.GetStatus(), c.want)
+		})
+	}
+}
