coordinator: a job whose ID is in use by another one is refused

Cause: the leader took any job with the ID for the one submitted, whatever its queue, organisation and content. Workers know tasks by the ID alone, so two jobs can't share one; the second is refused with 409 now, and gets no verdict while the first is being committed. Reads and cancellations look in the queue of the call only.

--- a/internal/queue/coordinator/call.go
+++ b/internal/queue/coordinator/call.go
@@ -28,6 +28,7 @@
 	StatusUnknown  = "unknown"  // no such job
 	StatusEmpty    = "empty"    // no catalog is installed yet
 	StatusMismatch = "mismatch" // the job cannot run as specified
+	StatusConflict = "conflict" // another job has the ID
 	StatusTooLarge = "toolarge" // the job or the catalog does not fit into a log entry
 	StatusNoPlace  = "noplace"  // no data centre has this name
 	StatusInvalid  = "invalid"  // the description of a job to explain is malformed
@@ -62,8 +63,8 @@
 	pending := false
 	err := c.read(ctx, func(state *tracker.Tracker) {
 		term, version = c.term, state.Catalog().GetVersion()
-		verdict, work = c.admit(state, s)
-		if verdict.GetStatus() != StatusOK {
+		verdict, work, pending = c.admit(state, s)
+		if verdict.GetStatus() != StatusOK && !pending {
 			verdict, pending = c.resolveRepeated(state, s, verdict)
 		}
 	})
@@ -88,8 +89,8 @@
 	return verdict, nil
 }
 
-// errPending is the reason for which a repeated submission gets no verdict yet.
-var errPending = errors.New("an earlier attempt of the submission is not committed yet")
+// errPending is the reason for which a submission gets no verdict yet.
+var errPending = errors.New("an earlier submission of a job with the ID is not committed yet")
 
 // callSlack bounds the difference between the clocks of the leader that accepted a job and of the one that is asked again.
 const callSlack = 2 * time.Second
@@ -118,7 +119,7 @@
 	if j := state.Job(id); j != nil && isSameWork(j.Work, s.GetWork()) && c.mayBeOfCall(j, s) && (j.Work.GetCaller() == 0 || j.Work.GetCaller() == digestOf(s.GetKey())) {
 		return &messages.Verdict{Status: StatusOK, Reason: "known already"}, false
 	}
-	return refusal, state.Job(id) == nil && c.proposed[id]
+	return refusal, state.Job(id) == nil && c.proposed[id] != nil
 }
 
 // digestOf returns a digest of a caller's key, 0 for none.
@@ -145,15 +146,47 @@
 		zap.Uint64("index", receipt.Index), zap.Uint64("term", receipt.Term))
 }
 
-// admit decides whether a job is accepted. work is nil if there is nothing to commit.
-func (c *Coordinator) admit(state *tracker.Tracker, s *messages.Submission) (verdict *messages.Verdict, work *messages.Work) {
+// admit decides whether a job is accepted. work is nil if there is nothing to commit. pending is true while another job with the ID is
+// being committed.
+func (c *Coordinator) admit(state *tracker.Tracker, s *messages.Submission) (verdict *messages.Verdict, work *messages.Work, pending bool) {
 	q, org, id, refusal := resolve(state, s.GetHost(), s.GetPath(), s.GetKey())
 	if refusal != nil {
-		return refusal, nil
+		return refusal, nil, false
+	}
+	conflict := &messages.Verdict{Status: StatusConflict, Reason: "another job has this ID"}
+	if j := state.Job(id); j != nil {
+		if !isSubmissionOf(state, j.Work, s, q, org) {
+			return conflict, nil, false
+		}
+		return &messages.Verdict{Status: StatusOK, Reason: "known already"}, nil, false
 	}
-	if state.Job(id) != nil {
-		return &messages.Verdict{Status: StatusOK, Reason: "known already"}, nil
+	if p := c.proposed[id]; p != nil && !isSubmissionOf(state, p, s, q, org) {
+		return conflict, nil, true
 	}
+	verdict, work = c.admitNew(state, s, q, org, id)
+	return verdict, work, false
+}
+
+// isSubmissionOf reports whether a call submits an accepted or proposed job, and not another one under its ID. A task is known to its
+// worker by the ID of its job alone, so two jobs can't share one. A queue may be listed under another name in a later catalog.
+func isSubmissionOf(state *tracker.Tracker, w *messages.Work, s *messages.Submission, q *messages.Queue, org *messages.Organisation) bool {
+	return isInQueue(state, w, q) && isOwner(w, org) && isSameWork(w, s.GetWork())
+}
+
+// isInQueue reports whether a job is one of a queue in the catalog. A job whose queue has left the catalog may be of any.
+func isInQueue(state *tracker.Tracker, w *messages.Work, q *messages.Queue) bool {
+	return w.GetQueue() == q.GetName() || state.QueueByName(w.GetQueue()) == nil
+}
+
+// isOwner reports whether a job may be one of an organisation, nil for a caller of a public queue without one.
+func isOwner(w *messages.Work, org *messages.Organisation) bool {
+	return org == nil || w.GetOrganisation() == "" || w.GetOrganisation() == org.GetName()
+}
+
+// admitNew decides whether a job with an unused ID is accepted.
+func (c *Coordinator) admitNew(
+	state *tracker.Tracker, s *messages.Submission, q *messages.Queue, org *messages.Organisation, id string,
+) (verdict *messages.Verdict, work *messages.Work) {
 	if q.GetAdvised() {
 		return &messages.Verdict{Status: StatusMismatch, Reason: "the queue's workers are chosen by an outside service, which is not supported"}, nil
 	}
@@ -166,10 +199,10 @@
 		return refusal, nil
 	}
 	// An earlier call may have committed this job, so it must not be refused now.
-	if reason := c.capacityShortfall(work); reason != "" && !c.proposed[id] {
+	if reason := c.capacityShortfall(work); reason != "" && c.proposed[id] == nil {
 		return &messages.Verdict{Status: StatusRefused, Reason: reason, Retry: noCapacityRetryAfter.Milliseconds()}, nil
 	}
-	c.proposed[id] = true
+	c.proposed[id] = work
 	return &messages.Verdict{Status: StatusOK}, work
 }
 
@@ -234,12 +267,12 @@
 
 // lookupJob returns the job that a call names and the verdict for the call.
 func lookupJob(state *tracker.Tracker, l *messages.Lookup) (*tracker.Job, *messages.Verdict) {
-	_, org, id, refusal := resolve(state, l.GetHost(), l.GetPath(), l.GetKey())
+	q, org, id, refusal := resolve(state, l.GetHost(), l.GetPath(), l.GetKey())
 	if refusal != nil {
 		return nil, refusal
 	}
 	j := state.Job(id)
-	if j == nil || org != nil && j.Work.GetOrganisation() != "" && j.Work.GetOrganisation() != org.GetName() {
+	if j == nil || !isInQueue(state, j.Work, q) || !isOwner(j.Work, org) {
 		return nil, &messages.Verdict{Status: StatusUnknown, Reason: "no such job"}
 	}
 	return j, &messages.Verdict{Status: StatusOK, Phase: string(j.Phase)}
--- a/internal/queue/coordinator/coordinator.go
+++ b/internal/queue/coordinator/coordinator.go
@@ -140,8 +140,8 @@
 	term            uint64
 	termStart       time.Time // first read of the term on this keeper
 	workers         map[string]*worker
-	addresses       map[string]string // worker id by report address
-	proposed        map[string]bool   // jobs proposed in this term that are not in the replicated state yet
+	addresses       map[string]string         // worker id by report address
+	proposed        map[string]*messages.Work // jobs proposed in this term that are not in the replicated state yet
 	progress        map[tracker.RunKey]*runProgress
 	committedStarts map[tracker.RunKey]bool // starts committed in this term
 	failedWorkers   failedWorkers
@@ -223,7 +223,7 @@
 	c.termStart = c.opts.Now()
 	c.workers = map[string]*worker{}
 	c.addresses = map[string]string{}
-	c.proposed = map[string]bool{}
+	c.proposed = map[string]*messages.Work{}
 	c.progress = map[tracker.RunKey]*runProgress{}
 	c.committedStarts = map[tracker.RunKey]bool{}
 	c.failedWorkers = failedWorkers{}
--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -176,7 +176,7 @@
 	maps.DeleteFunc(c.workers, func(id string, w *worker) bool {
 		return (w.replaced || now.Sub(w.lastContact) > workerRetention) && len(state.RunsOn(id)) == 0
 	})
-	maps.DeleteFunc(c.proposed, func(id string, _ bool) bool { return state.Job(id) != nil })
+	maps.DeleteFunc(c.proposed, func(id string, _ *messages.Work) bool { return state.Job(id) != nil })
 	maps.DeleteFunc(c.begun, func(id string, _ bool) bool { return state.Job(id) == nil || state.Job(id).Ended() })
 	maps.DeleteFunc(c.addresses, func(_, id string) bool { return c.workers[id] == nil })
 	ended := func(key tracker.RunKey) bool { return !state.IsActive(key) }
--- a/internal/queue/coordinator/metrics.go
+++ b/internal/queue/coordinator/metrics.go
@@ -50,7 +50,7 @@
 		pass: scope.Histogram("pass_seconds", buckets()), commit: scope.Histogram("commit_seconds", buckets()),
 		interferingPairs: scope.Gauge("interfering_pairs"), startsApart: scope.Counter("starts_apart"),
 	}
-	for _, status := range []string{StatusOK, StatusRefused, StatusNoQueue, StatusNoKey, StatusUnknown, StatusEmpty, StatusMismatch, StatusTooLarge} {
+	for _, status := range []string{StatusOK, StatusRefused, StatusNoQueue, StatusNoKey, StatusUnknown, StatusEmpty, StatusMismatch, StatusConflict, StatusTooLarge} {
 		m.submits[status] = scope.Tagged(map[string]string{"status": status}).Counter("submits")
 	}
 	for _, how := range []string{
