--- a/internal/queue/coordinator/call.go
+++ b/internal/queue/coordinator/call.go
@@ -163,7 +163,7 @@
 	if p := c.proposed[id]; p != nil && !isSubmissionOf(state, p, s, q, org) {
 		return conflict, nil, true
 	}
-	verdict, work = c.admitNew(state, s, q, org, id)
+	verdict, work = c.admitNew(s, q, org, id)
 	return verdict, work, false
 }
 
@@ -185,7 +185,7 @@
 
 // admitNew decides whether a job with an unused ID is accepted.
 func (c *Coordinator) admitNew(
-	state *tracker.Tracker, s *messages.Submission, q *messages.Queue, org *messages.Organisation, id string,
+	s *messages.Submission, q *messages.Queue, org *messages.Organisation, id string,
 ) (verdict *messages.Verdict, work *messages.Work) {
 	if q.GetAdvised() {
 		return &messages.Verdict{Status: StatusMismatch, Reason: "the queue's workers are chosen by an outside service, which is not supported"}, nil
