placer: urgent services keep the tasks that must not be away

Both tasks of a service of priority 0 with allow_miss 1 were stopped in one answer for a job within another organisation's guarantee (AVAIL, bothstopped). Cause: mayTake asked for urgent runs only whether their organisation exceeds its guarantee, and for the absence of tasks only for runs of lower priority. It asks for both now. TestReclaimBearsAbsenceOfUrgentService fails before.

--- a/internal/queue/placer/reclaim.go
+++ b/internal/queue/placer/reclaim.go
@@ -38,8 +38,8 @@
 
 // mayTake reports whether a victim may be taken beside those that are selected for the eviction and those chosen with it.
 func (p *pass) mayTake(a *ActiveRun, e *eviction, chosen []*ActiveRun) bool {
-	if isUrgent(a.Job) {
-		return p.hasExcess(a.Job.Work.GetOrganisation(), e, chosen)
+	if isUrgent(a.Job) && !p.hasExcess(a.Job.Work.GetOrganisation(), e, chosen) {
+		return false
 	}
 	return !a.Step.Spec.GetLasting() || a.Step.Spec.GetAbsent() == 0 || p.mayBeAway(a, e, chosen)
 }
--- a/internal/queue/placer/reclaim_test.go
+++ b/internal/queue/placer/reclaim_test.go
@@ -198,3 +198,18 @@
 		is.Equal(len(settle(tr, workers, guarantees)), 0)
 	}
 }
+
+// TestReclaimBearsAbsenceOfUrgentService guards against a service of priority 0 of which more tasks are stopped than may be away
+// (AVAIL, bothstopped).
+func TestReclaimBearsAbsenceOfUrgentService(t *testing.T) {
+	is := is.New(t)
+	tr := tracker.New()
+	workers := fleet(2)
+	guarantees := map[string]int64{"a": 16}
+	submitFor(tr, "b", "service", 0, &messages.Step{Count: 2, Processors: 100, Accelerators: 8, Lasting: true, Absent: 1})
+	settle(tr, workers, guarantees)
+	is.Equal(tr.Job("service").Active(), 2)
+	submitFor(tr, "a", "urgent", 0, &messages.Step{Count: 2, Processors: 100, Accelerators: 8})
+	is.Equal(len(settle(tr, workers, guarantees)), 1)
+	is.Equal(tr.Job("service").Active(), 1)
+}
