placer: a task of a service is away until its startup is over

Lasting runs count as at work from 100 percent on, as PROTOCOL.md says. The simulator's workers report 100 percent for lasting tasks, as workers do; fixtures say which runs are at work. TestReclaimAwaitsStartups fails before.

--- a/internal/queue/coordinator/decide.go
+++ b/internal/queue/coordinator/decide.go
@@ -374,7 +374,7 @@
 		v.Runs = append(v.Runs, &placer.ActiveRun{
 			Key: key, Job: j, Step: s, Need: need, Stopping: c.mustStop(j, key),
 			Unsaved: t.unsaved(now, s.Spec.GetCheckpoints()), Remaining: remaining, Starting: !t.hasSurvived(),
-			Held: c.heldFor(r),
+			Held: c.heldFor(r), AtWork: s.Spec.GetLasting() && t.isComplete(),
 		})
 	}
 	for key := range w.listed {
--- a/internal/queue/coordinator/progress.go
+++ b/internal/queue/coordinator/progress.go
@@ -68,6 +68,9 @@
 // mayBeAtWork reports whether a run was listed and is not known to be gone.
 func (t *runProgress) mayBeAtWork() bool { return t != nil && t.missed < minMissed }
 
+// isComplete reports whether a run has been listed with full progress. A lasting task is at work from then on.
+func (t *runProgress) isComplete() bool { return t != nil && t.percent >= 100 }
+
 // elapsed returns the time since a run was first listed.
 func (t *runProgress) elapsed(now time.Time) time.Duration {
 	if t == nil {
--- a/internal/queue/placer/load_test.go
+++ b/internal/queue/placer/load_test.go
@@ -31,7 +31,7 @@
 			w.Free = w.Free.Sub(Need(s.Spec))
 			w.Runs = append(w.Runs, &ActiveRun{
 				Key: tracker.KeyOf(r), Job: j, Step: s, Need: Need(s.Spec), Unsaved: time.Duration(i%97) * time.Second / 10,
-				Remaining: time.Duration(i%61) * time.Second,
+				Remaining: time.Duration(i%61) * time.Second, AtWork: true,
 			})
 		}
 		tr.Apply(&messages.QueueChange{Starts: starts})
--- a/internal/queue/placer/placer.go
+++ b/internal/queue/placer/placer.go
@@ -48,6 +48,7 @@
 	Remaining time.Duration // estimated time until it completes
 	Held      time.Duration // time since its start was committed
 	Starting  bool          // the worker has not been seen alive some time after the start
+	AtWork    bool          // of a lasting task: its startup is over
 }
 
 // isTrial reports whether the run is the first one of a suspect task since it may have crashed a worker.
--- a/internal/queue/placer/placer_test.go
+++ b/internal/queue/placer/placer_test.go
@@ -76,7 +76,7 @@
 	tr.Apply(&messages.QueueChange{Starts: []*messages.Run{run}})
 	w.Free = w.Free.Sub(Need(s.Spec))
 	w.Runs = append(w.Runs, &ActiveRun{
-		Key: tracker.KeyOf(run), Job: j, Step: s, Need: Need(s.Spec), Unsaved: time.Second, Remaining: 5 * time.Second,
+		Key: tracker.KeyOf(run), Job: j, Step: s, Need: Need(s.Spec), Unsaved: time.Second, Remaining: 5 * time.Second, AtWork: true,
 	})
 }
 
--- a/internal/queue/placer/reclaim.go
+++ b/internal/queue/placer/reclaim.go
@@ -86,7 +86,7 @@
 
 // isAway reports whether a lasting run is not at work, or will soon not be.
 func (p *pass) isAway(a *ActiveRun) bool {
-	return a.Stopping || a.Starting || p.workerOf[a].Silent
+	return a.Stopping || !a.AtWork || p.workerOf[a].Silent
 }
 
 // countAway returns how many tasks of a lasting step are not at work.
--- a/internal/queue/placer/reclaim_test.go
+++ b/internal/queue/placer/reclaim_test.go
@@ -38,7 +38,7 @@
 			j := tr.Job(r.GetJob())
 			s := j.Step(0, 0)
 			w.Free = w.Free.Sub(Need(s.Spec))
-			w.Runs = append(w.Runs, &ActiveRun{Key: tracker.KeyOf(r), Job: j, Step: s, Need: Need(s.Spec), Unsaved: 1e9, Remaining: 60e9})
+			w.Runs = append(w.Runs, &ActiveRun{Key: tracker.KeyOf(r), Job: j, Step: s, Need: Need(s.Spec), Unsaved: 1e9, Remaining: 60e9, AtWork: true})
 		}
 		for _, a := range plan.Stops {
 			stopped = append(stopped, a)
@@ -213,3 +213,21 @@
 	is.Equal(len(settle(tr, workers, guarantees)), 1)
 	is.Equal(tr.Job("service").Active(), 1)
 }
+
+// TestReclaimAwaitsStartups guards against a task of a service that is stopped while another one, which was stopped before, has not
+// finished its startup (AVAIL, allowmiss).
+func TestReclaimAwaitsStartups(t *testing.T) {
+	for _, atWork := range []bool{true, false} {
+		is := is.New(t)
+		tr := tracker.New()
+		workers := fleet(2)
+		submitFor(tr, "b", "service", 2, &messages.Step{Count: 2, Processors: 100, Accelerators: 8, Lasting: true, Absent: 1})
+		occupy(tr, "service", workers...)
+		workers[0].Runs[0].AtWork = atWork
+		submitFor(tr, "a", "urgent", 0, &messages.Step{Count: 1, Processors: 100, Accelerators: 8, Label: "a"})
+		workers[1].Labels = []string{"a"}
+		in := input(workers, tr)
+		in.Age = func(*tracker.Job) time.Duration { return reclaimDelay }
+		is.Equal(len(NewPlan(in).Stops) == 1, atWork)
+	}
+}
--- a/internal/queue/placer/search_test.go
+++ b/internal/queue/placer/search_test.go
@@ -69,6 +69,7 @@
 			a := w.Runs[len(w.Runs)-1]
 			a.Held, a.Unsaved, a.Remaining = millis(5000), millis(5000), millis(4000)
 			a.Stopping, a.Starting = chance(20), chance(30)
+			a.AtWork = !a.Starting && !chance(20)
 		}
 	}
 	for i := range 1 + r.IntN(20) {
--- a/internal/queue/simulator/run.go
+++ b/internal/queue/simulator/run.go
@@ -128,3 +128,11 @@
 		}
 	}
 }
+
+// percent returns the progress as a worker reports it. A lasting task has no end, so its progress is complete as it begins.
+func (r *run) percent() int32 {
+	if r.spec.GetLasting() && r.started {
+		return 100
+	}
+	return int32(100 * r.done / max(r.total, 1))
+}
--- a/internal/queue/simulator/worker.go
+++ b/internal/queue/simulator/worker.go
@@ -145,7 +145,7 @@
 			Run: &messages.Run{
 				Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Task: key.Task, Number: key.Number, Saved: r.checkpointTag,
 			},
-			Percent: int32(100 * r.done / max(r.total, 1)), Usage: r.usage(w),
+			Percent: r.percent(), Usage: r.usage(w),
 		})
 	}
 	report.Ends = append(report.Ends, w.pendingEnds[:min(len(w.pendingEnds), 500)]...)
