coordinator: a repeated call under an ID in use is refused as well

The check of repeated calls did not look at the queue: a marked attempt for a job of the same content and key in another queue was still answered as accepted and dropped. TestIDInUseIsRefused asks with and without the mark; it fails before for the other queue.

--- a/internal/queue/coordinator/call.go
+++ b/internal/queue/coordinator/call.go
@@ -109,17 +109,18 @@
 // since. pending is true while the outcome of the earlier attempt is open. Another call for the same job, or with another key, is
 // refused by the catalog in force.
 func (c *Coordinator) resolveRepeated(state *tracker.Tracker, s *messages.Submission, refusal *messages.Verdict) (v *messages.Verdict, pending bool) {
-	if !s.GetRepeated() {
+	if !s.GetRepeated() || refusal.GetStatus() == StatusConflict {
 		return refusal, false
 	}
 	id := path.Base(s.GetPath()) // its queue may be gone, and with it the prefix
 	if _, rest, ok := state.Queue(s.GetHost(), s.GetPath()); ok {
 		id = rest
 	}
-	if j := state.Job(id); j != nil && isSameWork(j.Work, s.GetWork()) && c.mayBeOfCall(j, s) && (j.Work.GetCaller() == 0 || j.Work.GetCaller() == digestOf(s.GetKey())) {
+	j := state.Job(id)
+	if j != nil && isSameWork(j.Work, s.GetWork()) && c.mayBeOfCall(j, s) && (j.Work.GetCaller() == 0 || j.Work.GetCaller() == digestOf(s.GetKey())) {
 		return &messages.Verdict{Status: StatusOK, Reason: "known already"}, false
 	}
-	return refusal, state.Job(id) == nil && c.proposed[id] != nil
+	return refusal, j == nil && c.proposed[id] != nil
 }
 
 // digestOf returns a digest of a caller's key, 0 for none.
--- a/internal/queue/coordinator/conflict_test.go
+++ b/internal/queue/coordinator/conflict_test.go
@@ -35,11 +35,15 @@
 			is := is.New(t)
 			f := newFixture()
 			is.Equal(f.submit(t, "/q/a", "k1"), StatusOK)
-			v, err := f.Submit(context.Background(), submissionOf(c.path, c.key, c.body))
-			is.NoErr(err)
-			is.Equal(v.GetStatus(), c.submit)
+			for _, repeated := range []bool{false, true} {
+				s := submissionOf(c.path, c.key, c.body)
+				s.Repeated = repeated
+				v, err := f.Submit(context.Background(), s)
+				is.NoErr(err)
+				is.Equal(v.GetStatus(), c.submit)
+			}
 			lookup := &messages.Lookup{Host: "h", Path: c.path, Key: c.key}
-			v, err = f.Look(context.Background(), lookup)
+			v, err := f.Look(context.Background(), lookup)
 			is.NoErr(err)
 			is.Equal(v.GetStatus(), c.look)
 			v, err = f.Cancel(context.Background(), lookup)
