coordinator: the queue does not tell jobs under one ID apart

Queues are compared by name, and a later catalog may list a queue under another name, or give its name to another one. Organisation and content are compared, the queue is not, as before. TestJobOfRenamedQueueIsKnown now swaps the name and fails before. TestIDInUseIsRefused asks for copies through another queue as accepted.

--- a/internal/queue/coordinator/call.go
+++ b/internal/queue/coordinator/call.go
@@ -156,12 +156,12 @@
 	}
 	conflict := &messages.Verdict{Status: StatusConflict, Reason: "another job has this ID"}
 	if j := state.Job(id); j != nil {
-		if !isSubmissionOf(state, j.Work, s, q, org) {
+		if !isSubmissionOf(j.Work, s, org) {
 			return conflict, nil, false
 		}
 		return &messages.Verdict{Status: StatusOK, Reason: "known already"}, nil, false
 	}
-	if p := c.proposed[id]; p != nil && !isSubmissionOf(state, p, s, q, org) {
+	if p := c.proposed[id]; p != nil && !isSubmissionOf(p, s, org) {
 		return conflict, nil, true
 	}
 	verdict, work = c.admitNew(s, q, org, id)
@@ -169,14 +169,10 @@
 }
 
 // isSubmissionOf reports whether a call submits an accepted or proposed job, and not another one under its ID. A task is known to its
-// worker by the ID of its job alone, so two jobs can't share one. A queue may be listed under another name in a later catalog.
-func isSubmissionOf(state *tracker.Tracker, w *messages.Work, s *messages.Submission, q *messages.Queue, org *messages.Organisation) bool {
-	return isInQueue(state, w, q) && isOwner(w, org) && isSameWork(w, s.GetWork())
-}
-
-// isInQueue reports whether a job is one of a queue in the catalog. A job whose queue has left the catalog may be of any.
-func isInQueue(state *tracker.Tracker, w *messages.Work, q *messages.Queue) bool {
-	return w.GetQueue() == q.GetName() || state.QueueByName(w.GetQueue()) == nil
+// worker by the ID of its job alone, so two jobs can't share one. The queue does not tell them apart: a later catalog may list it under
+// another name, or not at all.
+func isSubmissionOf(w *messages.Work, s *messages.Submission, org *messages.Organisation) bool {
+	return isOwner(w, org) && isSameWork(w, s.GetWork())
 }
 
 // isOwner reports whether a job may be one of an organisation, nil for a caller of a public queue without one.
@@ -268,12 +264,12 @@
 
 // lookupJob returns the job that a call names and the verdict for the call.
 func lookupJob(state *tracker.Tracker, l *messages.Lookup) (*tracker.Job, *messages.Verdict) {
-	q, org, id, refusal := resolve(state, l.GetHost(), l.GetPath(), l.GetKey())
+	_, org, id, refusal := resolve(state, l.GetHost(), l.GetPath(), l.GetKey())
 	if refusal != nil {
 		return nil, refusal
 	}
 	j := state.Job(id)
-	if j == nil || !isInQueue(state, j.Work, q) || !isOwner(j.Work, org) {
+	if j == nil || !isOwner(j.Work, org) {
 		return nil, &messages.Verdict{Status: StatusUnknown, Reason: "no such job"}
 	}
 	return j, &messages.Verdict{Status: StatusOK, Phase: string(j.Phase)}
